--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: all install format lint test demo latency
+
+all: test
+
+$(VENV)/installed: pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements.lock
+	$(BIN)/pip install -q --no-deps -e .
+	touch $@
+
+install: $(VENV)/installed
+
+format: install
+	$(BIN)/ruff check -q --fix .
+	$(BIN)/ruff format -q .
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+test: lint
+	$(BIN)/python -m pytest
+
+demo: install
+	$(BIN)/python -m harness.demo
+
+latency: install
+	$(BIN)/python -m harness.latency
--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Provide processes, stand-ins and experiments for one machine."""
--- /dev/null
+++ b/harness/processes.py
@@ -0,0 +1,145 @@
+"""Start, find and stop the processes of an experiment."""
+
+import json
+import signal
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from persimmonhall.address import Address, parse_address
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 45.0
+
+
+def toml_text(tables: dict) -> str:
+    """Write nested tables of plain values as TOML."""
+    lines: list[str] = []
+    for key, value in tables.items():
+        if not _is_table(value):
+            lines.append(f"{key} = {json.dumps(value)}")
+    for key, value in tables.items():
+        if isinstance(value, dict):
+            lines += [f"[{key}]", toml_text(value)]
+        elif _is_table(value):
+            for item in value:
+                lines += [f"[[{key}]]", toml_text(item)]
+    return "\n".join(lines)
+
+
+def _is_table(value: object) -> bool:
+    if isinstance(value, list):
+        return bool(value) and isinstance(value[0], dict)
+    return isinstance(value, dict)
+
+
+@dataclass
+class Running:
+    """Hold a started process and the addresses it printed."""
+
+    name: str
+    process: trio.Process
+    addresses: dict[str, Address]
+    log: Path
+    settings: Path
+    module: str
+
+    def kill(self) -> None:
+        """End it at once."""
+        self.process.kill()
+
+    def freeze(self) -> None:
+        """Stop it from running until thawed."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it run again."""
+        self.process.send_signal(signal.SIGCONT)
+
+    async def terminate(self) -> int:
+        """Ask it to stop and return its exit status."""
+        self.process.send_signal(signal.SIGTERM)
+        with trio.fail_after(STOP_TIMEOUT_S):
+            return await self.process.wait()
+
+
+@dataclass
+class Processes:
+    """Keep the processes of one experiment in one folder."""
+
+    nursery: trio.Nursery
+    folder: Path
+    running: dict[str, Running] = field(default_factory=dict)
+
+    async def start(
+        self, name: str, module: str, settings: dict, *options: str
+    ) -> Running:
+        """Start a module with settings and wait until it is ready."""
+        path = self.folder / f"{name}.toml"
+        path.write_text(toml_text(settings))
+        return await self._start(name, module, path, options)
+
+    async def restart(self, running: Running, *options: str) -> Running:
+        """Start an ended process anew with the same settings."""
+        return await self._start(
+            running.name, running.module, running.settings, options
+        )
+
+    async def _start(
+        self, name: str, module: str, path: Path, options: tuple[str, ...]
+    ) -> Running:
+        log = self.folder / f"{name}.log"
+        command = [sys.executable, "-m", module, "--settings", str(path), *options]
+        with log.open("ab") as stream:
+            start = partial(
+                trio.run_process,
+                command,
+                stdout=subprocess.PIPE,
+                stderr=stream,
+                check=False,
+            )
+            process = await self.nursery.start(start)
+        addresses = await _read_ready(process, log)
+        running = Running(name, process, addresses, log, path, module)
+        self.running[name] = running
+        return running
+
+    async def run_load(self, settings: dict) -> dict:
+        """Run persimmonhall-load to its end and return its figures."""
+        path = self.folder / "load.toml"
+        path.write_text(toml_text(settings))
+        command = [sys.executable, "-m", "persimmonhall.cli.load"]
+        command += ["--settings", str(path), "--json"]
+        done = await trio.run_process(command, capture_stdout=True)
+        return json.loads(done.stdout)
+
+    async def stop(self) -> None:
+        """Ask every process to stop, then end what is left."""
+        with trio.CancelScope(shield=True), trio.move_on_after(STOP_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                for running in self.running.values():
+                    if running.process.returncode is None:
+                        running.thaw()
+                        nursery.start_soon(running.terminate)
+        for running in self.running.values():
+            if running.process.returncode is None:
+                running.kill()
+
+
+async def _read_ready(process: trio.Process, log: Path) -> dict[str, Address]:
+    data = b""
+    with trio.move_on_after(READY_TIMEOUT_S):
+        while not data.endswith(b"\n"):
+            part = await process.stdout.receive_some()
+            if not part:
+                break
+            data += part
+    if not data.endswith(b"\n"):
+        process.kill()
+        raise RuntimeError(f"{log.name}: not ready: {log.read_text()[-2000:]}")
+    fields = json.loads(data)["ready"]
+    return {name: parse_address(text).unwrap() for name, text in fields.items()}
--- /dev/null
+++ b/harness/system.py
@@ -0,0 +1,187 @@
+"""Start a whole small system on loopback."""
+
+import json
+from contextlib import asynccontextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+import trio
+from returns.result import Result
+
+from harness.processes import Processes, Running
+from persimmonhall.address import Address
+from persimmonhall.control.admin_client import AdminClient
+from persimmonhall.errors import Refusal
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+
+ANY_PORT = "127.0.0.1:0"
+TOKEN = "token-of-operators"
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+WAIT_S = 20.0
+POLL_S = 0.05
+
+
+class System:
+    """Hold control, nodes and stand-in backend servers."""
+
+    def __init__(self, processes: Processes):
+        self._processes = processes
+        self.control: dict[str, Running] = {}
+        self.nodes: dict[str, Running] = {}
+        self.backends: dict[str, Running] = {}
+        self.client = PooledClient(500)
+
+    @property
+    def folder(self) -> Path:
+        """Return the folder with settings, logs and data."""
+        return self._processes.folder
+
+    @property
+    def admin(self) -> AdminClient:
+        """Return a client of the administration API."""
+        addresses = tuple(c.addresses["admin"] for c in self.control.values())
+        return AdminClient(addresses, TOKEN)
+
+    async def start_control(self, name: str = "control-1", zone: str = "suva") -> None:
+        """Start a control VM's process."""
+        settings = {
+            "control": {
+                "name": name,
+                "zone": zone,
+                "admin": ANY_PORT,
+                "frames": ANY_PORT,
+                "data_folder": str(self.folder / f"{name}.data"),
+            },
+            "teams": [{"name": "operators", "token": TOKEN, "operator": True}],
+        }
+        self.control[name] = await self._processes.start(
+            name, "persimmonhall.cli.control", settings
+        )
+
+    async def start_node(self, name: str, zone: str, *options: str, **more) -> Running:
+        """Start a node that knows control and the first node."""
+        settings = {
+            "node": {
+                "name": name,
+                "zone": zone,
+                "callers": ANY_PORT,
+                "local": ANY_PORT,
+                "frames": ANY_PORT,
+                "seed": len(self.nodes) + 1,
+                **more,
+            },
+            "peers": {
+                "control": [str(c.addresses["frames"]) for c in self.control.values()],
+                "seeds": [
+                    str(n.addresses["frames"]) for n in list(self.nodes.values())[:1]
+                ],
+            },
+        }
+        self.nodes[name] = await self._processes.start(
+            name, "persimmonhall.cli.node", settings, *options
+        )
+        return self.nodes[name]
+
+    async def start_backend(self, node: str, service: str, **more) -> Running:
+        """Start a stand-in backend server beside a node."""
+        settings = {
+            "service": service,
+            "node": str(self.nodes[node].addresses["local"]),
+            **more,
+        }
+        name = f"{node}-backend"
+        self.backends[node] = await self._processes.start(
+            name, "harness.standin", settings
+        )
+        return self.backends[node]
+
+    async def restart_backend(self, node: str) -> None:
+        """Start an ended stand-in backend server anew."""
+        self.backends[node] = await self._processes.restart(self.backends[node])
+
+    async def run_load(self, settings: dict) -> dict:
+        """Run persimmonhall-load to its end and return its figures."""
+        return await self._processes.run_load(settings)
+
+    async def put_document(self, service: str, text: str, revision: int = 0) -> Result:
+        """Put a document through the administration API."""
+        return await self.admin.put(service, text, revision, f"{service}-{revision}")
+
+    async def send(
+        self, node: str, request: HttpRequest, listener: str = "callers"
+    ) -> Result[HttpAnswer, Refusal]:
+        """Send a request to a node."""
+        address = self.nodes[node].addresses[listener]
+        return await self.client.send(address, request, MAX_ANSWER_BYTES)
+
+    async def status(self, node: str) -> dict:
+        """Return what a node says of itself."""
+        answer = await self.send(node, HttpRequest("GET", "/-/status", ()), "local")
+        return json.loads(answer.unwrap().body)
+
+    async def counts(self, node: str) -> dict:
+        """Return what the stand-in beside a node counted."""
+        answer = await self.ask_backend(node, "/-/counts")
+        return json.loads(answer.body)
+
+    async def behave(self, node: str, **behaviour) -> None:
+        """Change how the stand-in beside a node behaves."""
+        query = "&".join(f"{k}={json.dumps(v)}" for k, v in behaviour.items())
+        await self.ask_backend(node, f"/-/behave?{query}")
+
+    async def ask_backend(self, node: str, target: str) -> HttpAnswer:
+        """Send a request past the gate to a stand-in."""
+        address: Address = self.backends[node].addresses["listen"]
+        request = HttpRequest("GET", target, ())
+        answer = await self.client.send(address, request, MAX_ANSWER_BYTES)
+        return answer.unwrap()
+
+    async def wait_until(self, condition, what: str) -> None:
+        """Poll a condition until it holds; raise after a bounded time."""
+        with trio.move_on_after(WAIT_S):
+            while not await condition():
+                await trio.sleep(POLL_S)
+            return
+        raise TimeoutError(what)
+
+    async def wait_for_members(self, service: str, count: int) -> None:
+        """Wait until every node knows that many ready servers of a service."""
+
+        async def known() -> bool:
+            for node in self.nodes:
+                members = (await self.status(node))["members"]
+                ready = [
+                    m
+                    for m in members
+                    if m["service"] == service and m["state"] == "ready"
+                ]
+                if len(ready) != count:
+                    return False
+            return True
+
+        await self.wait_until(known, f"{count} members of {service}")
+
+    async def wait_for_document(self, service: str, revision: int) -> None:
+        """Wait until a revision is in force on every node."""
+
+        async def in_force() -> bool:
+            for node in self.nodes:
+                documents = (await self.status(node))["documents"]
+                if documents.get(service, 0) < revision:
+                    return False
+            return True
+
+        await self.wait_until(in_force, f"revision {revision} of {service}")
+
+
+@asynccontextmanager
+async def open_system():
+    """Open an empty system and stop all of it at the end."""
+    with TemporaryDirectory(prefix="persimmonhall-") as folder:
+        async with trio.open_nursery() as nursery:
+            processes = Processes(nursery, Path(folder))
+            try:
+                yield System(processes)
+            finally:
+                await processes.stop()
--- /dev/null
+++ b/persimmonhall/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which requests a gate starts, queues or refuses."""
--- /dev/null
+++ b/persimmonhall/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the admission slice."""
--- /dev/null
+++ b/persimmonhall/call/messages.py
@@ -0,0 +1,100 @@
+"""Define what an entry and a gate say to each other."""
+
+from dataclasses import dataclass
+from itertools import chain
+from pathlib import Path
+
+from persimmonhall.document.schema import Worth
+from persimmonhall.errors import ErrorKind, Ran, Refusal
+from persimmonhall.http.messages import Headers
+from persimmonhall.ids import IdempotencyKey, NodeName, RootId, ServiceName
+from persimmonhall.wire.codec import Union, decode, encode, load_schema
+
+SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
+
+
+@dataclass(frozen=True)
+class Call:
+    """Carry one request to a gate; headers alternate name and value."""
+
+    service: ServiceName
+    method: str
+    target: str
+    headers: tuple[bytes, ...]
+    body: bytes
+    root: RootId
+    entry: NodeName
+    depth: int
+    worth: Worth
+    remaining_ms: int
+    idempotent: bool
+    key: IdempotencyKey
+    max_answer_bytes: int
+
+
+@dataclass(frozen=True)
+class Load:
+    """Report how busy a gate is."""
+
+    in_flight: int
+    queued: int
+    limit: int
+    latency_us: int
+
+
+@dataclass(frozen=True)
+class Answered:
+    """Carry the whole answer of a backend server."""
+
+    status: int
+    headers: tuple[bytes, ...]
+    body: bytes
+    load: Load
+
+
+@dataclass(frozen=True)
+class Refused:
+    """Carry a refusal of the gate."""
+
+    kind: ErrorKind
+    detail: str
+    ran: Ran
+    retry_after_s: float
+    load: Load
+
+    @property
+    def refusal(self) -> Refusal:
+        """Return the refusal without the load."""
+        return Refusal(self.kind, self.detail, self.ran, self.retry_after_s)
+
+
+Reply = Answered | Refused
+
+REPLIES = Union(SCHEMA.Reply, (Answered, Refused))
+
+
+def encode_call(call: Call) -> bytes:
+    """Write a call as bytes."""
+    return encode(SCHEMA.Call, call)
+
+
+def decode_call(data: bytes) -> Call:
+    """Read a call; raise ValueError on damaged bytes."""
+    return decode(SCHEMA.Call, Call, data)
+
+
+def refused(refusal: Refusal, load: Load) -> Refused:
+    """Attach the load of a gate to a refusal."""
+    return Refused(
+        refusal.kind, refusal.detail, refusal.ran, refusal.retry_after_s, load
+    )
+
+
+def flatten(headers: Headers) -> tuple[bytes, ...]:
+    """Turn header pairs into alternating names and values."""
+    return tuple(chain.from_iterable(headers))
+
+
+def pair_up(flat: tuple[bytes, ...]) -> Headers:
+    """Turn alternating names and values into header pairs."""
+    return tuple(zip(flat[::2], flat[1::2], strict=True))
--- /dev/null
+++ b/persimmonhall/call/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the call slice."""
--- /dev/null
+++ b/persimmonhall/call/tests/test_chain.py
@@ -0,0 +1,20 @@
+"""Check the header that follows a root request."""
+
+import pytest
+from returns.result import Failure
+
+from persimmonhall.call.chain import Chain, parse_chain
+from persimmonhall.document.schema import Worth
+
+
+def test_chain_survives_its_header():
+    chain = Chain("r1", "suva-cue-1", 3, Worth.CRITICAL, 250)
+    assert parse_chain(chain.encode().decode()).unwrap() == chain
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "root=1", "root=1;entry=e;depth=99;worth=critical;remaining=1", "root;;=;"],
+)
+def test_damaged_header_is_refused(text):
+    assert isinstance(parse_chain(text), Failure)
--- /dev/null
+++ b/persimmonhall/checked.py
@@ -0,0 +1,194 @@
+"""Read TOML tables into dataclasses and report every problem with its key."""
+
+import dataclasses
+import re
+import tomllib
+import types
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar, Union, get_args, get_origin, get_type_hints
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address, parse_address
+
+T = TypeVar("T")
+
+WORDS = {str: "a string", int: "an integer", float: "a number", bool: "true or false"}
+
+
+@dataclass(frozen=True)
+class Problem:
+    """Name one key and what is wrong with it."""
+
+    key: str
+    line: int
+    text: str
+
+    def __str__(self) -> str:
+        """Write the problem on one line."""
+        return f"line {self.line}: {self.key}: {self.text}"
+
+
+def bounded(
+    default: Any = dataclasses.MISSING,
+    *,
+    least: float | None = None,
+    most: float | None = None,
+    pattern: str | None = None,
+) -> Any:
+    """Declare a dataclass field with bounds for its value."""
+    metadata = {"least": least, "most": most, "pattern": pattern}
+    if default is dataclasses.MISSING:
+        return dataclasses.field(metadata=metadata)
+    return dataclasses.field(default=default, metadata=metadata)
+
+
+class _Reader:
+    """Collect problems while tables turn into dataclasses."""
+
+    def __init__(self, text: str):
+        self._lines = text.splitlines()
+        self.problems: list[Problem] = []
+
+    def report(self, path: tuple[str | int, ...], text: str) -> None:
+        """Add a problem at a path of keys."""
+        key = ".".join(str(part) for part in path) or "(file)"
+        self.problems.append(Problem(key, self._line_of(path), text))
+
+    def _line_of(self, path: tuple[str | int, ...]) -> int:
+        names = [part for part in path if isinstance(part, str)]
+        counts = [part for part in path if isinstance(part, int)]
+        if not names:
+            return 1
+        start = self._header_line(names[:-1], counts[-1] if counts else 0)
+        key = re.compile(rf"^\s*[\"']?{re.escape(names[-1])}[\"']?\s*=")
+        header = re.compile(rf"^\s*\[+\s*{re.escape('.'.join(names))}\s*\]")
+        for number, line in enumerate(self._lines[start:], start + 1):
+            if key.match(line) or header.match(line):
+                return number
+        return start or 1
+
+    def _header_line(self, names: list[str], occurrence: int) -> int:
+        header = re.compile(rf"^\s*\[+\s*{re.escape('.'.join(names))}\s*\]")
+        found = [n for n, line in enumerate(self._lines, 1) if header.match(line)]
+        if not names or not found:
+            return 0
+        return found[min(occurrence, len(found) - 1)]
+
+    def read(self, cls: type, table: dict, path: tuple = ()) -> Any:
+        """Read one table into a dataclass or report why not."""
+        hints = get_type_hints(cls)
+        fields = {field.name: field for field in dataclasses.fields(cls)}
+        for name in table.keys() - fields.keys():
+            known = ", ".join(sorted(fields))
+            self.report((*path, name), f"unknown key (known: {known})")
+        values = {}
+        before = len(self.problems)
+        for name, field in fields.items():
+            if name in table:
+                values[name] = self._value(
+                    hints[name], table[name], (*path, name), field.metadata
+                )
+            elif _is_required(field):
+                self.report((*path, name), "missing key")
+        if len(self.problems) > before:
+            return None
+        return cls(**values)
+
+    def _value(self, hint: Any, value: Any, path: tuple, metadata: Any) -> Any:
+        if get_origin(hint) in (Union, types.UnionType):
+            hint = next(arg for arg in get_args(hint) if arg is not type(None))
+        hint = getattr(hint, "__supertype__", hint)
+        if get_origin(hint) is tuple:
+            return self._items(get_args(hint)[0], value, path, metadata)
+        if get_origin(hint) is dict:
+            return self._mapping(get_args(hint)[1], value, path, metadata)
+        if dataclasses.is_dataclass(hint) and hint is not Address:
+            return self._table(hint, value, path)
+        if hint is Address:
+            return self._address(value, path)
+        if isinstance(hint, type) and issubclass(hint, Enum):
+            return self._choice(hint, value, path)
+        return self._scalar(hint, value, path, metadata)
+
+    def _items(self, hint: Any, value: Any, path: tuple, metadata: Any) -> tuple:
+        if not isinstance(value, list):
+            self.report(path, "must be a list")
+            return ()
+        return tuple(
+            self._value(hint, item, (*path, number), metadata)
+            for number, item in enumerate(value)
+        )
+
+    def _mapping(self, hint: Any, value: Any, path: tuple, metadata: Any) -> dict:
+        if not isinstance(value, dict):
+            self.report(path, "must be a table")
+            return {}
+        return {
+            name: self._value(hint, item, (*path, name), metadata)
+            for name, item in value.items()
+        }
+
+    def _table(self, hint: type, value: Any, path: tuple) -> Any:
+        if not isinstance(value, dict):
+            self.report(path, "must be a table")
+            return None
+        return self.read(hint, value, path)
+
+    def _address(self, value: Any, path: tuple) -> Address | None:
+        if not isinstance(value, str):
+            self.report(path, "must be an address IP:PORT")
+            return None
+        match parse_address(value):
+            case Success(address):
+                return address
+            case Failure(reason):
+                self.report(path, reason)
+        return None
+
+    def _choice(self, hint: type[Enum], value: Any, path: tuple) -> Enum | None:
+        for member in hint:
+            if member.value == value:
+                return member
+        known = ", ".join(str(member.value) for member in hint)
+        self.report(path, f"{value!r} is not one of: {known}")
+        return None
+
+    def _scalar(self, hint: type, value: Any, path: tuple, metadata: Any) -> Any:
+        if hint is float and type(value) is int:
+            value = float(value)
+        if type(value) is not hint:
+            self.report(path, f"must be {WORDS[hint]}, not {value!r}")
+            return None
+        least, most = metadata.get("least"), metadata.get("most")
+        if least is not None and value < least:
+            self.report(path, f"must be at least {least}, not {value}")
+        if most is not None and value > most:
+            self.report(path, f"must be at most {most}, not {value}")
+        pattern = metadata.get("pattern")
+        if pattern is not None and not re.fullmatch(pattern, value):
+            self.report(path, f"{value!r} does not match {pattern}")
+        return value
+
+
+def _is_required(field: dataclasses.Field) -> bool:
+    return (
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+    )
+
+
+def read_toml(cls: type[T], text: str) -> Result[T, tuple[Problem, ...]]:
+    """Read TOML text into a dataclass or return every problem found."""
+    try:
+        table = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        line = re.search(r"at line (\d+)", str(error))
+        number = int(line.group(1)) if line else len(text.splitlines())
+        return Failure((Problem("(file)", number, f"not valid TOML: {error}"),))
+    reader = _Reader(text)
+    value = reader.read(cls, table)
+    if reader.problems:
+        return Failure(tuple(sorted(reader.problems, key=lambda p: p.line)))
+    return Success(value)
--- /dev/null
+++ b/persimmonhall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Define the console programs."""
--- /dev/null
+++ b/persimmonhall/cli/definition.py
@@ -0,0 +1,53 @@
+"""Define the arguments that all programs share."""
+
+import argparse
+from pathlib import Path
+
+from persimmonhall import __version__
+from persimmonhall.logs import LEVELS
+
+
+def make_parser(
+    program: str, description: str, examples: str
+) -> argparse.ArgumentParser:
+    """Make a parser with the shared arguments."""
+    parser = argparse.ArgumentParser(
+        prog=program,
+        description=description,
+        epilog=f"examples:\n{examples}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"%(prog)s {__version__}"
+    )
+    return parser
+
+
+def add_settings(parser: argparse.ArgumentParser, *, required: bool = True) -> None:
+    """Add the settings file."""
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        metavar="FILE",
+        required=required,
+        help="TOML settings file",
+    )
+
+
+def add_log_level(parser: argparse.ArgumentParser) -> None:
+    """Add the level of log lines."""
+    parser.add_argument(
+        "--log-level",
+        choices=list(LEVELS),
+        default="info",
+        help="least level of the log lines on standard error (default: info)",
+    )
+
+
+def add_check(parser: argparse.ArgumentParser) -> None:
+    """Add a run that only checks the settings."""
+    parser.add_argument(
+        "--check",
+        action="store_true",
+        help="check the settings file and exit",
+    )
--- /dev/null
+++ b/persimmonhall/cli/load.py
@@ -0,0 +1,44 @@
+"""Run persimmonhall-load."""
+
+import json
+import sys
+
+import trio
+from returns.result import Failure, Success
+
+from persimmonhall.cli.definition import add_check, add_settings, make_parser
+from persimmonhall.cli.serving import fail
+from persimmonhall.load.caller import Callers
+from persimmonhall.load.settings import LoadSettings
+from persimmonhall.settings import load_settings
+from persimmonhall.status import ExitStatus
+
+DESCRIPTION = "Send open-loop load to a running system and report what came back."
+
+EXAMPLES = """\
+  persimmonhall-load --settings load.toml
+  persimmonhall-load --settings load.toml --json > result.json"""
+
+
+def main(arguments: list[str] | None = None) -> ExitStatus:
+    """Run the program and return its exit status."""
+    parser = make_parser("persimmonhall-load", DESCRIPTION, EXAMPLES)
+    add_settings(parser)
+    add_check(parser)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    options = parser.parse_args(arguments)
+    match load_settings(LoadSettings, options.settings):
+        case Failure(reason):
+            return fail(parser.prog, reason, ExitStatus.USAGE)
+        case Success(settings):
+            pass
+    if options.check:
+        print(f"{options.settings}: ok")
+        return ExitStatus.SUCCESS
+    report = trio.run(Callers(settings).run)
+    print(json.dumps(report.as_dict()) if options.json else report.table())
+    return ExitStatus.SUCCESS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/persimmonhall/cli/operator.py
@@ -0,0 +1,104 @@
+"""Run persimmonhall, the operator's command line."""
+
+import argparse
+import json
+import sys
+import uuid
+from pathlib import Path
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.cli.operator_definition import operator_parser
+from persimmonhall.cli.serving import fail
+from persimmonhall.control.admin_client import AdminClient
+from persimmonhall.document.schema import parse_document
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.settings import OperatorSettings, load_settings
+from persimmonhall.status import ExitStatus
+
+PROGRAM = "persimmonhall"
+STATUSES = {
+    ErrorKind.NO_QUORUM: ExitStatus.UNREACHABLE,
+    ErrorKind.REVISION_CONFLICT: ExitStatus.CONFLICT,
+    ErrorKind.INVALID_DOCUMENT: ExitStatus.USAGE,
+}
+
+
+def main(arguments: list[str] | None = None) -> ExitStatus:
+    """Run one command and return its exit status."""
+    options = operator_parser().parse_args(arguments)
+    if options.command == "check":
+        return _check(options.file)
+    if options.settings is None:
+        return fail(PROGRAM, "give --settings FILE", ExitStatus.USAGE)
+    match load_settings(OperatorSettings, options.settings):
+        case Failure(reason):
+            return fail(PROGRAM, reason, ExitStatus.USAGE)
+        case Success(settings):
+            client = AdminClient(settings.operator.control, settings.operator.token)
+    match trio.run(_run, options, client):
+        case Failure(refusal):
+            status = STATUSES.get(refusal.kind, ExitStatus.REFUSED)
+            return fail(PROGRAM, f"{refusal.kind.value}: {refusal.detail}", status)
+        case Success(body):
+            _print(body, as_json=options.json)
+    return ExitStatus.SUCCESS
+
+
+def _check(path: Path) -> ExitStatus:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return fail(PROGRAM, f"{path}: cannot be read: {error}", ExitStatus.USAGE)
+    match parse_document(text):
+        case Failure(problems):
+            for problem in problems:
+                print(f"{path}: {problem}", file=sys.stderr)
+            return ExitStatus.USAGE
+    print(f"{path}: ok")
+    return ExitStatus.SUCCESS
+
+
+async def _run(
+    options: argparse.Namespace, client: AdminClient
+) -> Result[object, Refusal]:
+    match (options.command, getattr(options, "action", None)):
+        case ("status", _):
+            return await client.get("/status")
+        case ("document", "list"):
+            return await client.get("/documents")
+        case ("document", "get"):
+            return await client.get(f"/documents/{options.service}")
+        case ("document", "put"):
+            return await _put(options, client)
+
+
+async def _put(
+    options: argparse.Namespace, client: AdminClient
+) -> Result[object, Refusal]:
+    text = options.file.read_text(encoding="utf-8")
+    match parse_document(text):
+        case Failure(problems):
+            detail = f"{options.file}: {problems[0]}"
+            return Failure(refuse(ErrorKind.INVALID_DOCUMENT, detail))
+        case Success(document):
+            change = options.change or uuid.uuid4().hex
+    return await client.put(document.service, text, options.revision, change)
+
+
+def _print(body: object, *, as_json: bool) -> None:
+    if as_json:
+        print(json.dumps(body))
+    elif isinstance(body, list):
+        for row in body:
+            print("  ".join(f"{key}={value}" for key, value in row.items()))
+    elif "text" in body:
+        print(body["text"], end="")
+    else:
+        for key, value in body.items():
+            print(f"{key}: {value}")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/persimmonhall/cli/operator_definition.py
@@ -0,0 +1,51 @@
+"""Define the arguments of the operator's command line."""
+
+import argparse
+from pathlib import Path
+
+from persimmonhall.cli.definition import add_settings, make_parser
+
+DESCRIPTION = "Check and change documents and look at a running system."
+
+EXAMPLES = """\
+  persimmonhall check cue.toml
+  persimmonhall --settings operator.toml document list
+  persimmonhall --settings operator.toml document put cue.toml --revision 3
+  persimmonhall --settings operator.toml document get cue
+  persimmonhall --settings operator.toml status --json"""
+
+
+def operator_parser() -> argparse.ArgumentParser:
+    """Make the parser."""
+    parser = make_parser("persimmonhall", DESCRIPTION, EXAMPLES)
+    add_settings(parser, required=False)
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    check = commands.add_parser("check", help="check a document file")
+    check.add_argument("file", type=Path, metavar="FILE")
+    commands.add_parser("status", help="show the state of control")
+    _add_document(commands)
+    return parser
+
+
+def _add_document(commands: argparse._SubParsersAction) -> None:
+    document = commands.add_parser("document", help="read and change documents")
+    actions = document.add_subparsers(dest="action", required=True, metavar="ACTION")
+    put = actions.add_parser("put", help="replace a document")
+    put.add_argument("file", type=Path, metavar="FILE")
+    put.add_argument(
+        "--revision",
+        type=int,
+        required=True,
+        metavar="N",
+        help="revision that this change replaces; 0 for a new document",
+    )
+    put.add_argument(
+        "--change",
+        default="",
+        metavar="ID",
+        help="id of the change; give the same id to resend it safely",
+    )
+    get = actions.add_parser("get", help="print a document")
+    get.add_argument("service", metavar="SERVICE")
+    actions.add_parser("list", help="list the documents and their revisions")
--- /dev/null
+++ b/persimmonhall/cli/serving.py
@@ -0,0 +1,74 @@
+"""Start a long-running program from its settings file."""
+
+import argparse
+import json
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.cli import definition
+from persimmonhall.logs import set_up_logs
+from persimmonhall.settings import load_settings
+from persimmonhall.status import ExitStatus
+
+
+def print_ready(addresses) -> None:
+    """Print one JSON line with the addresses that the program listens on."""
+    fields = {
+        name: f"{value['host']}:{value['port']}"
+        for name, value in asdict(addresses).items()
+    }
+    print(json.dumps({"ready": fields}), flush=True)
+
+
+def fail(program: str, reason: str, status: ExitStatus) -> ExitStatus:
+    """Print one line on what is wrong and return the status."""
+    print(f"{program}: error: {reason}", file=sys.stderr)
+    return status
+
+
+def serve_program(
+    parser: argparse.ArgumentParser,
+    arguments: list[str] | None,
+    settings_class: type,
+    run: Callable[..., Awaitable[Result[None, str] | None]],
+) -> ExitStatus:
+    """Check the settings and run the program until it is stopped."""
+    definition.add_settings(parser)
+    definition.add_log_level(parser)
+    definition.add_check(parser)
+    options = parser.parse_args(arguments)
+    match load_settings(settings_class, options.settings):
+        case Failure(reason):
+            return fail(parser.prog, reason, ExitStatus.USAGE)
+        case Success(settings):
+            pass
+    if options.check:
+        print(f"{options.settings}: ok")
+        return ExitStatus.SUCCESS
+    set_up_logs(options.log_level)
+    return _run(parser.prog, run, settings)
+
+
+def _run(program: str, run: Callable, settings: object) -> ExitStatus:
+    try:
+        result = trio.run(run, settings, print_ready)
+    except (OSError, BaseExceptionGroup) as error:
+        reason = _reason_of(error)
+        if reason is None:
+            raise
+        return fail(program, reason, ExitStatus.ERROR)
+    match result:
+        case Failure(reason):
+            return fail(program, reason, ExitStatus.ERROR)
+    return ExitStatus.SUCCESS
+
+
+def _reason_of(error: BaseException) -> str | None:
+    """Return the text of an operating system error inside any groups."""
+    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
+        error = error.exceptions[0]
+    return str(error) if isinstance(error, OSError) else None
--- /dev/null
+++ b/persimmonhall/control/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the replicated log and the administration API."""
--- /dev/null
+++ b/persimmonhall/control/admin_client.py
@@ -0,0 +1,90 @@
+"""Speak to the administration API."""
+
+import json
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.errors import (
+    PROBLEM_TYPE_PREFIX,
+    ErrorKind,
+    Ran,
+    Refusal,
+    refuse,
+)
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.ids import ServiceName
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+TIMEOUT_S = 5.0
+TRY_NEXT = frozenset(
+    {ErrorKind.CONNECT_FAILED, ErrorKind.CONNECTION_LOST, ErrorKind.NO_QUORUM}
+)
+
+
+class AdminClient:
+    """Ask the control VMs one after the other."""
+
+    def __init__(self, addresses: tuple[Address, ...], token: str):
+        self._addresses = addresses
+        self._token = token
+
+    async def get(self, path: str) -> Result[object, Refusal]:
+        """Return the JSON body of a path."""
+        return await self._send(HttpRequest("GET", path, self._headers()))
+
+    async def put(
+        self, service: ServiceName, text: str, revision: int, change: str
+    ) -> Result[object, Refusal]:
+        """Replace a document; the change id makes trying the next VM safe."""
+        headers = (*self._headers(), (b"persimmonhall-change", change.encode()))
+        target = f"/documents/{service}?revision={revision}"
+        return await self._send(HttpRequest("PUT", target, headers, text.encode()))
+
+    def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
+        return ((b"authorization", f"Bearer {self._token}".encode()),)
+
+    async def _send(self, request: HttpRequest) -> Result[object, Refusal]:
+        client = PooledClient(max_connections=1)
+        try:
+            return await self._try_each(client, request)
+        finally:
+            await client.aclose()
+
+    async def _try_each(
+        self, client: PooledClient, request: HttpRequest
+    ) -> Result[object, Refusal]:
+        failure = refuse(ErrorKind.NO_QUORUM, "no control VM is configured")
+        for address in self._addresses:
+            with trio.move_on_after(TIMEOUT_S):
+                match await client.send(address, request, MAX_ANSWER_BYTES):
+                    case Success(answer):
+                        result = _read(answer)
+                    case result:
+                        pass
+                if not _try_next(result):
+                    return result
+                failure = result.failure()
+        detail = f"no control VM answered: {failure.detail}"
+        return Failure(refuse(ErrorKind.NO_QUORUM, detail))
+
+
+def _try_next(result: Result[object, Refusal]) -> bool:
+    match result:
+        case Failure(refusal):
+            return refusal.kind in TRY_NEXT
+    return False
+
+
+def _read(answer: HttpAnswer) -> Result[object, Refusal]:
+    try:
+        body = json.loads(answer.body)
+    except ValueError:
+        detail = f"status {answer.status} without JSON"
+        return Failure(refuse(ErrorKind.INTERNAL, detail))
+    if answer.status < 400:
+        return Success(body)
+    kind = ErrorKind(body["type"].removeprefix(PROBLEM_TYPE_PREFIX))
+    return Failure(refuse(kind, body["detail"], ran=Ran(body["ran"])))
--- /dev/null
+++ b/persimmonhall/control/machine.py
@@ -0,0 +1,33 @@
+"""Apply the commands of the log to the replicated state."""
+
+from persimmonhall.control.messages import Command, CommandReply, NoOp, NoReply
+from persimmonhall.document.messages import PutDocument
+from persimmonhall.document.table import DocumentTable
+from persimmonhall.ids import LogIndex
+
+
+class StateMachine:
+    """Hold all replicated state."""
+
+    def __init__(self):
+        self._documents = DocumentTable()
+        self._index = LogIndex(0)
+
+    @property
+    def documents(self) -> DocumentTable:
+        """Return the documents."""
+        return self._documents
+
+    @property
+    def index(self) -> LogIndex:
+        """Return the index of the last command applied."""
+        return self._index
+
+    def apply(self, command: Command, index: LogIndex) -> CommandReply:
+        """Apply one command in log order."""
+        self._index = index
+        match command:
+            case PutDocument():
+                return self._documents.put(command, index)
+            case NoOp():
+                return NoReply()
--- /dev/null
+++ b/persimmonhall/control/messages.capnp
@@ -0,0 +1,82 @@
+@0xb5a1f0c3d7e94a21;
+
+struct HeldDocument {
+  service @0 :Text;
+  revision @1 :UInt64;
+  text @2 :Text;
+  team @3 :Text;
+  author @4 :Text;
+  changeId @5 :Text;
+  index @6 :UInt64;
+}
+
+struct PutDocument {
+  changeId @0 :Text;
+  service @1 :Text;
+  expectedRevision @2 :UInt64;
+  text @3 :Text;
+  author @4 :Text;
+  team @5 :Text;
+}
+
+struct PutReply {
+  outcome @0 :Text;
+  revision @1 :UInt64;
+  author @2 :Text;
+}
+
+struct NoOp {}
+
+struct NoReply {}
+
+struct Command {
+  union {
+    putDocument @0 :PutDocument;
+    noOp @1 :NoOp;
+  }
+}
+
+struct CommandReply {
+  union {
+    putReply @0 :PutReply;
+    noReply @1 :NoReply;
+  }
+}
+
+struct FetchDocuments {
+  after @0 :UInt64;
+}
+
+struct Documents {
+  index @0 :UInt64;
+  items @1 :List(HeldDocument);
+}
+
+struct Submit {
+  command @0 :Data;
+}
+
+struct Submitted {
+  reply @0 :Data;
+}
+
+struct Declined {
+  kind @0 :Text;
+  detail @1 :Text;
+  ran @2 :Text;
+}
+
+struct Ask {
+  union {
+    fetchDocuments @0 :FetchDocuments;
+    submit @1 :Submit;
+  }
+}
+
+struct Reply {
+  union {
+    documents @0 :Documents;
+    submitted @1 :Submitted;
+    declined @2 :Declined;
+  }
+}
--- /dev/null
+++ b/persimmonhall/document/__init__.py
@@ -0,0 +1,1 @@
+"""Check, hold and spread the documents of the services."""
--- /dev/null
+++ b/persimmonhall/document/schema.py
@@ -0,0 +1,106 @@
+"""Define the document of a service and check its text."""
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.checked import Problem, bounded, read_toml
+from persimmonhall.ids import ServiceName
+from persimmonhall.settings import NAME_PATTERN
+
+PATH_PATTERN = r"/[^\s?#]*"
+METHOD_PATTERN = r"\*|[A-Z]{1,16}"
+DAY_MS = 24 * 3600 * 1000
+MAX_RETRIES = 5
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class Worth(Enum):
+    """Rank requests on the one ladder shared by all teams, highest first."""
+
+    CRITICAL = "critical"
+    CUSTOMER = "customer"
+    STANDARD = "standard"
+    INTERNAL = "internal"
+
+    @property
+    def rank(self) -> int:
+        """Return 0 for the highest worth."""
+        return _RANKS[self]
+
+
+_RANKS = {worth: rank for rank, worth in enumerate(Worth)}
+
+
+@dataclass(frozen=True)
+class RequestRule:
+    """State what the requests of one method and path are worth."""
+
+    path: str = bounded(pattern=PATH_PATTERN)
+    method: str = bounded("*", pattern=METHOD_PATTERN)
+    worth: Worth = Worth.STANDARD
+    idempotent: bool = False
+    deadline_ms: int = bounded(2000, least=10, most=DAY_MS)
+    retries: int = bounded(1, least=0, most=MAX_RETRIES)
+    max_answer_bytes: int = bounded(16 * 1024 * 1024, least=1, most=MAX_ANSWER_BYTES)
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tell whether a request falls under this rule."""
+        if self.method not in ("*", method):
+            return False
+        if self.path.endswith("*"):
+            return path.startswith(self.path[:-1])
+        return path == self.path
+
+
+@dataclass(frozen=True)
+class Document:
+    """State how a service may be called."""
+
+    service: ServiceName = bounded(pattern=NAME_PATTERN)
+    team: str = bounded(pattern=NAME_PATTERN)
+    requests: tuple[RequestRule, ...]
+    critical_per_second: float = bounded(0.0, least=0.0)
+
+    def rule_for(self, method: str, target: str) -> RequestRule | None:
+        """Return the first rule that a request falls under."""
+        path = re.split(r"[?#]", target, maxsplit=1)[0]
+        for rule in self.requests:
+            if rule.matches(method, path):
+                return rule
+        return None
+
+
+def parse_document(text: str) -> Result[Document, tuple[Problem, ...]]:
+    """Check a document whole and return it or every problem found."""
+    match read_toml(Document, text):
+        case Success(document):
+            problems = _contradictions(document, text)
+            return Failure(problems) if problems else Success(document)
+        case failure:
+            return failure
+
+
+def _contradictions(document: Document, text: str) -> tuple[Problem, ...]:
+    problems = []
+    headers = [n for n, line in enumerate(text.splitlines(), 1) if "[[" in line]
+    for number, rule in enumerate(document.requests):
+        line = headers[number] if number < len(headers) else 1
+        for earlier in document.requests[:number]:
+            if _covers(earlier, rule):
+                detail = f"never reached: {earlier.method} {earlier.path} comes first"
+                problems.append(Problem(f"requests.{number}", line, detail))
+                break
+    if not document.requests:
+        problems.append(Problem("requests", 1, "must list at least one request"))
+    return tuple(problems)
+
+
+def _covers(earlier: RequestRule, later: RequestRule) -> bool:
+    if earlier.method not in ("*", later.method):
+        return False
+    if earlier.path.endswith("*"):
+        return later.path.rstrip("*").startswith(earlier.path[:-1])
+    return earlier.path == later.path
--- /dev/null
+++ b/persimmonhall/document/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the document slice."""
--- /dev/null
+++ b/persimmonhall/document/tests/test_table.py
@@ -0,0 +1,36 @@
+"""Check compare-and-set of documents."""
+
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.document.messages import PutOutcome
+from persimmonhall.document.table import DocumentTable
+from tests.builders import make_held, make_put
+
+
+def test_equal_revisions_have_one_winner_and_the_other_hears_who():
+    table = DocumentTable()
+    first = table.put(make_put(change_id="a", author="ana"), 1)
+    second = table.put(make_put(change_id="b", author="ben"), 2)
+    assert (first.outcome, first.revision) == (PutOutcome.ACCEPTED, 1)
+    assert (second.outcome, second.author) == (PutOutcome.CONFLICT, "ana")
+
+
+def test_resent_change_gets_its_first_answer():
+    table = DocumentTable()
+    first = table.put(make_put(change_id="a"), 1)
+    table.put(make_put(change_id="b", expected_revision=1), 2)
+    assert table.put(make_put(change_id="a"), 3) == first
+    assert table.get("cue").revision == 2
+
+
+def test_team_cannot_take_over_a_document():
+    table = DocumentTable()
+    table.put(make_put(), 1)
+    taken = table.put(make_put(change_id="b", team="other", expected_revision=1), 2)
+    assert taken.outcome is PutOutcome.FORBIDDEN
+
+
+def test_lower_revision_never_comes_into_force():
+    documents = DocumentsInForce()
+    assert documents.apply(make_held(revision=2))
+    assert not documents.apply(make_held(revision=1))
+    assert documents.revisions == {"cue": 2}
--- /dev/null
+++ b/persimmonhall/errors.py
@@ -0,0 +1,144 @@
+"""Define the closed list of error kinds and the answer to each."""
+
+import json
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+from persimmonhall.http.messages import HttpAnswer
+
+PROBLEM_TYPE_PREFIX = "urn:persimmonhall:error:"
+RETRY_AFTER_JITTER = 0.5
+
+
+class Ran(Enum):
+    """Tell whether a backend server ran the request."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """List every error that a caller, operator or peer can meet."""
+
+    BAD_REQUEST = "badRequest"
+    HEADER_TOO_LARGE = "headerTooLarge"
+    BODY_TOO_LARGE = "bodyTooLarge"
+    UNKNOWN_SERVICE = "unknownService"
+    UNKNOWN_REQUEST = "unknownRequest"
+    NO_SERVER = "noServer"
+    OVERLOADED = "overloaded"
+    NODE_OVERLOADED = "nodeOverloaded"
+    LEAVING = "leaving"
+    DEADLINE_EXCEEDED = "deadlineExceeded"
+    CANCELLED = "cancelled"
+    CONNECT_FAILED = "connectFailed"
+    CONNECTION_LOST = "connectionLost"
+    ANSWER_CUT = "answerCut"
+    ANSWER_TOO_LARGE = "answerTooLarge"
+    NO_QUORUM = "noQuorum"
+    KEY_RUNNING = "keyRunning"
+    KEY_MISMATCH = "keyMismatch"
+    OUTCOME_UNKNOWN = "outcomeUnknown"
+    QUARANTINED = "quarantined"
+    INVALID_DOCUMENT = "invalidDocument"
+    REVISION_CONFLICT = "revisionConflict"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "notFound"
+    NOT_LEADER = "notLeader"
+    STORAGE_FAILED = "storageFailed"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True)
+class ErrorAnswer:
+    """Describe how an error kind is answered over HTTP."""
+
+    status: int
+    title: str
+    ran: Ran
+    retry_after_s: float = 0.0
+
+
+ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(400, "Malformed request", Ran.NO),
+    ErrorKind.HEADER_TOO_LARGE: ErrorAnswer(431, "Header too large", Ran.NO),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, "Body too large", Ran.NO),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, "Unknown service", Ran.NO, 5.0),
+    ErrorKind.UNKNOWN_REQUEST: ErrorAnswer(404, "Unknown request", Ran.NO),
+    ErrorKind.NO_SERVER: ErrorAnswer(503, "No server for the service", Ran.NO, 2.0),
+    ErrorKind.OVERLOADED: ErrorAnswer(503, "Service overloaded", Ran.NO, 2.0),
+    ErrorKind.NODE_OVERLOADED: ErrorAnswer(503, "Node overloaded", Ran.NO, 2.0),
+    ErrorKind.LEAVING: ErrorAnswer(503, "Server is leaving", Ran.NO, 1.0),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
+        504, "Deadline exceeded", Ran.UNKNOWN, 2.0
+    ),
+    ErrorKind.CANCELLED: ErrorAnswer(499, "Caller went away", Ran.UNKNOWN),
+    ErrorKind.CONNECT_FAILED: ErrorAnswer(502, "No connection", Ran.NO, 1.0),
+    ErrorKind.CONNECTION_LOST: ErrorAnswer(502, "Connection lost", Ran.UNKNOWN, 1.0),
+    ErrorKind.ANSWER_CUT: ErrorAnswer(502, "Answer was cut", Ran.YES, 1.0),
+    ErrorKind.ANSWER_TOO_LARGE: ErrorAnswer(502, "Answer too large", Ran.YES),
+    ErrorKind.NO_QUORUM: ErrorAnswer(503, "No quorum of control VMs", Ran.NO, 3.0),
+    ErrorKind.KEY_RUNNING: ErrorAnswer(409, "Request is running", Ran.YES, 1.0),
+    ErrorKind.KEY_MISMATCH: ErrorAnswer(422, "Key used for another request", Ran.NO),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(409, "Outcome unknown", Ran.UNKNOWN),
+    ErrorKind.QUARANTINED: ErrorAnswer(503, "Request is quarantined", Ran.NO, 60.0),
+    ErrorKind.INVALID_DOCUMENT: ErrorAnswer(422, "Invalid document", Ran.NO),
+    ErrorKind.REVISION_CONFLICT: ErrorAnswer(409, "Revision conflict", Ran.NO),
+    ErrorKind.UNAUTHORIZED: ErrorAnswer(401, "Unknown token", Ran.NO),
+    ErrorKind.FORBIDDEN: ErrorAnswer(403, "Not your document", Ran.NO),
+    ErrorKind.NOT_FOUND: ErrorAnswer(404, "Not found", Ran.NO),
+    ErrorKind.NOT_LEADER: ErrorAnswer(503, "Not the leader", Ran.NO, 0.5),
+    ErrorKind.STORAGE_FAILED: ErrorAnswer(507, "Storage failed", Ran.UNKNOWN, 5.0),
+    ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error", Ran.UNKNOWN),
+}
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Carry one error of the closed list with what is known of the run."""
+
+    kind: ErrorKind
+    detail: str
+    ran: Ran
+    retry_after_s: float = 0.0
+
+
+def refuse(
+    kind: ErrorKind,
+    detail: str,
+    *,
+    ran: Ran | None = None,
+    retry_after_s: float | None = None,
+) -> Refusal:
+    """Make a refusal with the defaults of its kind."""
+    answer = ANSWERS[kind]
+    return Refusal(
+        kind=kind,
+        detail=detail,
+        ran=answer.ran if ran is None else ran,
+        retry_after_s=answer.retry_after_s if retry_after_s is None else retry_after_s,
+    )
+
+
+def problem_answer(refusal: Refusal, rng: random.Random) -> HttpAnswer:
+    """Turn a refusal into problem JSON with a jittered Retry-After."""
+    answer = ANSWERS[refusal.kind]
+    body = {
+        "type": PROBLEM_TYPE_PREFIX + refusal.kind.value,
+        "title": answer.title,
+        "status": answer.status,
+        "detail": refusal.detail,
+        "ran": refusal.ran.value,
+    }
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (b"persimmonhall-ran", refusal.ran.value.encode()),
+    ]
+    if refusal.retry_after_s > 0:
+        wait = refusal.retry_after_s * (1 + RETRY_AFTER_JITTER * rng.random())
+        body["retry_after_ms"] = round(wait * 1000)
+        headers.append((b"retry-after", str(max(1, round(wait))).encode()))
+    return HttpAnswer(answer.status, tuple(headers), json.dumps(body).encode())
--- /dev/null
+++ b/persimmonhall/http/messages.py
@@ -0,0 +1,62 @@
+"""Define HTTP requests and answers held whole."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """Hold one request with lower-case header names."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header of that lower-case name."""
+        return first_header(self.headers, name)
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """Hold one whole answer with lower-case header names."""
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+    def header(self, name: bytes) -> str | None:
+        """Return the first header of that lower-case name."""
+        return first_header(self.headers, name)
+
+
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+
+
+def first_header(headers: Headers, name: bytes) -> str | None:
+    """Return the first header of that lower-case name."""
+    for key, value in headers:
+        if key == name:
+            return value.decode("latin-1")
+    return None
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Drop headers that concern one connection only."""
+    return tuple((k, v) for k, v in headers if k not in HOP_BY_HOP)
--- /dev/null
+++ b/persimmonhall/http/server.py
@@ -0,0 +1,263 @@
+"""Serve a handler over HTTP/1.1 with h11 on trio."""
+
+import errno
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+
+import h11
+import trio
+from absl import logging
+
+from persimmonhall.address import Address
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.messages import HttpAnswer, HttpHandler, HttpRequest
+
+RECEIVE_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_TIMEOUT_S = 60.0
+READ_TIMEOUT_S = 20.0
+BACKLOG = 1024
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Bound what one connection may send."""
+
+    max_header_bytes: int = MAX_HEADER_BYTES
+    max_body_bytes: int = 32 * 1024 * 1024
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    read_timeout_s: float = READ_TIMEOUT_S
+
+
+RefusalWriter = Callable[[Refusal], HttpAnswer]
+
+
+class _RequestRefusedError(Exception):
+    """Carry the refusal of a request that could not be read."""
+
+    def __init__(self, refusal: Refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class _ServerConnection:
+    """Read requests of one connection and write their answers."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        handler: HttpHandler,
+        write_refusal: RefusalWriter,
+        limits: ServerLimits,
+        stop: trio.Event,
+    ):
+        self._stream = stream
+        self._handler = handler
+        self._write_refusal = write_refusal
+        self._limits = limits
+        self._stop = stop
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_header_bytes
+        )
+        self._idle_scope: trio.CancelScope | None = None
+
+    def stop_if_idle(self) -> None:
+        """Close the connection unless a request is in progress."""
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            while not self._stop.is_set() and await self._serve_one():
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except _RequestRefusedError as error:
+            await self._refuse(error.refusal)
+            return False
+        if request is None:
+            return False
+        answer = await self._answer_unless_gone(request)
+        if answer is None:
+            return False
+        await self._write(answer, head=request.method == "HEAD")
+        if self._http.our_state is h11.MUST_CLOSE:
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            return False
+        return True
+
+    async def _read_request(self) -> HttpRequest | None:
+        head = await self._wait_for_head()
+        if head is None:
+            return None
+        if self._http.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await self._stream.send_all(self._http.send(go_ahead))
+        with trio.move_on_after(self._limits.read_timeout_s) as scope:
+            body = await self._read_body()
+        if scope.cancelled_caught:
+            raise _RequestRefusedError(
+                refuse(ErrorKind.BAD_REQUEST, "the request body did not arrive in time")
+            )
+        return HttpRequest(
+            head.method.decode("ascii"),
+            head.target.decode("latin-1"),
+            tuple(head.headers),
+            body,
+        )
+
+    async def _wait_for_head(self) -> h11.Request | None:
+        with trio.move_on_after(self._limits.idle_timeout_s) as self._idle_scope:
+            event = await self._next_event(may_end=True)
+            return event if isinstance(event, h11.Request) else None
+        return None
+
+    async def _read_body(self) -> bytes:
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._next_event(may_end=False)
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            size += len(event.data)
+            if size > self._limits.max_body_bytes:
+                detail = f"the body is over {self._limits.max_body_bytes} bytes"
+                raise _RequestRefusedError(refuse(ErrorKind.BODY_TOO_LARGE, detail))
+            parts.append(bytes(event.data))
+
+    async def _next_event(self, *, may_end: bool):
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                kind = (
+                    ErrorKind.HEADER_TOO_LARGE
+                    if error.error_status_hint == 431
+                    else ErrorKind.BAD_REQUEST
+                )
+                raise _RequestRefusedError(refuse(kind, str(error))) from error
+            if event is not h11.NEED_DATA:
+                break
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if data and self._idle_scope is not None:
+                self._idle_scope = None
+            self._http.receive_data(data)
+        if isinstance(event, h11.ConnectionClosed) and not may_end:
+            raise _RequestRefusedError(
+                refuse(ErrorKind.BAD_REQUEST, "the request ended half-way")
+            )
+        return event
+
+    async def _answer_unless_gone(self, request: HttpRequest) -> HttpAnswer | None:
+        answer = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_when_gone, nursery.cancel_scope)
+            answer = await self._handler(request)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    async def _cancel_when_gone(self, scope: trio.CancelScope) -> None:
+        """Cancel the request when the caller closes its connection."""
+        socket = self._stream.socket
+        while True:
+            await trio.lowlevel.wait_readable(socket)
+            try:
+                data = await self._stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                scope.cancel()
+                return
+            self._http.receive_data(data)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        logging.info("request refused error=%s %s", refusal.kind.value, refusal.detail)
+        if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        answer = self._write_refusal(refusal)
+        closing = HttpAnswer(
+            answer.status, (*answer.headers, (b"connection", b"close")), answer.body
+        )
+        await self._write(closing, head=False)
+
+    async def _write(self, answer: HttpAnswer, *, head: bool) -> None:
+        headers = [(k, v) for k, v in answer.headers if k != b"content-length"]
+        headers.append((b"content-length", str(len(answer.body)).encode()))
+        if self._stop.is_set():
+            headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=answer.status, headers=headers)
+        data = self._http.send(response)
+        if answer.body and not head:
+            data += self._http.send(h11.Data(data=answer.body))
+        data += self._http.send(h11.EndOfMessage())
+        await self._stream.send_all(data)
+
+
+async def _accept(
+    listener: trio.SocketListener,
+    connect: Callable[[trio.SocketStream], _ServerConnection],
+    connections: set[_ServerConnection],
+    nursery: trio.Nursery,
+) -> None:
+    async def serve(stream: trio.SocketStream) -> None:
+        connection = connect(stream)
+        connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            connections.discard(connection)
+
+    while True:
+        try:
+            stream = await listener.accept()
+        except OSError as error:
+            if error.errno not in {errno.EMFILE, errno.ENFILE}:
+                raise
+            logging.warning("accept failed: %s", error)
+            await trio.sleep(0.1)
+            continue
+        nursery.start_soon(serve, stream)
+
+
+async def serve_http(
+    handler: HttpHandler,
+    address: Address,
+    stop: trio.Event,
+    *,
+    write_refusal: RefusalWriter,
+    limits: ServerLimits = ServerLimits(),
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve a handler until the event is set and requests in flight have ended."""
+    [listener] = await trio.open_tcp_listeners(
+        address.port, host=address.host, backlog=BACKLOG
+    )
+    connections: set[_ServerConnection] = set()
+    connect = partial(
+        _ServerConnection,
+        handler=handler,
+        write_refusal=write_refusal,
+        limits=limits,
+        stop=stop,
+    )
+    host, port = listener.socket.getsockname()[:2]
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(_accept, listener, connect, connections, nursery)
+            task_status.started(Address(host, port))
+            await stop.wait()
+            accepting.cancel_scope.cancel()
+        await listener.aclose()
+        for connection in tuple(connections):
+            connection.stop_if_idle()
--- /dev/null
+++ b/persimmonhall/http/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the http slice."""
--- /dev/null
+++ b/persimmonhall/http/tests/test_server.py
@@ -0,0 +1,46 @@
+"""Check the HTTP/1.1 server."""
+
+import trio
+
+from persimmonhall.address import Address
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.server import serve_http
+
+ANY_PORT = Address("127.0.0.1", 0)
+LIMIT = 1000
+
+
+async def test_stop_closes_idle_connections_and_finishes_requests_in_flight():
+    stop, arrived, release = trio.Event(), trio.Event(), trio.Event()
+
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        if request.target == "/slow":
+            arrived.set()
+            await release.wait()
+        return HttpAnswer(200, (), b"whole")
+
+    async def serve(task_status):
+        await serve_http(
+            handler, ANY_PORT, stop, write_refusal=None, task_status=task_status
+        )
+        ended.set()
+
+    ended = trio.Event()
+    answers = []
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(serve)
+        idle, busy = PooledClient(1), PooledClient(1)
+        await idle.send(address, HttpRequest("GET", "/", ()), LIMIT)
+
+        async def call_slowly():
+            request = HttpRequest("GET", "/slow", ())
+            answers.append(await busy.send(address, request, LIMIT))
+
+        nursery.start_soon(call_slowly)
+        await arrived.wait()
+        stop.set()
+        release.set()
+        with trio.fail_after(5):
+            await ended.wait()
+    assert answers[0].unwrap().body == b"whole"
--- /dev/null
+++ b/persimmonhall/ids.py
@@ -0,0 +1,13 @@
+"""Name the identifiers that cross module borders."""
+
+from typing import NewType
+
+ServiceName = NewType("ServiceName", str)
+NodeName = NewType("NodeName", str)
+ZoneName = NewType("ZoneName", str)
+RootId = NewType("RootId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+ChangeId = NewType("ChangeId", str)
+Revision = NewType("Revision", int)
+LogIndex = NewType("LogIndex", int)
+TicketId = NewType("TicketId", int)
--- /dev/null
+++ b/persimmonhall/load/__init__.py
@@ -0,0 +1,1 @@
+"""Generate open-loop load and report what came back."""
--- /dev/null
+++ b/persimmonhall/load/settings.py
@@ -0,0 +1,51 @@
+"""Define the settings file of persimmonhall-load."""
+
+from dataclasses import dataclass
+
+from persimmonhall.address import Address
+from persimmonhall.checked import bounded
+from persimmonhall.document.schema import METHOD_PATTERN, PATH_PATTERN
+from persimmonhall.ids import ServiceName
+from persimmonhall.settings import NAME_PATTERN
+
+
+@dataclass(frozen=True)
+class LoadSection:
+    """Say where load goes and how long callers wait."""
+
+    targets: tuple[Address, ...]
+    timeout_ms: int = bounded(3000, least=1)
+    resends: int = bounded(0, least=0, most=20)
+    connections: int = bounded(200, least=1)
+    seed: int = 1
+
+
+@dataclass(frozen=True)
+class PhaseSection:
+    """Name a stretch of time and multiply the rates in it."""
+
+    name: str = bounded(pattern=NAME_PATTERN)
+    seconds: float = bounded(least=0.1)
+    factor: float = bounded(1.0, least=0.0)
+
+
+@dataclass(frozen=True)
+class RequestSection:
+    """Describe one kind of request and its rate."""
+
+    name: str = bounded(pattern=NAME_PATTERN)
+    service: ServiceName = bounded(pattern=NAME_PATTERN)
+    path: str = bounded(pattern=PATH_PATTERN)
+    per_second: float = bounded(least=0.0)
+    method: str = bounded("GET", pattern=METHOD_PATTERN)
+    body_bytes: int = bounded(0, least=0)
+    keyed: bool = False
+
+
+@dataclass(frozen=True)
+class LoadSettings:
+    """Hold the settings of persimmonhall-load."""
+
+    load: LoadSection
+    phases: tuple[PhaseSection, ...]
+    requests: tuple[RequestSection, ...]
--- /dev/null
+++ b/persimmonhall/local_api.py
@@ -0,0 +1,79 @@
+"""Serve the own backend server and operators on the loopback listener."""
+
+import json
+import random
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.call.entry import Entry
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.membership.announce import BackendWatch, parse_announcement
+from persimmonhall.membership.table import MemberTable
+
+OWN_PREFIX = "/-/"
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+class LocalApi:
+    """Answer announcements and status; pass other requests to the entry."""
+
+    def __init__(
+        self,
+        entry: Entry,
+        watch: BackendWatch,
+        table: MemberTable,
+        documents: DocumentsInForce,
+        drain: Callable[[], None],
+        rng: random.Random,
+    ):
+        self._entry = entry
+        self._watch = watch
+        self._table = table
+        self._documents = documents
+        self._drain = drain
+        self._rng = rng
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answer one request of this machine."""
+        if not request.target.startswith(OWN_PREFIX):
+            return await self._entry.handle(request)
+        match self._route(request):
+            case Success(answer):
+                return answer
+            case Failure(refusal):
+                return problem_answer(refusal, self._rng)
+
+    def _route(self, request: HttpRequest) -> Result[HttpAnswer, Refusal]:
+        match (request.method, request.target.removeprefix(OWN_PREFIX)):
+            case ("POST", "announce"):
+                return parse_announcement(request.body).map(self._announce)
+            case ("GET", "status"):
+                return Success(self._status())
+            case ("POST", "drain"):
+                self._drain()
+                return Success(HttpAnswer(202, ()))
+        return Failure(refuse(ErrorKind.NOT_FOUND, f"no {request.target} here"))
+
+    def _announce(self, backend) -> HttpAnswer:
+        self._watch.take(backend)
+        return HttpAnswer(204, ())
+
+    def _status(self) -> HttpAnswer:
+        members = [
+            {
+                "node": member.node,
+                "zone": member.zone,
+                "service": member.service,
+                "state": member.state.value,
+            }
+            for member in self._table.gossip().members
+        ]
+        body = {
+            "node": self._table.own.node,
+            "members": members,
+            "documents": self._documents.revisions,
+        }
+        return HttpAnswer(200, (JSON_TYPE,), json.dumps(body, indent=1).encode())
--- /dev/null
+++ b/persimmonhall/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Know which nodes and backend servers exist."""
--- /dev/null
+++ b/persimmonhall/membership/announce.py
@@ -0,0 +1,95 @@
+"""Take announcements of the own backend server on the loopback listener."""
+
+import json
+
+import trio
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.call.backend import Backend, BackendState
+from persimmonhall.call.gate import Gate
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.ids import ServiceName
+from persimmonhall.membership.gossip import Gossiper
+from persimmonhall.membership.messages import MemberState
+
+SILENCE_S = 6.0
+CHECK_INTERVAL_S = 0.5
+MEMBER_STATES = {
+    BackendState.READY: MemberState.READY,
+    BackendState.LEAVING: MemberState.LEAVING,
+}
+
+
+def parse_announcement(body: bytes) -> Result[Backend, Refusal]:
+    """Read the JSON body of an announcement."""
+    try:
+        fields = json.loads(body)
+        backend = Backend(
+            service=ServiceName(_text(fields, "service")),
+            address=_address(fields, "address"),
+            slots=_count(fields, "slots"),
+            connections=_count(fields, "connections"),
+            state=BackendState(fields.get("state", "ready")),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        return Failure(refuse(ErrorKind.BAD_REQUEST, f"announcement: {error}"))
+    return Success(backend)
+
+
+def _text(fields: dict, key: str) -> str:
+    value = fields[key]
+    if not isinstance(value, str) or not value:
+        raise ValueError(f"{key} must be a string")
+    return value
+
+
+def _address(fields: dict, key: str) -> Address:
+    match parse_address(_text(fields, key)):
+        case Success(address):
+            return address
+        case Failure(reason):
+            raise ValueError(f"{key}: {reason}")
+
+
+def _count(fields: dict, key: str) -> int:
+    value = fields[key]
+    if type(value) is not int or value < 1:
+        raise ValueError(f"{key} must be a positive integer")
+    return value
+
+
+class BackendWatch:
+    """Keep the gate and the peers informed of the own backend server."""
+
+    def __init__(self, gate: Gate, gossiper: Gossiper):
+        self._gate = gate
+        self._gossiper = gossiper
+        self._heard = 0.0
+
+    def take(self, backend: Backend) -> None:
+        """Take in one announcement."""
+        self._heard = trio.current_time()
+        if backend != self._gate.backend:
+            logging.info(
+                "backend announced service=%s address=%s slots=%d state=%s",
+                backend.service,
+                backend.address,
+                backend.slots,
+                backend.state.value,
+            )
+        self._gate.set_backend(backend)
+        state = MEMBER_STATES[backend.state]
+        self._gossiper.announce(backend.service, backend.slots, state)
+
+    async def run(self) -> None:
+        """Drop the backend server when it stops announcing itself."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            backend = self._gate.backend
+            if backend is None or trio.current_time() - self._heard < SILENCE_S:
+                continue
+            logging.warning("backend silent service=%s", backend.service)
+            self._gate.set_backend(None)
+            self._gossiper.announce(ServiceName(""), 0, MemberState.EMPTY)
--- /dev/null
+++ b/persimmonhall/node.py
@@ -0,0 +1,129 @@
+"""Run a node: entry, gate, membership and documents in force."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from absl import logging
+
+from persimmonhall.address import Address
+from persimmonhall.call.entry import Entry
+from persimmonhall.call.gate import Gate
+from persimmonhall.call.gates import Gates
+from persimmonhall.control.client import ControlClient
+from persimmonhall.document.follow import DocumentFollower
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.errors import Refusal, problem_answer
+from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.http.server import ServerLimits, serve_http
+from persimmonhall.ids import ServiceName
+from persimmonhall.local_api import LocalApi
+from persimmonhall.membership.announce import BackendWatch
+from persimmonhall.membership.gossip import Gossiper
+from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.ledger import RetryLedger
+from persimmonhall.routing.router import Router
+from persimmonhall.settings import NodeSettings
+from persimmonhall.signals import wait_for_stop_signal
+from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.link import LinkPool, serve_links
+
+LEAVE_NOTICE_S = 1.0
+
+
+@dataclass(frozen=True)
+class NodeAddresses:
+    """Name the addresses a running node listens on."""
+
+    callers: Address
+    local: Address
+    frames: Address
+
+
+async def run_node(
+    settings: NodeSettings, on_ready: Callable[[NodeAddresses], None]
+) -> None:
+    """Serve until a stop signal, then leave and finish what is in flight."""
+    async with trio.open_nursery() as nursery:
+        await _run(settings, on_ready, nursery)
+        nursery.cancel_scope.cancel()
+
+
+async def _run(
+    settings: NodeSettings,
+    on_ready: Callable[[NodeAddresses], None],
+    nursery: trio.Nursery,
+) -> None:
+    own = settings.node
+    rng = random.Random(own.seed or None)
+    links = LinkPool(nursery)
+    documents = DocumentsInForce()
+    table = MemberTable(_own_member(settings))
+    gate = Gate()
+    gossiper = Gossiper(table, links, settings.peers.seeds, rng)
+    watch = BackendWatch(gate, gossiper)
+    router = Router(table, own.zone, rng)
+    entry = Entry(
+        own.name, documents, router, RetryLedger(), Gates(own.name, gate, links), rng
+    )
+    control = ControlClient(links, settings.peers.control)
+    stop = trio.Event()
+    local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
+
+    handlers = {Channel.CALL: gate.handle, Channel.MEMBERSHIP: gossiper.handle}
+    frames = await nursery.start(serve_links, handlers, own.frames)
+    gossiper.set_frames(frames)
+    limits = ServerLimits(
+        max_header_bytes=settings.limits.max_header_bytes,
+        max_body_bytes=settings.limits.max_body_bytes,
+    )
+
+    def write_refusal(refusal: Refusal) -> HttpAnswer:
+        return problem_answer(refusal, rng)
+
+    async def serve(handler, address, task_status=trio.TASK_STATUS_IGNORED):
+        await serve_http(
+            handler,
+            address,
+            closing,
+            write_refusal=write_refusal,
+            limits=limits,
+            task_status=task_status,
+        )
+
+    closing = trio.Event()
+    async with trio.open_nursery() as serving:
+        callers = await serving.start(serve, entry.handle, own.callers)
+        local = await serving.start(serve, local_api.handle, own.local)
+        nursery.start_soon(gossiper.run)
+        nursery.start_soon(watch.run)
+        nursery.start_soon(DocumentFollower(documents, control).run)
+        nursery.start_soon(wait_for_stop_signal, stop)
+        on_ready(NodeAddresses(callers, local, frames))
+        await stop.wait()
+        logging.info("leaving node=%s", own.name)
+        gate.leave()
+        gossiper.leave()
+        await trio.sleep(LEAVE_NOTICE_S)
+        closing.set()
+        serving.cancel_scope.deadline = trio.current_time() + own.drain_seconds
+    await gate.wait_idle(own.drain_seconds)
+    logging.info("left node=%s", own.name)
+
+
+def _own_member(settings: NodeSettings) -> Member:
+    own = settings.node
+    return Member(
+        node=own.name,
+        zone=own.zone,
+        region=own.region,
+        frames=str(own.frames),
+        incarnation=time.time_ns() // 1_000_000,
+        version=0,
+        service=ServiceName(""),
+        slots=0,
+        state=MemberState.EMPTY,
+    )
--- /dev/null
+++ b/persimmonhall/once/__init__.py
@@ -0,0 +1,1 @@
+"""Run non-idempotent requests at most once."""
--- /dev/null
+++ b/persimmonhall/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choose a server for a call and bound its retries."""
--- /dev/null
+++ b/persimmonhall/settings.py
@@ -0,0 +1,110 @@
+"""Define the settings file of each program."""
+
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.checked import T, bounded, read_toml
+from persimmonhall.ids import NodeName, ZoneName
+
+NAME_PATTERN = r"[a-z0-9][a-z0-9.-]{0,62}"
+
+
+@dataclass(frozen=True)
+class NodeSection:
+    """Say where a node listens and which zone it is in."""
+
+    name: NodeName = bounded(pattern=NAME_PATTERN)
+    zone: ZoneName = bounded(pattern=NAME_PATTERN)
+    callers: Address
+    local: Address
+    frames: Address
+    region: str = "default"
+    seed: int = 0
+    drain_seconds: float = bounded(30.0, least=0.0, most=600.0)
+
+
+@dataclass(frozen=True)
+class PeersSection:
+    """Name the processes a node speaks to first."""
+
+    control: tuple[Address, ...]
+    seeds: tuple[Address, ...] = ()
+
+
+@dataclass(frozen=True)
+class LimitsSection:
+    """Bound what a node accepts."""
+
+    max_header_bytes: int = bounded(32 * 1024, least=1024, most=1024 * 1024)
+    max_body_bytes: int = bounded(16 * 1024 * 1024, least=0, most=64 * 1024 * 1024)
+    max_answer_bytes: int = bounded(32 * 1024 * 1024, least=1, most=64 * 1024 * 1024)
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """Hold the settings of persimmonhall-node."""
+
+    node: NodeSection
+    peers: PeersSection
+    limits: LimitsSection = field(default_factory=LimitsSection)
+
+
+@dataclass(frozen=True)
+class ControlSection:
+    """Say where a control VM listens and keeps its data."""
+
+    name: NodeName = bounded(pattern=NAME_PATTERN)
+    zone: ZoneName = bounded(pattern=NAME_PATTERN)
+    admin: Address
+    frames: Address
+    data_folder: str
+    seed: int = 0
+
+
+@dataclass(frozen=True)
+class TeamSection:
+    """Name a team and the token that proves it."""
+
+    name: str = bounded(pattern=NAME_PATTERN)
+    token: str = bounded(pattern=r".{8,}")
+    operator: bool = False
+
+
+@dataclass(frozen=True)
+class ControlSettings:
+    """Hold the settings of persimmonhall-control."""
+
+    control: ControlSection
+    teams: tuple[TeamSection, ...]
+
+
+@dataclass(frozen=True)
+class OperatorSection:
+    """Say which control VMs an operator speaks to and with which token."""
+
+    control: tuple[Address, ...]
+    token: str = ""
+
+
+@dataclass(frozen=True)
+class OperatorSettings:
+    """Hold the settings of persimmonhall."""
+
+    operator: OperatorSection
+
+
+def load_settings(cls: type[T], path: Path) -> Result[T, str]:
+    """Read a settings file or return one line on what is wrong."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure(f"{path}: cannot be read: {error}")
+    match read_toml(cls, text):
+        case Success(settings):
+            return Success(settings)
+        case Failure(problems):
+            more = f" (and {len(problems) - 1} more)" if len(problems) > 1 else ""
+            return Failure(f"{path}: {problems[0]}{more}")
--- /dev/null
+++ b/persimmonhall/signals.py
@@ -0,0 +1,12 @@
+"""Wait for the signals that stop a process gracefully."""
+
+import signal
+
+import trio
+
+
+async def wait_for_stop_signal(stop: trio.Event) -> None:
+    """Set the event at SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            stop.set()
--- /dev/null
+++ b/persimmonhall/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test what the slices share."""
--- /dev/null
+++ b/persimmonhall/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Carry frames between the system's own processes."""
--- /dev/null
+++ b/persimmonhall/wire/frames.py
@@ -0,0 +1,100 @@
+"""Read and write length-prefixed frames on a TCP connection."""
+
+import struct
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+PREAMBLE = b"PSH1"
+HEADER = struct.Struct("<IBBQ")
+MAX_FRAME_BYTES = 128 * 1024
+RECEIVE_BYTES = 64 * 1024
+
+
+class FrameKind(Enum):
+    """Tell what a frame does to its exchange."""
+
+    ASK = 1
+    ASK_END = 2
+    REPLY = 3
+    REPLY_END = 4
+    CANCEL = 5
+
+
+class Channel(Enum):
+    """Tell which duty an exchange belongs to."""
+
+    CALL = 1
+    LEDGER = 2
+    MEMBERSHIP = 3
+    DOCUMENT = 4
+    CONTROL = 5
+    REPLICA = 6
+    ONCE = 7
+
+
+KINDS = {kind.value: kind for kind in FrameKind}
+CHANNELS = {channel.value: channel for channel in Channel}
+
+
+class FrameError(Exception):
+    """Signal bytes that are not a frame."""
+
+
+@dataclass(frozen=True)
+class Frame:
+    """Hold one part of an exchange."""
+
+    kind: FrameKind
+    channel: Channel
+    exchange: int
+    payload: bytes = b""
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Write a frame with its header."""
+    header = HEADER.pack(
+        len(frame.payload), frame.kind.value, frame.channel.value, frame.exchange
+    )
+    return header + frame.payload
+
+
+class FrameReader:
+    """Read frames from a stream."""
+
+    def __init__(self, stream: trio.abc.ReceiveStream):
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read_preamble(self) -> None:
+        """Check the first bytes of a connection."""
+        if await self._take(len(PREAMBLE)) != PREAMBLE:
+            raise FrameError("the connection does not start with a frame preamble")
+
+    async def read(self) -> Frame | None:
+        """Return the next frame, or None at a clean end."""
+        header = await self._take(HEADER.size)
+        if header is None:
+            return None
+        length, kind, channel, exchange = HEADER.unpack(header)
+        if length > MAX_FRAME_BYTES:
+            raise FrameError(f"a frame of {length} bytes is over {MAX_FRAME_BYTES}")
+        if kind not in KINDS or channel not in CHANNELS:
+            raise FrameError(f"unknown frame kind {kind} or channel {channel}")
+        payload = await self._take(length)
+        if payload is None:
+            raise FrameError("the connection ended inside a frame")
+        return Frame(KINDS[kind], CHANNELS[channel], exchange, payload)
+
+    async def _take(self, size: int) -> bytes | None:
+        while len(self._buffer) < size:
+            data = await self._stream.receive_some(RECEIVE_BYTES)
+            if not data:
+                if self._buffer:
+                    raise FrameError("the connection ended inside a frame")
+                return None
+            self._buffer += data
+        taken = bytes(self._buffer[:size])
+        del self._buffer[:size]
+        return taken
--- /dev/null
+++ b/persimmonhall/wire/link.py
@@ -0,0 +1,279 @@
+"""Run many exchanges at once over one TCP connection a pair of processes."""
+
+import itertools
+from collections.abc import Awaitable, Callable, Mapping
+
+import trio
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.wire.frames import (
+    PREAMBLE,
+    Channel,
+    Frame,
+    FrameError,
+    FrameKind,
+    FrameReader,
+    encode_frame,
+)
+
+CHUNK_BYTES = 64 * 1024
+MAX_MESSAGE_BYTES = 96 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+ENDINGS = (trio.BrokenResourceError, trio.ClosedResourceError, FrameError)
+
+LinkHandler = Callable[[bytes], Awaitable[bytes]]
+Handlers = Mapping[Channel, LinkHandler]
+
+
+class LinkError:
+    """Say why an exchange got no reply and whether anything was sent."""
+
+    def __init__(self, detail: str, *, sent: bool):
+        self.detail = detail
+        self.sent = sent
+
+    def __str__(self) -> str:
+        """Write the reason."""
+        return self.detail
+
+
+class _Writer:
+    """Write messages in chunks so that a long one does not block a short one."""
+
+    def __init__(self, stream: trio.SocketStream):
+        self._stream = stream
+        self._send, self._receive = trio.open_memory_channel[bytes](0)
+
+    async def run(self) -> None:
+        """Write whole frames; a cancelled exchange never cuts one half-way."""
+        async for data in self._receive:
+            await self._stream.send_all(data)
+
+    async def write(
+        self,
+        part: FrameKind,
+        end: FrameKind,
+        channel: Channel,
+        exchange: int,
+        payload: bytes,
+    ) -> None:
+        """Write one message, taking turns with others after each chunk."""
+        last = max(0, (len(payload) - 1) // CHUNK_BYTES)
+        for number in range(last + 1):
+            chunk = payload[number * CHUNK_BYTES : (number + 1) * CHUNK_BYTES]
+            kind = end if number == last else part
+            frame = Frame(kind, channel, exchange, chunk)
+            await self._send.send(encode_frame(frame))
+
+    async def cancel(self, channel: Channel, exchange: int) -> None:
+        """Tell the peer that nobody waits for the exchange."""
+        frame = Frame(FrameKind.CANCEL, channel, exchange)
+        await self._send.send(encode_frame(frame))
+
+
+class _Exchange:
+    """Wait for the reply of one exchange."""
+
+    def __init__(self):
+        self.parts: list[bytes] = []
+        self.done = trio.Event()
+        self.reply: Result[bytes, LinkError] | None = None
+
+    def finish(self, reply: Result[bytes, LinkError]) -> None:
+        self.reply = reply
+        self.done.set()
+
+
+class Link:
+    """Ask a peer over one connection and match replies by exchange."""
+
+    def __init__(self, address: Address):
+        self._address = address
+        self._exchanges: dict[int, _Exchange] = {}
+        self._ids = itertools.count(1)
+        self._writer: _Writer | None = None
+        self._nursery: trio.Nursery | None = None
+        self._closed: str | None = None
+        self._ready = trio.Event()
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the connection has ended."""
+        return self._closed is not None
+
+    async def run(self) -> None:
+        """Connect and read replies until the connection ends."""
+        stream = await self._connect()
+        if stream is None:
+            self._close(f"{self._address} does not accept a connection")
+            return
+        self._writer = _Writer(stream)
+        reason = "closed"
+        try:
+            async with trio.open_nursery() as self._nursery:
+                self._nursery.start_soon(self._writer.run)
+                self._ready.set()
+                await self._read(FrameReader(stream))
+                self._nursery.cancel_scope.cancel()
+        except* ENDINGS as group:
+            reason = str(group.exceptions[0]) or "broken"
+        finally:
+            self._close(f"the connection to {self._address} ended: {reason}")
+            await trio.aclose_forcefully(stream)
+
+    async def _connect(self) -> trio.SocketStream | None:
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                stream = await trio.open_tcp_stream(
+                    self._address.host, self._address.port
+                )
+                await stream.send_all(PREAMBLE)
+                return stream
+            except (OSError, trio.BrokenResourceError):
+                return None
+        return None
+
+    async def _read(self, reader: FrameReader) -> None:
+        while (frame := await reader.read()) is not None:
+            exchange = self._exchanges.get(frame.exchange)
+            if exchange is None:
+                continue
+            exchange.parts.append(frame.payload)
+            if frame.kind is FrameKind.REPLY_END:
+                exchange.finish(Success(b"".join(exchange.parts)))
+
+    def _close(self, reason: str) -> None:
+        self._closed = reason
+        self._ready.set()
+        for exchange in self._exchanges.values():
+            exchange.finish(Failure(LinkError(reason, sent=True)))
+
+    async def ask(self, channel: Channel, payload: bytes) -> Result[bytes, LinkError]:
+        """Send one message and return its reply."""
+        await self._ready.wait()
+        if self._closed is not None or self._writer is None:
+            return Failure(LinkError(self._closed or "closed", sent=False))
+        number = next(self._ids)
+        exchange = self._exchanges[number] = _Exchange()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write_ask, channel, number, payload)
+                await exchange.done.wait()
+                nursery.cancel_scope.cancel()
+        except trio.Cancelled:
+            if not self.closed:
+                self._nursery.start_soon(self._writer.cancel, channel, number)
+            raise
+        finally:
+            del self._exchanges[number]
+        return exchange.reply
+
+    async def _write_ask(self, channel: Channel, number: int, payload: bytes) -> None:
+        await self._writer.write(
+            FrameKind.ASK, FrameKind.ASK_END, channel, number, payload
+        )
+
+
+class LinkPool:
+    """Keep one link to each peer and open it anew when it has ended."""
+
+    def __init__(self, nursery: trio.Nursery):
+        self._nursery = nursery
+        self._links: dict[Address, Link] = {}
+
+    async def ask(
+        self, address: Address, channel: Channel, payload: bytes
+    ) -> Result[bytes, LinkError]:
+        """Send one message to a peer and return its reply."""
+        link = self._links.get(address)
+        if link is None or link.closed:
+            link = self._links[address] = Link(address)
+            self._nursery.start_soon(link.run)
+        return await link.ask(channel, payload)
+
+
+class _LinkServer:
+    """Answer the exchanges of one incoming connection."""
+
+    def __init__(self, stream: trio.SocketStream, handlers: Handlers):
+        self._stream = stream
+        self._handlers = handlers
+        self._writer = _Writer(stream)
+        self._parts: dict[int, list[bytes]] = {}
+        self._scopes: dict[int, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Serve exchanges until the connection ends."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._writer.run)
+                await self._read(nursery)
+                nursery.cancel_scope.cancel()
+        except* ENDINGS as group:
+            logging.warning("frame connection closed: %s", group.exceptions[0])
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _read(self, nursery: trio.Nursery) -> None:
+        reader = FrameReader(self._stream)
+        await reader.read_preamble()
+        while (frame := await reader.read()) is not None:
+            if frame.kind is FrameKind.CANCEL:
+                self._cancel(frame.exchange)
+            elif frame.kind is FrameKind.ASK:
+                self._keep(frame)
+            elif frame.kind is FrameKind.ASK_END:
+                self._keep(frame)
+                payload = b"".join(self._parts.pop(frame.exchange))
+                nursery.start_soon(self._serve, frame, payload)
+
+    def _keep(self, frame: Frame) -> None:
+        parts = self._parts.setdefault(frame.exchange, [])
+        parts.append(frame.payload)
+        if sum(map(len, parts)) > MAX_MESSAGE_BYTES:
+            raise FrameError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
+
+    def _cancel(self, exchange: int) -> None:
+        self._parts.pop(exchange, None)
+        scope = self._scopes.get(exchange)
+        if scope is not None:
+            scope.cancel()
+
+    async def _serve(self, frame: Frame, payload: bytes) -> None:
+        handler = self._handlers.get(frame.channel)
+        if handler is None:
+            raise FrameError(f"no handler for channel {frame.channel.name}")
+        with trio.CancelScope() as scope:
+            self._scopes[frame.exchange] = scope
+            try:
+                reply = await handler(payload)
+                await self._writer.write(
+                    FrameKind.REPLY,
+                    FrameKind.REPLY_END,
+                    frame.channel,
+                    frame.exchange,
+                    reply,
+                )
+            except ValueError as error:
+                raise FrameError(str(error)) from error
+            finally:
+                del self._scopes[frame.exchange]
+
+
+async def serve_links(
+    handlers: Handlers,
+    address: Address,
+    *,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer frame connections on an address."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await _LinkServer(stream, handlers).run()
+
+    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+    host, port = listeners[0].socket.getsockname()[:2]
+    task_status.started(Address(host, port))
+    await trio.serve_listeners(serve, listeners)
--- /dev/null
+++ b/persimmonhall/wire/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the wire slice."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test persimmonhall."""
