--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency
+.PHONY: all install format lint test demo latency bench-policy
 
 all: test
 
@@ -30,3 +30,6 @@
 
 latency: install
 	$(BIN)/python -m harness.latency
+
+bench-policy: install
+	$(BIN)/python -m harness.bench_policy
--- a/persimmonhall/load/report.py
+++ b/persimmonhall/load/report.py
@@ -68,14 +68,20 @@
 
     def __init__(self):
         self._tallies: dict[tuple[str, str], Tally] = {}
-        self._good_at: Counter = Counter()
+        self._begun: Counter = Counter()
+        self._begun_good: Counter = Counter()
 
     def add(self, sample: Sample) -> None:
         """Count one sample."""
         key = (sample.phase, sample.name)
         self._tallies.setdefault(key, Tally()).add(sample)
-        if sample.good:
-            self._good_at[int(sample.end / BUCKET_S)] += 1
+        bucket = int(sample.begin / BUCKET_S)
+        self._begun[bucket] += 1
+        self._begun_good[bucket] += sample.good
+
+    def tally(self, phase: str, name: str) -> Tally:
+        """Return the tally of one kind of request in one phase."""
+        return self._tallies.get((phase, name), Tally())
 
     def as_dict(self) -> dict:
         """Return all figures by phase and kind of request."""
@@ -102,14 +108,22 @@
         return "\n".join(lines)
 
     def recovery_s(self, before: tuple[float, float], trigger_end: float) -> float:
-        """Return how long goodput took to come back; infinity if it did not."""
-        first, last = (int(t / BUCKET_S) for t in before)
-        span = [self._good_at[n] for n in range(first, last)]
-        target = RECOVERED_SHARE * sum(span) / max(1, len(span))
-        start = int(trigger_end / BUCKET_S)
-        end = max(self._good_at, default=start)
-        for bucket in range(start, end - RECOVERED_BUCKETS + 1):
-            window = range(bucket, bucket + RECOVERED_BUCKETS)
-            if sum(self._good_at[n] for n in window) >= target * RECOVERED_BUCKETS:
+        """Return how long the share of whole answers took to come back.
+
+        Infinity says that it did not come back while load went on.
+        """
+        target = RECOVERED_SHARE * self._good_share(*map(_bucket, before))
+        end = max(self._begun, default=0) + 1
+        for bucket in range(_bucket(trigger_end), end - RECOVERED_BUCKETS + 1):
+            if self._good_share(bucket, bucket + RECOVERED_BUCKETS) >= target:
                 return max(0.0, bucket * BUCKET_S - trigger_end)
         return float("inf")
+
+    def _good_share(self, first: int, last: int) -> float:
+        begun = sum(self._begun[n] for n in range(first, last))
+        good = sum(self._begun_good[n] for n in range(first, last))
+        return good / max(1, begun)
+
+
+def _bucket(seconds: float) -> int:
+    return int(seconds / BUCKET_S)
--- /dev/null
+++ b/persimmonhall/load/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the load slice."""
