Limit, queue and rank requests at the gate by a pure core

The thin core let every request wait behind its worth with no regard to its deadline, kept the announced slots as the limit and had no clock. The core now holds an adaptive limit, a queue bounded by time, slots of cancelled requests, a bound on critical requests and a self-limit by event loop lag; Admission runs it on the loop, so that the gate keeps one job.

--- /dev/null
+++ b/persimmonhall/admission/admission.py
@@ -0,0 +1,149 @@
+"""Make requests wait for the verdict of the admission core."""
+
+import itertools
+import math
+from dataclasses import dataclass
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.admission.core import AdmissionCore
+from persimmonhall.admission.counters import GateCounters, Refused, record_seconds
+from persimmonhall.admission.messages import (
+    Outcome,
+    Refuse,
+    RequestKind,
+    Start,
+    Ticket,
+    Verdict,
+)
+from persimmonhall.document.schema import Worth
+from persimmonhall.errors import Refusal
+from persimmonhall.ids import RootId, TicketId
+
+
+@dataclass(frozen=True)
+class Asked:
+    """Describe a request that asks to start; deadline in monotonic seconds."""
+
+    root: RootId
+    worth: Worth
+    depth: int
+    kind: RequestKind
+    deadline: float
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """Hold a started request; time in monotonic seconds."""
+
+    ticket: Ticket
+    started: float
+
+
+class _Waiter:
+    """Wait for the verdict on one request."""
+
+    def __init__(self):
+        self.decided = trio.Event()
+        self.started = False
+        self.refusal: Refusal | None = None
+
+
+class Admission:
+    """Run the admission core on the event loop."""
+
+    def __init__(self):
+        self._core = AdmissionCore()
+        self._counters = GateCounters()
+        self._ids = itertools.count(1)
+        self._waiters: dict[TicketId, _Waiter] = {}
+        self._timer = trio.CancelScope()
+
+    @property
+    def core(self) -> AdmissionCore:
+        """Return the core, to read how busy it is."""
+        return self._core
+
+    @property
+    def counters(self) -> GateCounters:
+        """Return the counts since the start."""
+        return self._counters
+
+    async def keep_time(self) -> None:
+        """Wake the core when it has something to do, until cancelled."""
+        while True:
+            with trio.CancelScope(deadline=self._wakeup()) as self._timer:
+                await trio.sleep_forever()
+            self._deliver(self._core.tick(trio.current_time()))
+
+    def announce(self, slots: int, *, cold: bool) -> None:
+        """Take in the slots of the backend server."""
+        self._deliver(self._core.announce(slots, trio.current_time(), cold=cold))
+
+    async def admit(self, asked: Asked) -> Result[Admitted, Refusal]:
+        """Wait until a request may start or is refused."""
+        ticket = Ticket(
+            TicketId(next(self._ids)),
+            asked.root,
+            asked.worth,
+            asked.deadline,
+            asked.depth,
+            asked.kind,
+        )
+        arrived = trio.current_time()
+        waiter = self._waiters[ticket.id] = _Waiter()
+        try:
+            self._deliver(self._core.arrive(ticket, arrived))
+            if not waiter.decided.is_set():
+                await waiter.decided.wait()
+        except trio.Cancelled:
+            self._withdraw(ticket, waiter)
+            raise
+        finally:
+            del self._waiters[ticket.id]
+        if waiter.refusal is not None:
+            self.count_refusal(waiter.refusal, asked.worth)
+            return Failure(waiter.refusal)
+        started = trio.current_time()
+        self._counters.admitted[asked.worth] += 1
+        record_seconds(self._counters.queue_wait_us, started - arrived)
+        return Success(Admitted(ticket, started))
+
+    def finish(self, admitted: Admitted, outcome: Outcome) -> None:
+        """Record how a started request ended."""
+        now = trio.current_time()
+        if outcome is Outcome.CANCELLED:
+            self._counters.cancelled[admitted.ticket.worth] += 1
+        elif outcome is not Outcome.NOT_RUN:
+            record_seconds(self._counters.service_us, now - admitted.started)
+        self._deliver(self._core.finish(admitted.ticket.id, outcome, now))
+
+    def count_refusal(self, refusal: Refusal, worth: Worth) -> None:
+        """Count a refusal, also one that was made before the queue."""
+        self._counters.refused[Refused(refusal.kind, worth)] += 1
+
+    def _withdraw(self, ticket: Ticket, waiter: _Waiter) -> None:
+        now = trio.current_time()
+        if waiter.started:
+            self._deliver(self._core.finish(ticket.id, Outcome.NOT_RUN, now))
+        else:
+            self._deliver(self._core.abandon(ticket.id, now))
+        self._counters.cancelled[ticket.worth] += 1
+
+    def _deliver(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            waiter = self._waiters.get(verdict.ticket)
+            if waiter is None:
+                continue
+            match verdict:
+                case Start():
+                    waiter.started = True
+                case Refuse(_, refusal):
+                    waiter.refusal = refusal
+            waiter.decided.set()
+        self._timer.deadline = min(self._timer.deadline, self._wakeup())
+
+    def _wakeup(self) -> float:
+        wakeup = self._core.next_wakeup
+        return math.inf if wakeup is None else wakeup
--- /dev/null
+++ b/persimmonhall/admission/lag_probe.py
@@ -0,0 +1,23 @@
+"""Measure how late the event loop runs its tasks."""
+
+import trio
+from absl import logging
+
+from persimmonhall.admission.self_limit import SelfLimit
+
+INTERVAL_S = 0.05
+
+
+async def probe_lag(self_limit: SelfLimit) -> None:
+    """Feed the self-limit until cancelled; log when it begins and ends to refuse."""
+    while True:
+        due = trio.current_time() + INTERVAL_S
+        await trio.sleep_until(due)
+        before = self_limit.level
+        self_limit.observe(trio.current_time() - due)
+        if (before > 0) != (self_limit.level > 0):
+            logging.warning(
+                "self-limit level=%.2f lag_ms=%.0f",
+                self_limit.level,
+                self_limit.lag * 1000,
+            )
--- /dev/null
+++ b/persimmonhall/admission/limiter.py
@@ -0,0 +1,210 @@
+"""Find how many requests the backend server can work on at once."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from persimmonhall.admission.messages import Outcome, RequestKind
+
+COLD_SHARE = 0.1
+WINDOW_S = 0.1
+WINDOW_SAMPLES = 8
+TOLERATED_SLOWDOWN = 2.5
+MAX_SLOWDOWN = 20.0
+LATENCY_SLACK_S = 0.005
+SHARPEST_CUT = 0.5
+SHED_CUT = 0.8
+FAILED_CUT = 0.8
+FAILED_SHARE = 0.2
+GROWTH_SHARE = 0.25
+LEAST_HELP = 0.5
+RECENT_GAIN = 0.05
+BASELINE_GAIN_DOWN = 0.1
+BASELINE_RISE_S = 60.0
+MAX_KINDS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Describe one request that ended; times in seconds."""
+
+    kind: RequestKind
+    outcome: Outcome
+    started: float
+    seconds: float
+    in_flight: int
+
+
+@dataclass(slots=True)
+class _Baseline:
+    """Follow the lowest recent average, so that one short answer counts little."""
+
+    seconds: float
+    recent: float
+    at: float
+
+    def record(self, seconds: float, now: float) -> None:
+        self.recent += RECENT_GAIN * (seconds - self.recent)
+        if self.recent < self.seconds:
+            gain = BASELINE_GAIN_DOWN
+        else:
+            gain = min(1.0, (now - self.at) / BASELINE_RISE_S)
+        self.seconds += gain * (self.recent - self.seconds)
+        self.at = now
+
+
+@dataclass(slots=True)
+class _Window:
+    opened: float
+    samples: int = 0
+    failed: int = 0
+    slowdown: float = 0.0
+    used: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Cut:
+    limit_before: float
+    slowdown_before: float
+
+
+class Phase(Enum):
+    """Tell how the limit moves."""
+
+    COLD = "cold"
+    STEADY = "steady"
+
+
+class ConcurrencyLimiter:
+    """Adapt a limit between 1 and the announced slots.
+
+    The limit falls when requests take longer than their kind does on an idle
+    server, are shed or fail. A fall that does not shorten them is taken back:
+    then the cause is not the number of requests, and fewer would only lose
+    goodput.
+    """
+
+    def __init__(self, slots: int):
+        self._slots = slots
+        self._limit = float(slots)
+        self._phase = Phase.STEADY
+        self._baselines: dict[RequestKind, _Baseline] = {}
+        self._accepted_slowdown = 1.0
+        self._cut: _Cut | None = None
+        self._cut_at = float("-inf")
+        self._window = _Window(float("-inf"))
+
+    @property
+    def limit(self) -> int:
+        """Return how many requests may run at once."""
+        return max(1, int(self._limit))
+
+    @property
+    def phase(self) -> Phase:
+        """Return how the limit moves."""
+        return self._phase
+
+    def set_slots(self, slots: int) -> None:
+        """Take in the announced slots, which cap the limit."""
+        if self._limit >= self._slots:
+            self._limit = float(slots)
+        self._slots = slots
+        self._limit = max(1.0, min(self._limit, slots))
+
+    def start_cold(self, slots: int, now: float) -> None:
+        """Begin low for a backend server that has just announced itself."""
+        self._slots = slots
+        self._limit = max(1.0, slots * COLD_SHARE)
+        self._phase = Phase.COLD
+        self._baselines.clear()
+        self._accepted_slowdown = 1.0
+        self._cut = None
+        self._window = _Window(now)
+
+    def observe(self, sample: Sample, now: float) -> None:
+        """Take in one request that ended."""
+        if sample.started < self._cut_at or sample.outcome is Outcome.NOT_RUN:
+            return
+        if sample.outcome is Outcome.SHED:
+            self._reduce(min(self._limit, sample.in_flight) * SHED_CUT, now)
+            return
+        slowdown = self._slowdown(sample, now)
+        if slowdown is None:
+            return
+        window = self._window
+        window.samples += 1
+        window.slowdown += slowdown
+        window.failed += sample.outcome is Outcome.FAILED
+        window.used |= sample.in_flight >= self.limit
+        if self._phase is Phase.COLD:
+            self._grow_cold(sample, slowdown)
+        if self._is_full(window, now):
+            self._window = _Window(now)
+            self._judge(window, now)
+
+    def _slowdown(self, sample: Sample, now: float) -> float | None:
+        baseline = self._baselines.get(sample.kind)
+        if sample.outcome is Outcome.FAILED:
+            return 1.0
+        if sample.outcome is Outcome.CANCELLED:
+            # Cut short: it tells of a slow server only by what it ran already.
+            known = baseline.seconds if baseline is not None else sample.seconds
+            slowdown = _ratio(sample.seconds, known)
+            return slowdown if slowdown > TOLERATED_SLOWDOWN else None
+        if baseline is None:
+            if len(self._baselines) < MAX_KINDS:
+                self._baselines[sample.kind] = _Baseline(sample.seconds, sample.seconds, now)
+            return 1.0
+        slowdown = _ratio(sample.seconds, baseline.seconds)
+        baseline.record(sample.seconds, now)
+        return slowdown
+
+    def _grow_cold(self, sample: Sample, slowdown: float) -> None:
+        if sample.outcome is not Outcome.DONE or slowdown > TOLERATED_SLOWDOWN:
+            return
+        self._limit = min(self._limit + 1, self._slots)
+        if self._limit >= self._slots:
+            self._phase = Phase.STEADY
+
+    def _is_full(self, window: _Window, now: float) -> bool:
+        needed = max(WINDOW_SAMPLES, self.limit // 2)
+        return window.samples >= needed and now - window.opened >= WINDOW_S
+
+    def _judge(self, window: _Window, now: float) -> None:
+        slowdown = window.slowdown / window.samples
+        relative = slowdown / self._accepted_slowdown
+        if window.failed > window.samples * FAILED_SHARE:
+            self._reduce(self._limit * FAILED_CUT, now)
+        elif relative <= TOLERATED_SLOWDOWN:
+            self._accepted_slowdown = max(1.0, min(self._accepted_slowdown, slowdown))
+            self._cut = None
+            self._grow(window)
+        elif self._cut is not None and not self._cut_helped(slowdown):
+            self._limit = min(self._cut.limit_before, self._slots)
+            self._accepted_slowdown = slowdown
+            self._cut = None
+        elif self.limit > 1:
+            cut = _Cut(self._limit, slowdown)
+            share = max(SHARPEST_CUT, TOLERATED_SLOWDOWN / relative)
+            self._reduce(self._limit * share, now)
+            self._cut = cut
+
+    def _cut_helped(self, slowdown: float) -> bool:
+        """Tell whether requests got shorter by half of what the cut would bring."""
+        removed = 1 - self._limit / self._cut.limit_before
+        return slowdown <= self._cut.slowdown_before * (1 - LEAST_HELP * removed)
+
+    def _grow(self, window: _Window) -> None:
+        if window.used and self._phase is Phase.STEADY:
+            step = max(1.0, self._limit * GROWTH_SHARE)
+            self._limit = min(self._limit + step, self._slots)
+
+    def _reduce(self, limit: float, now: float) -> None:
+        self._limit = max(1.0, limit)
+        self._phase = Phase.STEADY
+        self._cut = None
+        self._cut_at = now
+        self._window = _Window(now)
+
+
+def _ratio(seconds: float, baseline: float) -> float:
+    return min(MAX_SLOWDOWN, seconds / (baseline + LATENCY_SLACK_S))
--- a/persimmonhall/admission/messages.py
+++ b/persimmonhall/admission/messages.py
@@ -2,11 +2,14 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NewType
 
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import Refusal
 from persimmonhall.ids import RootId, TicketId
 
+RequestKind = NewType("RequestKind", str)
+
 
 @dataclass(frozen=True)
 class Ticket:
@@ -16,6 +19,8 @@
     root: RootId
     worth: Worth
     deadline: float
+    depth: int = 0
+    kind: RequestKind = RequestKind("")
 
 
 class Outcome(Enum):
@@ -25,6 +30,7 @@
     FAILED = "failed"
     SHED = "shed"
     CANCELLED = "cancelled"
+    NOT_RUN = "notRun"
 
 
 @dataclass(frozen=True)
@@ -43,3 +49,9 @@
 
 
 Verdict = Start | Refuse
+
+
+def kind_of(method: str, target: str) -> RequestKind:
+    """Group requests whose service times are alike: method and first segment."""
+    path = target.partition("?")[0]
+    return RequestKind(f"{method} /{path[1:].partition('/')[0]}")
--- /dev/null
+++ b/persimmonhall/admission/order.py
@@ -0,0 +1,42 @@
+"""Rank requests the same way at every gate of a chain."""
+
+from typing import NamedTuple
+
+import xxhash
+
+from persimmonhall.admission.messages import Ticket
+from persimmonhall.document.schema import Worth
+from persimmonhall.ids import RootId, TicketId
+
+HASH_RANGE = 2**64
+LADDER = tuple(Worth)
+
+
+class Order(NamedTuple):
+    """Order tickets: worth, then started roots, then the hash of the root."""
+
+    worth: int
+    is_fresh: bool
+    root: int
+    ticket: TicketId
+
+
+def order_of(ticket: Ticket) -> Order:
+    """Return the order of a ticket; the smallest starts first."""
+    is_fresh = ticket.depth == 0
+    return Order(ticket.worth.rank, is_fresh, root_hash(ticket.root), ticket.id)
+
+
+def root_hash(root: RootId) -> int:
+    """Return where a root stands within its worth, the same on every node."""
+    return xxhash.xxh3_64_intdigest(root.encode())
+
+
+def root_share(root: RootId) -> float:
+    """Return where a root stands within its worth, from 0 up to 1."""
+    return root_hash(root) / HASH_RANGE
+
+
+def demote(worth: Worth) -> Worth:
+    """Return the worth one rank lower."""
+    return LADDER[min(worth.rank + 1, len(LADDER) - 1)]
--- /dev/null
+++ b/persimmonhall/admission/service_times.py
@@ -0,0 +1,72 @@
+"""Estimate how long the backend server takes for each kind of request."""
+
+from dataclasses import dataclass
+
+from persimmonhall.admission.messages import RequestKind
+
+MAX_KINDS = 64
+OTHER_KIND = RequestKind("other")
+GAIN = 0.2
+AGE_HALF_LIFE_S = 1.0
+
+
+@dataclass(slots=True)
+class _Mean:
+    seconds: float
+    at: float
+
+    def record(self, seconds: float, now: float) -> None:
+        gain = max(GAIN, 1 - self._kept(now))
+        self.seconds += gain * (seconds - self.seconds)
+        self.at = now
+
+    def aged(self, now: float) -> float:
+        return self.seconds * self._kept(now)
+
+    def _kept(self, now: float) -> float:
+        return 0.5 ** (max(0.0, now - self.at) / AGE_HALF_LIFE_S)
+
+
+class ServiceTimes:
+    """Average service times, weighing the newest most.
+
+    An estimate without new samples ages towards zero, so that one slow spell
+    cannot refuse every later request that would have shown its end.
+    """
+
+    def __init__(self):
+        self._kinds: dict[RequestKind, _Mean] = {}
+        self._all: _Mean | None = None
+
+    def record(self, kind: RequestKind, seconds: float, now: float) -> None:
+        """Take in the service time of a request that ended."""
+        if kind not in self._kinds and len(self._kinds) >= MAX_KINDS:
+            kind = OTHER_KIND
+        mean = self._kinds.get(kind)
+        if mean is None:
+            self._kinds[kind] = _Mean(seconds, now)
+        else:
+            mean.record(seconds, now)
+        if self._all is None:
+            self._all = _Mean(seconds, now)
+        else:
+            self._all.record(seconds, now)
+
+    def record_at_least(self, kind: RequestKind, seconds: float, now: float) -> None:
+        """Take in how long a request ran that was cut short."""
+        if seconds > self.expected(kind, now):
+            self.record(kind, seconds, now)
+
+    def expected(self, kind: RequestKind, now: float) -> float:
+        """Return the expected seconds of a kind, 0 when nothing is known."""
+        mean = self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
+        return mean.aged(now) if mean is not None else 0.0
+
+    def mean(self, now: float) -> float:
+        """Return the expected seconds over all kinds."""
+        return self._all.aged(now) if self._all is not None else 0.0
+
+    @property
+    def latest_mean(self) -> float:
+        """Return the mean as of the newest sample, without ageing."""
+        return self._all.seconds if self._all is not None else 0.0
--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -7,6 +7,7 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.chain import CHAIN_HEADER, Chain, new_root, parse_chain
 from persimmonhall.call.gates import NO_LOAD, Gates
 from persimmonhall.call.messages import (
@@ -55,6 +56,7 @@
         ledger: RetryLedger,
         gates: Gates,
         rng: random.Random,
+        self_limit: SelfLimit,
     ):
         self._node = node
         self._documents = documents
@@ -62,6 +64,7 @@
         self._ledger = ledger
         self._gates = gates
         self._rng = rng
+        self._self_limit = self_limit
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one request with a whole answer or a refusal."""
@@ -97,6 +100,9 @@
                 return Failure(refuse(ErrorKind.BAD_REQUEST, reason))
 
     async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
+        refusal = self._self_limit.refusal(plan.chain.worth, plan.chain.root)
+        if refusal is not None:
+            return refused(refusal, NO_LOAD)
         if plan.is_root:
             self._ledger.open(plan.chain.root, plan.rule.retries)
         try:
