--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -36,6 +36,7 @@
 STANDING_QUEUE_S = 0.5
 STANDING_QUEUE_SERVICES = 4
 MAX_LINGER_S = 1.0
+MAX_OVERDUE_LINGER_S = 0.25
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 5.0
 
@@ -44,6 +45,7 @@
 class _Run:
     kind: RequestKind
     started: float
+    in_flight: int
 
 
 @dataclass(slots=True)
@@ -144,7 +146,7 @@
 
     def _observe(self, run: _Run, outcome: Outcome, now: float) -> None:
         seconds = now - run.started
-        sample = Sample(run.kind, outcome, run.started, seconds, self.in_flight)
+        sample = Sample(run.kind, outcome, run.started, seconds, run.in_flight)
         self._limiter.observe(sample, now)
         if outcome is Outcome.DONE:
             self._times.record(run.kind, seconds, now)
@@ -155,9 +157,12 @@
     def _linger(self, run: _Run, seconds: float, now: float) -> None:
         """Keep the slot for as long as an ignored cancel would hold it."""
         expected = self._times.expected(run.kind, now)
-        left = expected - seconds if seconds < expected else expected
+        if seconds < expected:
+            left = min(expected - seconds, MAX_LINGER_S)
+        else:
+            left = min(expected, MAX_OVERDUE_LINGER_S)
         if left > 0:
-            heapq.heappush(self._lingering, now + min(left, MAX_LINGER_S))
+            heapq.heappush(self._lingering, now + left)
 
     def _start_waiting(self, now: float) -> list[Verdict]:
         while self._lingering and self._lingering[0] <= now:
@@ -169,7 +174,7 @@
             if left <= 0 or left < self._times.expected(ticket.kind, now):
                 verdicts.append(self._refuse_late(ticket, now))
                 continue
-            self._running[ticket.id] = _Run(ticket.kind, now)
+            self._running[ticket.id] = _Run(ticket.kind, now, self.in_flight + 1)
             self._shortages.pop(ticket.worth, None)
             verdicts.append(Start(ticket.id))
         return verdicts
--- a/persimmonhall/admission/limiter.py
+++ b/persimmonhall/admission/limiter.py
@@ -7,16 +7,21 @@
 
 COLD_SHARE = 0.1
 WINDOW_S = 0.1
-WINDOW_SAMPLES = 8
+FEWEST_SAMPLES = 4
+MOST_SAMPLES = 32
+CALM_SLOWDOWN = 1.25
 TOLERATED_SLOWDOWN = 2.5
 MAX_SLOWDOWN = 20.0
 LATENCY_SLACK_S = 0.005
 SHARPEST_CUT = 0.5
+MILDEST_CUT = 0.8
 SHED_CUT = 0.8
 FAILED_CUT = 0.8
 FAILED_SHARE = 0.2
 GROWTH_SHARE = 0.25
 LEAST_HELP = 0.5
+LEAST_REMOVED = 0.1
+ACCEPTED_HALF_LIFE_S = 10.0
 RECENT_GAIN = 0.05
 BASELINE_GAIN_DOWN = 0.1
 BASELINE_RISE_S = 60.0
@@ -25,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """Describe one request that ended; times in seconds."""
+    """Describe one request that ended: times in seconds, slots used at its start."""
 
     kind: RequestKind
     outcome: Outcome
@@ -42,12 +47,12 @@
     recent: float
     at: float
 
-    def record(self, seconds: float, now: float) -> None:
+    def record(self, seconds: float, now: float, *, may_rise: bool) -> None:
         self.recent += RECENT_GAIN * (seconds - self.recent)
         if self.recent < self.seconds:
             gain = BASELINE_GAIN_DOWN
         else:
-            gain = min(1.0, (now - self.at) / BASELINE_RISE_S)
+            gain = min(1.0, (now - self.at) / BASELINE_RISE_S) if may_rise else 0.0
         self.seconds += gain * (self.recent - self.seconds)
         self.at = now
 
@@ -58,6 +63,7 @@
     samples: int = 0
     failed: int = 0
     slowdown: float = 0.0
+    in_flight: int = 0
     used: bool = False
 
 
@@ -65,6 +71,7 @@
 class _Cut:
     limit_before: float
     slowdown_before: float
+    in_flight_before: float
 
 
 class Phase(Enum):
@@ -133,6 +140,7 @@
         window = self._window
         window.samples += 1
         window.slowdown += slowdown
+        window.in_flight += sample.in_flight
         window.failed += sample.outcome is Outcome.FAILED
         window.used |= sample.in_flight >= self.limit
         if self._phase is Phase.COLD:
@@ -152,10 +160,13 @@
             return slowdown if slowdown > TOLERATED_SLOWDOWN else None
         if baseline is None:
             if len(self._baselines) < MAX_KINDS:
-                self._baselines[sample.kind] = _Baseline(sample.seconds, sample.seconds, now)
+                first = _Baseline(sample.seconds, sample.seconds, now)
+                self._baselines[sample.kind] = first
             return 1.0
         slowdown = _ratio(sample.seconds, baseline.seconds)
-        baseline.record(sample.seconds, now)
+        # A busy server's latency must not become what is held to be idle.
+        is_calm = sample.in_flight <= max(1, self.limit // 2)
+        baseline.record(sample.seconds, now, may_rise=is_calm)
         return slowdown
 
     def _grow_cold(self, sample: Sample, slowdown: float) -> None:
@@ -166,37 +177,42 @@
             self._phase = Phase.STEADY
 
     def _is_full(self, window: _Window, now: float) -> bool:
-        needed = max(WINDOW_SAMPLES, self.limit // 2)
+        needed = min(MOST_SAMPLES, max(FEWEST_SAMPLES, 2 * self.limit))
         return window.samples >= needed and now - window.opened >= WINDOW_S
 
     def _judge(self, window: _Window, now: float) -> None:
         slowdown = window.slowdown / window.samples
-        relative = slowdown / self._accepted_slowdown
+        in_flight = window.in_flight / window.samples
+        relative = slowdown / self._age_accepted(now - window.opened)
         if window.failed > window.samples * FAILED_SHARE:
             self._reduce(self._limit * FAILED_CUT, now)
         elif relative <= TOLERATED_SLOWDOWN:
             self._accepted_slowdown = max(1.0, min(self._accepted_slowdown, slowdown))
             self._cut = None
-            self._grow(window)
-        elif self._cut is not None and not self._cut_helped(slowdown):
+            self._grow(window, relative)
+        elif self._cut is not None and not _has_helped(self._cut, slowdown, in_flight):
             self._limit = min(self._cut.limit_before, self._slots)
             self._accepted_slowdown = slowdown
             self._cut = None
         elif self.limit > 1:
-            cut = _Cut(self._limit, slowdown)
+            cut = _Cut(self._limit, slowdown, in_flight)
             share = max(SHARPEST_CUT, TOLERATED_SLOWDOWN / relative)
-            self._reduce(self._limit * share, now)
+            base = min(self._limit, in_flight)
+            self._reduce(base * min(MILDEST_CUT, share), now)
             self._cut = cut
 
-    def _cut_helped(self, slowdown: float) -> bool:
-        """Tell whether requests got shorter by half of what the cut would bring."""
-        removed = 1 - self._limit / self._cut.limit_before
-        return slowdown <= self._cut.slowdown_before * (1 - LEAST_HELP * removed)
+    def _age_accepted(self, seconds: float) -> float:
+        """Forget an accepted slowdown slowly, so that it is put to the test again."""
+        kept = 0.5 ** (seconds / ACCEPTED_HALF_LIFE_S)
+        self._accepted_slowdown = max(1.0, self._accepted_slowdown * kept)
+        return self._accepted_slowdown
 
-    def _grow(self, window: _Window) -> None:
-        if window.used and self._phase is Phase.STEADY:
-            step = max(1.0, self._limit * GROWTH_SHARE)
-            self._limit = min(self._limit + step, self._slots)
+    def _grow(self, window: _Window, slowdown: float) -> None:
+        """Double while the server answers as if idle, else feel for its bound."""
+        if not window.used or self._phase is Phase.COLD:
+            return
+        share = 1.0 if slowdown <= CALM_SLOWDOWN else GROWTH_SHARE
+        self._limit = min(self._limit + max(1.0, self._limit * share), self._slots)
 
     def _reduce(self, limit: float, now: float) -> None:
         self._limit = max(1.0, limit)
@@ -206,5 +222,13 @@
         self._window = _Window(now)
 
 
+def _has_helped(cut: _Cut, slowdown: float, in_flight: float) -> bool:
+    """Tell whether requests got shorter by half of what fewer of them would bring."""
+    removed = 1 - in_flight / cut.in_flight_before
+    if removed < LEAST_REMOVED:
+        return True
+    return slowdown <= cut.slowdown_before * (1 - LEAST_HELP * removed)
+
+
 def _ratio(seconds: float, baseline: float) -> float:
     return min(MAX_SLOWDOWN, seconds / (baseline + LATENCY_SLACK_S))
--- /dev/null
+++ b/persimmonhall/admission/tests/simulation.py
@@ -0,0 +1,130 @@
+"""Drive an admission core with a simulated backend server and check it."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from persimmonhall.admission.core import AdmissionCore
+from persimmonhall.admission.messages import Outcome, Refuse, Start, Ticket, Verdict
+from persimmonhall.admission.order import order_of
+from persimmonhall.document.schema import Worth
+from persimmonhall.ids import RootId, TicketId
+
+MIX = {
+    Worth.CRITICAL: 0.1,
+    Worth.CUSTOMER: 0.2,
+    Worth.STANDARD: 0.3,
+    Worth.INTERNAL: 0.4,
+}
+
+ServiceTime = Callable[[float, int], float]
+
+
+@dataclass
+class Simulation:
+    """Play arrivals, ends and wakeups in order of time; check each verdict."""
+
+    core: AdmissionCore
+    service_time: ServiceTime
+    rng: random.Random
+    deadline_s: float = 2.0
+    now: float = 0.0
+    sent: Counter = field(default_factory=Counter)
+    done: Counter = field(default_factory=Counter)
+    arrived_at: list[float] = field(default_factory=list)
+    done_at: list[float] = field(default_factory=list)
+    refusals: list[Refuse] = field(default_factory=list)
+    refused_late: int = 0
+
+    def __post_init__(self):
+        self._ids = itertools.count(1)
+        self._waiting: dict[TicketId, Ticket] = {}
+        self._running: dict[TicketId, Ticket] = {}
+        self._ends: list[tuple[float, TicketId, Outcome]] = []
+        self._decided: set[TicketId] = set()
+
+    def run(self, until: float, per_second: float, *, cancel_share: float = 0.0):
+        """Offer load up to a time."""
+        arrival = self.now + self.rng.expovariate(per_second)
+        while (at := self._next_time(arrival)) <= until:
+            self.now = at
+            if at == arrival:
+                self._arrive(cancel_share)
+                arrival = at + self.rng.expovariate(per_second)
+            elif self._ends and at == self._ends[0][0]:
+                self._end()
+            else:
+                self._take(self.core.tick(at))
+        self.now = until
+
+    def _next_time(self, arrival: float) -> float:
+        wakeup = self.core.next_wakeup
+        times = [arrival, *(end[0] for end in self._ends[:1])]
+        return min(times if wakeup is None else [*times, max(self.now, wakeup)])
+
+    def _arrive(self, cancel_share: float) -> None:
+        [worth] = self.rng.choices(tuple(MIX), tuple(MIX.values()))
+        ticket = Ticket(
+            TicketId(next(self._ids)),
+            RootId(f"{self.rng.getrandbits(96):024x}"),
+            worth,
+            self.now + self.deadline_s,
+            self.rng.randrange(3),
+        )
+        self.sent[worth] += 1
+        self.arrived_at.append(self.now)
+        self._waiting[ticket.id] = ticket
+        self._take(self.core.arrive(ticket, self.now))
+        if ticket.id in self._waiting and self.rng.random() < cancel_share:
+            del self._waiting[ticket.id]
+            self._take(self.core.abandon(ticket.id, self.now))
+
+    def _end(self) -> None:
+        _, number, outcome = heapq.heappop(self._ends)
+        ticket = self._running.pop(number)
+        if outcome is Outcome.DONE and self.now <= ticket.deadline:
+            self.done[ticket.worth] += 1
+            self.done_at.append(self.now)
+        self._take(self.core.finish(number, outcome, self.now))
+
+    def _take(self, verdicts: list[Verdict]) -> None:
+        for verdict in verdicts:
+            assert verdict.ticket not in self._decided
+            self._decided.add(verdict.ticket)
+            ticket = self._waiting.pop(verdict.ticket)
+            match verdict:
+                case Start():
+                    self._start(ticket)
+                case Refuse():
+                    self.refusals.append(verdict)
+                    self.refused_late += self.now > ticket.deadline
+        assert len(self._waiting) == self.core.queued
+        assert len(self._running) <= self.core.in_flight
+
+    def _start(self, ticket: Ticket) -> None:
+        assert all(order_of(ticket) < order_of(t) for t in self._waiting.values())
+        assert self.now < ticket.deadline
+        self._running[ticket.id] = ticket
+        # The limit may fall below what already runs, but nothing starts then.
+        assert len(self._running) <= self.core.limit
+        seconds = self.service_time(self.now, len(self._running))
+        end, outcome = self.now + seconds, Outcome.DONE
+        if end > ticket.deadline:
+            end, outcome = ticket.deadline, Outcome.CANCELLED
+        heapq.heappush(self._ends, (end, ticket.id, outcome))
+
+    def goodput(self, begin: float, end: float) -> float:
+        """Return whole requests a second within a span."""
+        return _within(self.done_at, begin, end) / (end - begin)
+
+    def good_share(self, begin: float, end: float) -> float:
+        """Return whole requests as a share of those offered in a span."""
+        offered = _within(self.arrived_at, begin, end)
+        return _within(self.done_at, begin, end) / offered
+
+
+def _within(times: list[float], begin: float, end: float) -> int:
+    return sum(begin <= t < end for t in times)
