--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-<<<<<<< HEAD
-.PHONY: all install format lint test demo latency bench-policy
-=======
-.PHONY: all install format lint test demo latency micro
->>>>>>> admission
+.PHONY: all install format lint test demo latency bench-policy micro
 
 all: test
 
@@ -35,10 +31,8 @@
 latency: install
 	$(BIN)/python -m harness.latency
 
-<<<<<<< HEAD
 bench-policy: install
 	$(BIN)/python -m harness.bench_policy
-=======
+
 micro: install
 	$(BIN)/python -m harness.micro
->>>>>>> admission
