--- /dev/null
+++ b/persimmonhall/membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test membership."""
