Replace full-table gossip by probes and piggybacked news

Cause: every node sent its whole table to two peers twice a second, so its cost grew with the number of nodes.

Change: a pure core in the manner of SWIM. One probe a second, indirect probes, suspicion refuted by a newer record, news repeated a bounded number of times in datagrams of at most 1,200 bytes, digests compared over TCP about every 30 s, gone nodes and missing seeds pinged now and then so that a healed cut needs no operator. Gone nodes leave a tombstone for two hours. A node whose clock went back takes an incarnation above the one its peers hold.

A member that others hold dead is only suspected, so that it can refute after a heal; a process that stood still blames nobody for that time.

Tests: 66 seeded schedules with loss, delay, doubling, cuts both and one way, freezes and restarts.

--- /dev/null
+++ b/harness/membership_network.py
@@ -0,0 +1,200 @@
+"""Run many membership cores on a simulated network with a seed."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.ids import NodeName, ServiceName, ZoneName
+from persimmonhall.membership.core import MembershipCore
+from persimmonhall.membership.effects import Effect, HealthChanged, Send, Synchronise
+from persimmonhall.membership.messages import (
+    DATAGRAMS,
+    Datagram,
+    Health,
+    Member,
+    MemberState,
+)
+from persimmonhall.membership.sync import compare, digests_of, news_in
+from persimmonhall.membership.table import MemberTable
+
+DELAY_S = 0.001
+
+
+@dataclass
+class Faults:
+    """Say what the network does to datagrams."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    late: float = 0.0
+    late_s: float = 0.2
+
+
+@dataclass
+class SimulatedNode:
+    """Hold one node's core and what happened to it."""
+
+    member: Member
+    table: MemberTable
+    core: MembershipCore
+    frozen: bool = False
+    sent_bytes: int = 0
+    received_bytes: int = 0
+
+
+class SimulatedNetwork:
+    """Deliver datagrams between cores in simulated time."""
+
+    def __init__(self, seed: int, faults: Faults, *, count_bytes: bool = False):
+        self.now = 0.0
+        self.faults = faults
+        self.nodes: dict[NodeName, SimulatedNode] = {}
+        self.changes: list[tuple[float, NodeName, HealthChanged]] = []
+        self.largest = 0
+        self._rng = random.Random(seed)
+        self._count_bytes = count_bytes
+        self._addresses: dict[Address, NodeName] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._events: list = []
+        self._numbers = itertools.count()
+
+    def start(self, number: int, zone: str, incarnation: int = 1) -> NodeName:
+        """Start a node, or start it anew without what it knew."""
+        name = NodeName(f"{zone}-{number}")
+        frames = f"10.0.{number // 250}.{number % 250 + 1}:7000"
+        seeds = tuple(list(self._addresses)[:3])
+        member = Member(
+            name,
+            ZoneName(zone),
+            "viti",
+            frames,
+            incarnation,
+            0,
+            ServiceName("cue"),
+            4,
+            MemberState.READY,
+        )
+        table = MemberTable(member)
+        rng = random.Random(self._rng.random())
+        core = MembershipCore(table, seeds, rng, self.now)
+        self._addresses[parse_address(frames).unwrap()] = name
+        self.nodes[name] = SimulatedNode(member, table, core)
+        self._schedule_tick(name)
+        return name
+
+    def kill(self, name: NodeName) -> None:
+        """End a node at once."""
+        del self.nodes[name]
+
+    def set_state(self, name: NodeName, state: MemberState) -> None:
+        """Change the state that a node announces."""
+        node = self.nodes[name]
+        node.core.change_own(replace(node.table.own, state=state))
+        self._schedule_tick(name)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Drop what one zone sends to another."""
+        self._cuts.add((sender, receiver))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cuts.clear()
+
+    def thaw(self, name: NodeName) -> None:
+        """Let a frozen node run again."""
+        self.nodes[name].frozen = False
+        self._schedule_tick(name)
+
+    def run(self, seconds: float) -> None:
+        """Let simulated time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, act = heapq.heappop(self._events)
+            act()
+        self.now = end
+
+    def holds(self, observer: NodeName, node: NodeName) -> Health | None:
+        """Return the health that one node holds of another."""
+        return self.nodes[observer].core.health(node)
+
+    def all_members(self) -> bool:
+        """Tell whether every running node counts every other as a member."""
+        return all(
+            (health := self.holds(observer, name)) is not None and not health.is_gone
+            for observer in self.nodes
+            for name in self.nodes
+            if observer != name
+        )
+
+    def all_hold(self, health: Health, names: Iterable[NodeName]) -> bool:
+        """Tell whether every running node holds one health of some nodes."""
+        held = {self.holds(observer, name) for observer in self.nodes for name in names}
+        return held == {health}
+
+    def _schedule(self, at: float, act) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), act))
+
+    def _schedule_tick(self, name: NodeName) -> None:
+        node = self.nodes[name]
+        due = max(self.now, node.core.next_tick())
+        self._schedule(due, lambda: self._tick(node, due))
+
+    def _tick(self, node: SimulatedNode, due: float) -> None:
+        name = node.member.node
+        if node.frozen or self.nodes.get(name) is not node:
+            return
+        if node.core.next_tick() > self.now:
+            return
+        self._do(node, node.core.tick(self.now))
+
+    def _do(self, node: SimulatedNode, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send(address, datagram):
+                    self._send(node, address, datagram)
+                case Synchronise(address):
+                    self._synchronise(node, address)
+                case HealthChanged():
+                    self.changes.append((self.now, node.member.node, effect))
+        self._schedule_tick(node.member.node)
+
+    def _send(self, node: SimulatedNode, address: Address, datagram: Datagram) -> None:
+        size = len(DATAGRAMS.encode(datagram)) if self._count_bytes else 0
+        self.largest = max(self.largest, size)
+        node.sent_bytes += size
+        if not self._reaches(node, address) or self._rng.random() < self.faults.loss:
+            return
+        for _ in range(1 + (self._rng.random() < self.faults.duplicates)):
+            delay = DELAY_S * (1 + self._rng.random())
+            if self._rng.random() < self.faults.late:
+                delay += self.faults.late_s * self._rng.random()
+            self._schedule(
+                self.now + delay, lambda: self._deliver(address, datagram, size)
+            )
+
+    def _reaches(self, node: SimulatedNode, address: Address) -> bool:
+        target = self.nodes.get(self._addresses.get(address))
+        if target is None:
+            return False
+        return (node.member.zone, target.member.zone) not in self._cuts
+
+    def _deliver(self, address: Address, datagram: Datagram, size: int) -> None:
+        node = self.nodes.get(self._addresses[address])
+        if node is None or node.frozen:
+            return
+        node.received_bytes += size
+        self._do(node, node.core.receive(datagram, self.now))
+
+    def _synchronise(self, node: SimulatedNode, address: Address) -> None:
+        peer = self.nodes.get(self._addresses.get(address))
+        if peer is None or peer.frozen or not self._reaches(node, address):
+            return
+        if (peer.member.zone, node.member.zone) in self._cuts:
+            return
+        differences = compare(digests_of(node.core.news), peer.core.news)
+        own = news_in(node.core.news, differences.buckets)
+        self._do(node, node.core.take_news(differences.news, self.now))
+        self._do(peer, peer.core.take_news(own, self.now))
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -69,7 +69,7 @@
                 "service": member.service,
                 "state": member.state.value,
             }
-            for member in self._table.gossip().members
+            for member in self._table.all()
         ]
         body = {
             "node": self._table.own.node,
--- /dev/null
+++ b/persimmonhall/membership/datagrams.py
@@ -0,0 +1,86 @@
+"""Send and receive membership messages as UDP datagrams."""
+
+import trio
+from absl import logging
+from returns.result import Failure
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.membership.messages import (
+    DATAGRAMS,
+    Ack,
+    Datagram,
+    News,
+    Ping,
+    PingRequest,
+    Spread,
+)
+
+RECEIVE_BYTES = 2048
+LOG_INTERVAL_S = 10
+
+
+class DatagramSocket:
+    """Exchange typed messages on one UDP port."""
+
+    def __init__(self, socket: trio.socket.SocketType):
+        self._socket = socket
+
+    async def send(self, address: Address, datagram: Datagram) -> None:
+        """Send one datagram; a failure counts as its loss."""
+        try:
+            data = DATAGRAMS.encode(datagram)
+            await self._socket.sendto(data, (address.host, address.port))
+        except OSError as error:
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                "datagram not sent to=%s %s",
+                LOG_INTERVAL_S,
+                address,
+                error,
+            )
+
+    async def receive(self) -> Datagram:
+        """Return the next datagram that is well formed."""
+        while True:
+            try:
+                data, source = await self._socket.recvfrom(RECEIVE_BYTES)
+                return decode_datagram(data)
+            except (ValueError, OSError) as error:
+                logging.log_every_n_seconds(
+                    logging.WARNING, "datagram dropped: %s", LOG_INTERVAL_S, error
+                )
+
+
+async def open_datagrams(address: Address) -> DatagramSocket:
+    """Bind a UDP socket."""
+    family = trio.socket.AF_INET6 if ":" in address.host else trio.socket.AF_INET
+    socket = trio.socket.socket(family, trio.socket.SOCK_DGRAM)
+    await socket.bind((address.host, address.port))
+    return DatagramSocket(socket)
+
+
+def decode_datagram(data: bytes) -> Datagram:
+    """Read a datagram; raise ValueError if it or an address in it is damaged."""
+    datagram = DATAGRAMS.decode(data)
+    match datagram:
+        case Ping() | Ack():
+            check_addresses((News(datagram.sender), *datagram.news))
+        case PingRequest():
+            _check_address(datagram.address)
+            _check_address(datagram.reply_to)
+        case Spread():
+            _check_address(datagram.address)
+            check_addresses(datagram.news)
+    return datagram
+
+
+def check_addresses(news: tuple[News, ...]) -> None:
+    """Raise ValueError unless every record has a usable address."""
+    for item in news:
+        _check_address(item.member.frames)
+
+
+def _check_address(text: str) -> None:
+    match parse_address(text):
+        case Failure(reason):
+            raise ValueError(reason)
--- /dev/null
+++ b/persimmonhall/membership/tests/test_core.py
@@ -0,0 +1,159 @@
+"""Check the membership core on seeded networks with faults."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from harness.membership_network import Faults, SimulatedNetwork
+from persimmonhall.membership.core import MembershipCore
+from persimmonhall.membership.messages import Health, Member, MemberState, News
+from persimmonhall.membership.news import MAX_DATAGRAM_BYTES
+from persimmonhall.membership.table import MemberTable
+from tests.builders import make_member
+
+FAULTS = {
+    "none": Faults(),
+    "loss": Faults(loss=0.05),
+    "late and doubled": Faults(duplicates=0.2, late=0.2),
+    "all": Faults(loss=0.05, duplicates=0.1, late=0.1),
+}
+ZONES = ("suva", "nadi", "lautoka")
+JOIN_S = 15.0
+DETECT_S = 20.0
+HEAL_S = 40.0
+
+
+@pytest.fixture(params=[(name, seed) for name in FAULTS for seed in (1, 2)], ids=str)
+def network(request) -> SimulatedNetwork:
+    name, seed = request.param
+    network = SimulatedNetwork(seed, FAULTS[name])
+    for number in range(18):
+        network.start(number, ZONES[number % 3])
+    network.run(JOIN_S)
+    return network
+
+
+def _gone(network: SimulatedNetwork, since: float) -> list:
+    return [c for c in network.changes if c[0] > since and c[2].news.health.is_gone]
+
+
+def test_live_nodes_stay_members(network):
+    """Hold no live and reachable node dead, whatever the network does."""
+    assert network.all_members()
+    joined = network.now
+    network.run(120.0)
+    assert _gone(network, joined) == []
+
+
+def test_dead_nodes_are_found_and_old_records_stay_out(network):
+    """Find dead nodes within a bound and keep their old records out."""
+    for name in ("suva-0", "nadi-1"):
+        network.kill(name)
+    network.run(DETECT_S)
+    assert network.all_hold(Health.DEAD, ("suva-0", "nadi-1"))
+    network.run(120.0)
+    assert network.all_hold(Health.DEAD, ("suva-0", "nadi-1"))
+
+
+@pytest.mark.parametrize("incarnation", [2, 0], ids=["later clock", "earlier clock"])
+def test_restarted_node_returns(network, incarnation):
+    """Take a restarted node back, also when its clock went back."""
+    network.set_state("suva-0", MemberState.LEAVING)
+    network.run(3.0)
+    network.kill("suva-0")
+    network.start(0, "suva", incarnation)
+    network.run(HEAL_S)
+    assert network.all_members()
+    states = {node.table.get("suva-0").state for node in network.nodes.values()}
+    assert states == {MemberState.READY}
+
+
+@pytest.mark.parametrize("one_way", [False, True], ids=["both ways", "one way"])
+def test_cut_zone_keeps_its_members_and_heals(network, one_way):
+    """Keep a cut zone's own members, drop the others and heal without help."""
+    for zone in ("nadi", "lautoka"):
+        network.cut("suva", zone)
+        if not one_way:
+            network.cut(zone, "suva")
+    network.run(60.0)
+    suva = [name for name, n in network.nodes.items() if n.member.zone == "suva"]
+    for name in suva:
+        held = {network.holds(name, other) for other in suva if other != name}
+        assert Health.DEAD not in held
+    if not one_way:
+        outside = [name for name in network.nodes if name not in suva]
+        held = {network.holds(a, b) for a in outside for b in suva}
+        assert held == {Health.DEAD}
+    network.heal()
+    network.run(HEAL_S)
+    assert network.all_members()
+    healed = network.now
+    network.run(30.0)
+    assert _gone(network, healed) == []
+
+
+def test_frozen_node_is_dropped_blames_nobody_and_returns(network):
+    """Drop a frozen node; thawed, it returns and holds no live node dead."""
+    network.nodes["nadi-1"].frozen = True
+    network.run(DETECT_S)
+    others = [name for name in network.nodes if name != "nadi-1"]
+    assert all(network.holds(name, "nadi-1") is Health.DEAD for name in others)
+    thawed = network.now
+    network.thaw("nadi-1")
+    network.run(HEAL_S)
+    assert network.all_members()
+    assert [c for c in _gone(network, thawed) if c[1] == "nadi-1"] == []
+
+
+def test_leaving_is_known_everywhere_and_never_reverts(network):
+    """Tell all nodes of a leaving one within 3 s; keep it so."""
+    network.set_state("suva-0", MemberState.LEAVING)
+    network.run(3.0)
+    for _ in range(60):
+        records = [n.table.get("suva-0") for n in network.nodes.values()]
+        assert {record.state for record in records} == {MemberState.LEAVING}
+        network.run(1.0)
+
+
+def test_datagrams_stay_small():
+    """Bound each datagram, also with long names and much news."""
+    network = SimulatedNetwork(1, Faults(), count_bytes=True)
+    for number in range(30):
+        network.start(number, "z" * 55)
+    network.run(10.0)
+    assert MAX_DATAGRAM_BYTES / 2 < network.largest <= MAX_DATAGRAM_BYTES
+
+
+def _core_with(peer: Member) -> MembershipCore:
+    table = MemberTable(make_member(1))
+    core = MembershipCore(table, (), random.Random(1), 0.0)
+    core.take_news((News(peer),), 0.0)
+    return core
+
+
+def test_members_held_dead_by_others_may_refute_first():
+    """Suspect a live member that others hold dead; drop one that left."""
+    peer = make_member(2)
+    core = _core_with(peer)
+    core.take_news((News(peer, Health.DEAD),), 1.0)
+    assert core.health(peer.node) is Health.SUSPECT
+    core.take_news((News(replace(peer, version=2)),), 2.0)
+    assert core.health(peer.node) is Health.ALIVE
+    core.take_news((News(replace(peer, version=3), Health.LEFT),), 3.0)
+    assert core.health(peer.node) is Health.LEFT
+
+
+def test_time_in_which_the_process_stood_still_counts_for_nobody():
+    """Give a suspect its time again after a stall."""
+    peer = make_member(2)
+    core = _core_with(peer)
+    now = 0.0
+    while core.health(peer.node) is Health.ALIVE:
+        now = core.next_tick()
+        core.tick(now)
+    core.tick(now + 60.0)
+    assert core.health(peer.node) is Health.SUSPECT
+    while core.next_tick() < now + 70.0:
+        core.tick(core.next_tick())
+    assert core.health(peer.node) is Health.DEAD
