Test planned stops under load, seen failing

Twenty restarts in a row under load reset 1 of 4,400 requests: the callers' listener closes with connections waiting to be accepted and closes kept connections that a request is already on. The other rows pass.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -47,6 +47,7 @@
     log: Path
     settings: Path
     module: str
+    stopping: bool = False
 
     def kill(self) -> None:
         """End it at once."""
@@ -62,6 +63,7 @@
 
     async def terminate(self) -> int:
         """Ask it to stop and return its exit status."""
+        self.stopping = True
         self.process.send_signal(signal.SIGTERM)
         with trio.fail_after(STOP_TIMEOUT_S):
             return await self.process.wait()
--- a/harness/standin.py
+++ b/harness/standin.py
@@ -22,7 +22,9 @@
 ANNOUNCE_INTERVAL_S = 1.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 CHAIN_HEADER = b"persimmonhall-chain"
+RAN_HEADER = b"persimmonhall-ran"
 CONTROL_PREFIX = "/-/"
+REFUSED_CALL_STATUS = 424
 
 
 @dataclass(frozen=True)
@@ -139,6 +141,8 @@
             ):
                 case Success(answer) if answer.status < 400:
                     continue
+                case Success(answer) if answer.header(RAN_HEADER) == "no":
+                    return REFUSED_CALL_STATUS
                 case _:
                     return 502
         return 200
--- a/harness/system.py
+++ b/harness/system.py
@@ -1,6 +1,7 @@
 """Start a whole small system on loopback."""
 
 import json
+from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -100,6 +101,23 @@
         """Start an ended stand-in backend server anew."""
         self.backends[node] = await self._processes.restart(self.backends[node])
 
+    async def restart_node(self, name: str) -> Running:
+        """Start an ended node anew on the addresses it had."""
+        running = self.nodes[name]
+        lines = running.settings.read_text().splitlines()
+        kept = [
+            f'{key} = "{running.addresses[key]}"' if key in running.addresses else line
+            for line in lines
+            for key in [line.partition(" ")[0]]
+        ]
+        running.settings.write_text("\n".join(kept))
+        self.nodes[name] = await self._processes.restart(running)
+        return self.nodes[name]
+
+    async def start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a function beside the experiment."""
+        self._processes.nursery.start_soon(run)
+
     async def run_load(self, settings: dict) -> dict:
         """Run persimmonhall-load to its end and return its figures."""
         return await self._processes.run_load(settings)
--- /dev/null
+++ b/tests/sender.py
@@ -0,0 +1,93 @@
+"""Send steady load and count the requests that were cut off."""
+
+import json
+import random
+from collections import Counter
+
+import trio
+from returns.result import Failure, Success
+
+from harness.processes import Running
+from harness.standin import REFUSED_CALL_STATUS
+from persimmonhall.errors import ErrorKind
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+
+INTERVAL_S = 0.01
+TIMEOUT_S = 10.0
+MAX_ANSWER_BYTES = 1024 * 1024
+REQUESTS = (
+    HttpRequest("GET", "/segments/7", ((b"host", b"cue"),)),
+    HttpRequest("POST", "/publish/warnings", ((b"host", b"cue"),), b"warning"),
+    HttpRequest("GET", "/segments/7", ((b"host", b"reels"),)),
+)
+
+
+class Sender:
+    """Send requests to running nodes, on kept and on new connections."""
+
+    def __init__(self, nodes: dict[str, Running]):
+        self._nodes = nodes
+        self._rng = random.Random(1)
+        self._kept = PooledClient(500)
+        self._scope = trio.CancelScope()
+        self.ended = trio.Event()
+        self.outcomes: Counter = Counter()
+
+    @property
+    def cut_off(self) -> dict[str, int]:
+        """Return the outcomes that a planned stop must not cause."""
+        return {k: n for k, n in self.outcomes.items() if k.startswith("cut")}
+
+    async def run(self) -> None:
+        """Send until stopped, then wait for the last answers."""
+        async with trio.open_nursery() as nursery:
+            with self._scope:
+                while True:
+                    nursery.start_soon(self._send, self._rng.choice(REQUESTS))
+                    await trio.sleep(INTERVAL_S)
+        self.ended.set()
+
+    async def stop(self) -> None:
+        """Send no more and wait for the last answers."""
+        self._scope.cancel()
+        await self.ended.wait()
+
+    async def _send(self, request: HttpRequest) -> None:
+        name = self._rng.choice(list(self._nodes))
+        node = self._nodes[name]
+        is_new = self._rng.random() < 0.5
+        client = PooledClient(1) if is_new else self._kept
+        with trio.move_on_after(TIMEOUT_S) as scope:
+            address = node.addresses["callers"]
+            result = await client.send(address, request, MAX_ANSWER_BYTES)
+        if scope.cancelled_caught:
+            self.outcomes["cut: timeout"] += 1
+            return
+        self.outcomes[_outcome(result, node)] += 1
+        if is_new:
+            await client.aclose()
+
+
+def _outcome(result, node: Running) -> str:
+    match result:
+        case Failure(refusal) if refusal.kind is ErrorKind.CONNECT_FAILED:
+            # Nobody listens between the end of a process and its restart.
+            return "no listener" if node.stopping else "cut: no connection"
+        case Failure(refusal):
+            return f"cut: {refusal.kind.value} {refusal.detail}"
+        case Success(answer):
+            return _judge(answer)
+
+
+def _judge(answer: HttpAnswer) -> str:
+    if answer.status < 400:
+        return "whole"
+    if answer.status == REFUSED_CALL_STATUS:
+        return "refused: call of the backend server"
+    if answer.header(b"content-type") != "application/problem+json":
+        return f"cut: {answer.status} of the backend server"
+    problem = json.loads(answer.body)
+    if problem.get("ran") == "no":
+        return f"refused: {problem['type']}"
+    return f"cut: {answer.status} {problem}"
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,171 @@
+"""Check planned stops with real processes under load."""
+
+import json
+from functools import partial
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from harness.processes import Running
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpRequest
+from tests.builders import CUE_DOCUMENT
+from tests.portal import open_portal
+from tests.sender import Sender
+
+scenarios("features/leaving.feature")
+
+NODES = {
+    "suva-cue-1": "cue",
+    "nadi-cue-1": "cue",
+    "suva-reels-1": "reels",
+    "nadi-reels-1": "reels",
+}
+LOAD_BEFORE_S = 0.5
+SERVICE_MS = 60.0
+SLOTS = 40
+
+
+async def _start(system: System) -> None:
+    await system.start_control()
+    for node, service in NODES.items():
+        await system.start_node(node, node.partition("-")[0], drain_seconds=8.0)
+        calls = ["cue/segments/7"] if service == "reels" else []
+        await system.start_backend(
+            node, service, service_ms=SERVICE_MS, slots=SLOTS, calls=calls
+        )
+    for service in ("cue", "reels"):
+        text = CUE_DOCUMENT.replace("publishing", "operators")
+        await system.put_document(service, text.replace('"cue"', f'"{service}"'))
+        await system.wait_for_document(service, 1)
+        await system.wait_for_members(service, 2)
+
+
+@pytest.fixture
+def running():
+    with open_portal(open_system) as (portal, system):
+        portal.run(_start, system)
+        yield portal, system
+
+
+@pytest.fixture
+def context() -> dict:
+    return {}
+
+
+@given("four nodes in two zones with servers of cue and of reels that call cue")
+def _(running):
+    _, system = running
+    assert set(system.nodes) == set(NODES)
+
+
+@given("callers that send without a pause")
+def _(running, context):
+    portal, system = running
+    sender = context["sender"] = Sender(system.nodes)
+    portal.run(system.start_task, sender.run)
+    portal.run(trio.sleep, LOAD_BEFORE_S)
+
+
+async def _drain(system: System, node: str) -> int:
+    running = system.nodes[node]
+    running.stopping = True
+    await system.send(node, HttpRequest("POST", "/-/drain", ()), "local")
+    return await running.process.wait()
+
+
+async def _stop_all(system: System, names: list[str], means: str) -> list[int]:
+    statuses: list[int] = []
+
+    async def stop(running: Running) -> None:
+        if means == "drain":
+            statuses.append(await _drain(system, running.name))
+        else:
+            statuses.append(await running.terminate())
+
+    with trio.fail_after(10.0):
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                running = system.nodes.get(name) or system.control["control-1"]
+                nursery.start_soon(stop, running)
+    return statuses
+
+
+@when(parsers.parse("{stopped} is stopped by {means}"))
+def _(running, context, stopped, means):
+    portal, system = running
+    names = stopped.split(" & ")
+    context["statuses"] = portal.run(_stop_all, system, names, means)
+
+
+@then("it ends with status 0 within 10 s")
+def _(context):
+    assert set(context["statuses"]) == {0}
+
+
+@when("nodes restart 20 times in a row")
+def _(running):
+    portal, system = running
+    for number in range(20):
+        node = list(NODES)[number % len(NODES)]
+        assert portal.run(_stop_all, system, [node], "SIGTERM") == [0]
+        portal.run(system.restart_node, node)
+        portal.run(system.wait_for_members, NODES[node], 2)
+
+
+@then("no request was cut off")
+def _(running, context):
+    portal, _ = running
+    sender = context["sender"]
+    portal.run(sender.stop)
+    assert sender.cut_off == {}, sender.outcomes
+    assert sender.outcomes["whole"] > 100
+
+
+@given("suva-cue-1 is the only server of cue")
+def _(running):
+    portal, system = running
+    portal.run(_stop_all, system, ["nadi-cue-1"], "SIGTERM")
+    del system.nodes["nadi-cue-1"]
+    portal.run(system.wait_for_members, "cue", 1)
+    portal.run(partial(system.behave, service_ms=1500.0), "suva-cue-1")
+
+
+@when("suva-cue-1 drains while a request runs there")
+def _(running, context):
+    portal, system = running
+    request = HttpRequest("GET", "/segments/7", ((b"host", b"cue"),))
+
+    async def send_first() -> None:
+        context["first"] = await system.send("nadi-reels-1", request)
+
+    async def runs() -> bool:
+        return (await system.counts("suva-cue-1"))["running"] > 0
+
+    portal.run(system.start_task, send_first)
+    portal.run(system.wait_until, runs, "a request runs")
+    system.nodes["suva-cue-1"].stopping = True
+    drain = HttpRequest("POST", "/-/drain", ())
+    portal.run(system.send, "suva-cue-1", drain, "local")
+    answer = portal.run(system.send, "nadi-reels-1", request).unwrap()
+    context["second"] = json.loads(answer.body)
+
+
+@then("a new request gets the problem leaving or noServer, not run")
+def _(context):
+    problem = context["second"]
+    assert problem["type"].rpartition(":")[2] in ("leaving", "noServer")
+    assert problem["ran"] == "no"
+
+
+@then("the request that ran before gets its whole answer")
+def _(running, context):
+    portal, system = running
+
+    async def answered() -> bool:
+        return "first" in context
+
+    portal.run(system.wait_until, answered, "the first answer")
+    answer = context["first"].unwrap()
+    assert (answer.status, len(answer.body)) == (200, 200)
