Route by aged load and bound retries by one ledger a root

Cause: any hop that was not the entry had no ledger to ask, servers that were slow, dead or failing stayed in the choice, and a refusal after a lost attempt said "not run" though the lost attempt may have run.

--- a/persimmonhall/call/chain.py
+++ b/persimmonhall/call/chain.py
@@ -1,38 +1,49 @@
 """Read and write the header that follows a root request down the chain."""
 
+import re
 import secrets
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
 
-from persimmonhall.document.schema import Worth
+from persimmonhall.document.schema import DAY_MS, Worth
 from persimmonhall.ids import NodeName, RootId
 
 CHAIN_HEADER = b"persimmonhall-chain"
 MAX_DEPTH = 64
+MAX_HEADER_CHARS = 512
 ROOT_BYTES = 12
+EXECUTION_BYTES = 8
+ID_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
 
 
 @dataclass(frozen=True)
 class Chain:
-    """Say which root a call belongs to and what is left of its deadline."""
+    """Say which root and execution made a call and what is left of its deadline."""
 
     root: RootId
     entry: NodeName
     depth: int
     worth: Worth
     remaining_ms: int
+    execution: str = ""
 
     def encode(self) -> bytes:
         """Write the header value."""
         return (
             f"root={self.root};entry={self.entry};depth={self.depth};"
-            f"worth={self.worth.value};remaining={self.remaining_ms}"
+            f"worth={self.worth.value};remaining={self.remaining_ms};"
+            f"execution={self.execution}"
         ).encode()
 
     def child(self, remaining_ms: int) -> "Chain":
-        """Return the chain that a backend server passes on."""
-        return replace(self, depth=self.depth + 1, remaining_ms=remaining_ms)
+        """Return the chain that one execution of a backend server passes on."""
+        return replace(
+            self,
+            depth=self.depth + 1,
+            remaining_ms=remaining_ms,
+            execution=secrets.token_hex(EXECUTION_BYTES),
+        )
 
 
 def new_root() -> RootId:
@@ -42,18 +53,36 @@
 
 def parse_chain(text: str) -> Result[Chain, str]:
     """Read a header value."""
+    if len(text) > MAX_HEADER_CHARS:
+        return Failure(f"Persimmonhall-Chain: over {MAX_HEADER_CHARS} characters")
     pairs = [part.strip().partition("=") for part in text.split(";")]
     values = {name: value for name, _, value in pairs}
     try:
-        chain = Chain(
-            root=RootId(values["root"]),
-            entry=NodeName(values["entry"]),
-            depth=int(values["depth"]),
-            worth=Worth(values["worth"]),
-            remaining_ms=int(values["remaining"]),
-        )
+        return Success(_read_chain(values))
     except (KeyError, ValueError) as error:
         return Failure(f"Persimmonhall-Chain: {error}")
-    if not 0 <= chain.depth <= MAX_DEPTH:
-        return Failure(f"Persimmonhall-Chain: depth {chain.depth} is over {MAX_DEPTH}")
-    return Success(chain)
+
+
+def _read_chain(values: dict[str, str]) -> Chain:
+    execution = values.get("execution", "")
+    return Chain(
+        root=RootId(_read_id(values["root"])),
+        entry=NodeName(_read_id(values["entry"])),
+        depth=_read_count(values["depth"], MAX_DEPTH),
+        worth=Worth(values["worth"]),
+        remaining_ms=_read_count(values["remaining"], DAY_MS),
+        execution=_read_id(execution) if execution else "",
+    )
+
+
+def _read_id(text: str) -> str:
+    if ID_PATTERN.fullmatch(text) is None:
+        raise ValueError(f"{text!r} is not an id")
+    return text
+
+
+def _read_count(text: str, most: int) -> int:
+    count = int(text)
+    if not 0 <= count <= most:
+        raise ValueError(f"{count} is not between 0 and {most}")
+    return count
--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -1,47 +1,28 @@
 """Take a caller's request in and bring one whole answer back."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import replace
 
 import trio
 from absl import logging
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
-from persimmonhall.call.chain import CHAIN_HEADER, Chain, new_root, parse_chain
 from persimmonhall.call.gates import NO_LOAD, Gates
-from persimmonhall.call.messages import (
-    Answered,
-    Call,
-    Refused,
-    Reply,
-    flatten,
-    pair_up,
-    refused,
-)
+from persimmonhall.call.messages import Answered, Refused, Reply, pair_up, refused
+from persimmonhall.call.plan import Listener, Plan, make_call, make_plan
+from persimmonhall.call.retries import Retries
 from persimmonhall.document.in_force import DocumentsInForce
-from persimmonhall.document.schema import RequestRule
 from persimmonhall.errors import ErrorKind, Ran, Refusal, problem_answer, refuse
-from persimmonhall.http.messages import HttpAnswer, HttpRequest, end_to_end
-from persimmonhall.ids import IdempotencyKey, NodeName, ServiceName
-from persimmonhall.routing.ledger import RetryLedger
-from persimmonhall.routing.router import Router
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.ids import NodeName
+from persimmonhall.routing.outcomes import outcome_of
+from persimmonhall.routing.router import Choice, Observation, Router
+from persimmonhall.routing.rules import Ruling, rule_on
+from persimmonhall.routing.views import CallOutcome
 
-SERVICE_HEADER = b"persimmonhall-service"
-KEY_HEADER = b"idempotency-key"
-OWN_HEADERS = frozenset({CHAIN_HEADER, SERVICE_HEADER})
-TRY_ANOTHER = frozenset(
-    {ErrorKind.LEAVING, ErrorKind.CONNECT_FAILED, ErrorKind.NO_SERVER}
-)
-
-
-@dataclass(frozen=True)
-class Plan:
-    """Hold what the document and the chain say of a request."""
-
-    service: ServiceName
-    rule: RequestRule
-    chain: Chain
-    is_root: bool
+RAN_HEADER = b"persimmonhall-ran"
+SHED_STATUS = 503
+MAX_REROUTES = 2
 
 
 class Entry:
@@ -52,126 +33,154 @@
         node: NodeName,
         documents: DocumentsInForce,
         router: Router,
-        ledger: RetryLedger,
+        retries: Retries,
         gates: Gates,
         rng: random.Random,
     ):
         self._node = node
         self._documents = documents
         self._router = router
-        self._ledger = ledger
+        self._retries = retries
         self._gates = gates
         self._rng = rng
 
-    async def handle(self, request: HttpRequest) -> HttpAnswer:
+    async def handle(
+        self, request: HttpRequest, listener: Listener = Listener.CALLERS
+    ) -> HttpAnswer:
         """Answer one request with a whole answer or a refusal."""
-        match self._plan(request):
+        match make_plan(request, listener, self._node, self._documents):
             case Failure(refusal):
                 return problem_answer(refusal, self._rng)
             case Success(plan):
                 reply = await self._run(request, plan)
-        match reply:
-            case Answered(status, headers, body):
-                return HttpAnswer(status, pair_up(headers), body)
-            case Refused():
-                return problem_answer(reply.refusal, self._rng)
-
-    def _plan(self, request: HttpRequest) -> Result[Plan, Refusal]:
-        service = _service_of(request)
-        document = self._documents.get(service)
-        if document is None:
-            detail = f"no document for service {service!r}"
-            return Failure(refuse(ErrorKind.UNKNOWN_SERVICE, detail))
-        rule = document.rule_for(request.method, request.target)
-        if rule is None:
-            detail = f"the document of {service} has no {request.method} request here"
-            return Failure(refuse(ErrorKind.UNKNOWN_REQUEST, detail))
-        header = request.header(CHAIN_HEADER)
-        if header is None:
-            chain = Chain(new_root(), self._node, 0, rule.worth, rule.deadline_ms)
-            return Success(Plan(service, rule, chain, is_root=True))
-        match parse_chain(header):
-            case Success(chain):
-                return Success(Plan(service, rule, chain, is_root=False))
-            case Failure(reason):
-                return Failure(refuse(ErrorKind.BAD_REQUEST, reason))
+        if isinstance(reply, Answered):
+            return _pass_on(reply)
+        return problem_answer(reply.refusal, self._rng)
 
     async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
-        if plan.is_root:
-            self._ledger.open(plan.chain.root, plan.rule.retries)
+        deadline = trio.current_time() + plan.budget_ms / 1000
+        self._retries.open(plan, deadline)
+        attempts = _Attempts()
+        reply: Reply | None = None
         try:
-            return await self._run_attempts(request, plan)
+            with trio.move_on_at(deadline):
+                reply = await self._run_attempts(request, plan, deadline, attempts)
+            reply = reply or refused(attempts.refusal_at_deadline(), NO_LOAD)
         finally:
-            if plan.is_root:
-                self._ledger.close(plan.chain.root)
-
-    async def _run_attempts(self, request: HttpRequest, plan: Plan) -> Reply:
-        budget_ms = min(plan.rule.deadline_ms, plan.chain.remaining_ms)
-        deadline = trio.current_time() + budget_ms / 1000
-        tried: list[NodeName] = []
-        reply: Reply | None = None
+            self._retries.close(plan, reply)
+        return reply
+
+    async def _run_attempts(
+        self, request: HttpRequest, plan: Plan, deadline: float, attempts: "_Attempts"
+    ) -> Reply:
+        if not await self._retries.may_start(plan):
+            detail = "the retries of this root request are used up"
+            return refused(refuse(ErrorKind.RETRY_LIMIT, detail), NO_LOAD)
         while True:
-            now = trio.current_time()
-            choice = self._router.choose(plan.service, tried, now)
+            choice = self._choose(plan, attempts)
             if choice is None:
-                return reply or _no_server(plan.service)
+                return attempts.final or _no_server(plan)
+            reply = await self._attempt(request, plan, choice, deadline, attempts)
+            match rule_on(reply, idempotent=plan.rule.idempotent):
+                case Ruling.REROUTE if attempts.reroutes < MAX_REROUTES:
+                    attempts.reroutes += 1
+                case Ruling.RETRY if await self._retries.may_retry(plan, deadline):
+                    pass
+                case _:
+                    return attempts.final
+
+    def _choose(self, plan: Plan, attempts: "_Attempts") -> Choice | None:
+        choice = self._router.choose(
+            plan.service,
+            attempts.tried,
+            trio.current_time(),
+            may_probe=plan.may_probe and not attempts.tried,
+        )
+        if choice is not None and logging.level_info():
             logging.info(
                 "route root=%s service=%s depth=%d attempt=%d chosen=%s "
                 "candidates=%s reason=%s",
                 plan.chain.root,
                 plan.service,
                 plan.chain.depth,
-                len(tried),
+                len(attempts.tried),
                 choice.member.node,
                 ",".join(choice.candidates),
-                choice.reason,
+                choice.reason.value,
             )
-            remaining_ms = max(0, int((deadline - now) * 1000))
-            call = _make_call(request, plan, remaining_ms)
-            reply = await self._gates.call(choice.member, call)
-            self._router.observe(choice.member.node, reply.load, trio.current_time())
-            tried.append(choice.member.node)
-            if not self._may_retry(plan, reply):
-                return reply
-
-    def _may_retry(self, plan: Plan, reply: Reply) -> bool:
-        if isinstance(reply, Answered):
-            return False
-        if reply.kind not in TRY_ANOTHER or reply.ran is not Ran.NO:
-            return False
-        return self._ledger.spend(plan.chain.root)
+        return choice
 
-
-def _service_of(request: HttpRequest) -> ServiceName:
-    named = request.header(SERVICE_HEADER)
-    if named is None:
-        named = (request.header(b"host") or "").partition(":")[0]
-    return ServiceName(named.lower())
-
-
-def _make_call(request: HttpRequest, plan: Plan, remaining_ms: int) -> Call:
-    headers = tuple(
-        (name, value)
-        for name, value in end_to_end(request.headers)
-        if name not in OWN_HEADERS
-    )
-    return Call(
-        service=plan.service,
-        method=request.method,
-        target=request.target,
-        headers=flatten(headers),
-        body=request.body,
-        root=plan.chain.root,
-        entry=plan.chain.entry,
-        depth=plan.chain.depth,
-        worth=plan.chain.worth,
-        remaining_ms=remaining_ms,
-        idempotent=plan.rule.idempotent,
-        key=IdempotencyKey(request.header(KEY_HEADER) or ""),
-        max_answer_bytes=plan.rule.max_answer_bytes,
+    async def _attempt(
+        self,
+        request: HttpRequest,
+        plan: Plan,
+        choice: Choice,
+        deadline: float,
+        attempts: "_Attempts",
+    ) -> Reply:
+        node = choice.member.node
+        start = trio.current_time()
+        call = make_call(request, plan, max(0, int((deadline - start) * 1000)))
+        attempts.tried.append(node)
+        attempts.in_flight = True
+        reply: Reply | None = None
+        try:
+            reply = await self._gates.call(choice.member, call)
+        finally:
+            now = trio.current_time()
+            outcome = outcome_of(reply) if reply else _outcome_at(now, deadline)
+            load = reply.load if reply and reply.load.limit else None
+            seen = Observation(outcome, plan.rule.path, now - start, load)
+            self._router.observe(plan.service, node, seen, now)
+        attempts.add(reply)
+        return reply
+
+
+class _Attempts:
+    """Collect what the attempts of one request came to."""
+
+    def __init__(self):
+        self.tried: list[NodeName] = []
+        self.reroutes = 0
+        self.in_flight = False
+        self.last: Reply | None = None
+        self._may_have_run = False
+
+    @property
+    def final(self) -> Reply | None:
+        """Return the last reply; it is "not run" only if no attempt ran."""
+        last = self.last
+        if self._may_have_run and isinstance(last, Refused) and last.ran is Ran.NO:
+            return replace(last, ran=Ran.UNKNOWN)
+        return last
+
+    def add(self, reply: Reply) -> None:
+        """Take in the reply of one attempt."""
+        self.in_flight = False
+        self.last = reply
+        if isinstance(reply, Refused) and reply.ran is not Ran.NO:
+            self._may_have_run = True
+
+    def refusal_at_deadline(self) -> Refusal:
+        """Refuse for lack of time and tell whether any attempt may have run."""
+        may_have_run = self.in_flight or self._may_have_run
+        ran = Ran.UNKNOWN if may_have_run else Ran.NO
+        return refuse(ErrorKind.DEADLINE_EXCEEDED, "no time was left", ran=ran)
+
+
+def _outcome_at(now: float, deadline: float) -> CallOutcome:
+    return CallOutcome.TIMED_OUT if now >= deadline else CallOutcome.CANCELLED
+
+
+def _pass_on(reply: Answered) -> HttpAnswer:
+    """Pass a backend server's answer on; its 503 does not prove it did nothing."""
+    ran = Ran.UNKNOWN if reply.status == SHED_STATUS else Ran.YES
+    headers = tuple(h for h in pair_up(reply.headers) if h[0] != RAN_HEADER)
+    return HttpAnswer(
+        reply.status, (*headers, (RAN_HEADER, ran.value.encode())), reply.body
     )
 
 
-def _no_server(service: ServiceName) -> Refused:
-    refusal = refuse(ErrorKind.NO_SERVER, f"no server of {service} is known")
+def _no_server(plan: Plan) -> Reply:
+    refusal = refuse(ErrorKind.NO_SERVER, f"no server of {plan.service} is known")
     return refused(refusal, NO_LOAD)
--- a/persimmonhall/call/gates.py
+++ b/persimmonhall/call/gates.py
@@ -1,9 +1,11 @@
 """Send calls to the gates of other nodes."""
 
+from dataclasses import replace
+
 import trio
 from returns.result import Failure, Success
 
-from persimmonhall.address import parse_address
+from persimmonhall.address import Address, parse_address
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.messages import (
     REPLIES,
@@ -13,13 +15,15 @@
     encode_call,
     refused,
 )
-from persimmonhall.errors import ErrorKind, Ran, refuse
+from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import NodeName
 from persimmonhall.membership.messages import Member
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link import LinkError, LinkPool
 
 NO_LOAD = Load(0, 0, 0, 0)
+MAX_REPLY_MARGIN_MS = 10
+REPLY_MARGIN_DIVISOR = 20
 
 
 class Gates:
@@ -32,23 +36,45 @@
 
     async def call(self, member: Member, call: Call) -> Reply:
         """Run a call at the gate of a member within its remaining time."""
-        if member.node == self._own:
-            return await self._gate.run(call)
         with trio.move_on_after(call.remaining_ms / 1000):
-            return await self._call_remote(member, call)
-        refusal = refuse(ErrorKind.DEADLINE_EXCEEDED, f"{member.node} did not answer")
+            return await self._call(member, _leave_margin(call))
+        detail = f"{member.node} did not answer"
+        refusal = refuse(ErrorKind.DEADLINE_EXCEEDED, detail, ran=Ran.UNKNOWN)
         return refused(refusal, NO_LOAD)
 
-    async def _call_remote(self, member: Member, call: Call) -> Reply:
-        address = parse_address(member.frames).unwrap()
+    async def _call(self, member: Member, call: Call) -> Reply:
+        if member.node == self._own:
+            return await self._gate.run(call)
+        match parse_address(member.frames):
+            case Success(address):
+                return await self._call_remote(address, call)
+            case Failure(reason):
+                refusal = refuse(ErrorKind.CONNECT_FAILED, reason, ran=Ran.NO)
+                return refused(refusal, NO_LOAD)
+
+    async def _call_remote(self, address: Address, call: Call) -> Reply:
         match await self._links.ask(address, Channel.CALL, encode_call(call)):
             case Success(data):
-                return REPLIES.decode(data)
+                return _read_reply(data)
             case Failure(error):
-                ran = Ran.UNKNOWN if error.sent else Ran.NO
-                kind = (
-                    ErrorKind.CONNECTION_LOST
-                    if error.sent
-                    else ErrorKind.CONNECT_FAILED
-                )
-                return refused(refuse(kind, str(error), ran=ran), NO_LOAD)
+                return refused(_refusal_of(error), NO_LOAD)
+
+
+def _leave_margin(call: Call) -> Call:
+    """Let the gate give up a little earlier, so that its own refusal arrives."""
+    margin = min(MAX_REPLY_MARGIN_MS, call.remaining_ms // REPLY_MARGIN_DIVISOR)
+    return replace(call, remaining_ms=call.remaining_ms - margin)
+
+
+def _read_reply(data: bytes) -> Reply:
+    try:
+        return REPLIES.decode(data)
+    except ValueError as error:
+        refusal = refuse(ErrorKind.CONNECTION_LOST, str(error), ran=Ran.UNKNOWN)
+        return refused(refusal, NO_LOAD)
+
+
+def _refusal_of(error: LinkError) -> Refusal:
+    if error.sent:
+        return refuse(ErrorKind.CONNECTION_LOST, str(error), ran=Ran.UNKNOWN)
+    return refuse(ErrorKind.CONNECT_FAILED, str(error), ran=Ran.NO)
--- /dev/null
+++ b/persimmonhall/call/plan.py
@@ -0,0 +1,139 @@
+"""Work out what the document and the chain say of a request."""
+
+from dataclasses import dataclass, replace
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.call.chain import CHAIN_HEADER, Chain, new_root, parse_chain
+from persimmonhall.call.messages import Call, flatten
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.document.schema import RequestRule, Worth
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.messages import HttpRequest, end_to_end
+from persimmonhall.ids import IdempotencyKey, NodeName, ServiceName
+from persimmonhall.routing.failures import CallKey, make_key
+
+SERVICE_HEADER = b"persimmonhall-service"
+KEY_HEADER = b"idempotency-key"
+OWN_HEADERS = frozenset({CHAIN_HEADER, SERVICE_HEADER})
+
+
+class Listener(Enum):
+    """Tell who sends the requests of a listener."""
+
+    CALLERS = "callers"
+    LOCAL = "local"
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Hold what the document and the chain say of a request."""
+
+    service: ServiceName
+    rule: RequestRule
+    chain: Chain
+    is_root: bool
+    tokens: int
+    key: CallKey
+
+    @property
+    def budget_ms(self) -> int:
+        """Return how long the request may take."""
+        return min(self.rule.deadline_ms, self.chain.remaining_ms)
+
+    @property
+    def may_probe(self) -> bool:
+        """Tell whether the request may try a server that was ejected."""
+        return self.rule.idempotent and self.chain.worth is not Worth.CRITICAL
+
+
+def make_plan(
+    request: HttpRequest,
+    listener: Listener,
+    node: NodeName,
+    documents: DocumentsInForce,
+) -> Result[Plan, Refusal]:
+    """Find the rule of a request and continue its chain, or start one."""
+    service = _service_of(request)
+    document = documents.get(service)
+    if document is None:
+        detail = f"no document for service {service!r}"
+        return Failure(refuse(ErrorKind.UNKNOWN_SERVICE, detail))
+    rule = document.rule_for(request.method, request.target)
+    if rule is None:
+        detail = f"the document of {service} has no {request.method} request here"
+        return Failure(refuse(ErrorKind.UNKNOWN_REQUEST, detail))
+    header = request.header(CHAIN_HEADER)
+    if header is None:
+        return Success(_plan_root(request, listener, node, service, rule))
+    match parse_chain(header):
+        case Success(chain):
+            return Success(_plan_nested(request, listener, service, rule, chain))
+        case Failure(reason):
+            return Failure(refuse(ErrorKind.BAD_REQUEST, reason))
+
+
+def _plan_root(
+    request: HttpRequest,
+    listener: Listener,
+    node: NodeName,
+    service: ServiceName,
+    rule: RequestRule,
+) -> Plan:
+    """Start a chain; without one a call of a backend server gets no retry."""
+    tokens = rule.retries if listener is Listener.CALLERS else 0
+    chain = Chain(new_root(), node, 0, rule.worth, rule.deadline_ms)
+    key = _key_of(request, listener.value, service)
+    return Plan(service, rule, chain, is_root=True, tokens=tokens, key=key)
+
+
+def _plan_nested(
+    request: HttpRequest,
+    listener: Listener,
+    service: ServiceName,
+    rule: RequestRule,
+    chain: Chain,
+) -> Plan:
+    """Continue a chain; from outside it may lower the worth but not raise it."""
+    if listener is Listener.CALLERS and chain.worth.rank < rule.worth.rank:
+        chain = replace(chain, worth=rule.worth)
+    key = _key_of(request, chain.execution or chain.root, service)
+    return Plan(service, rule, chain, is_root=False, tokens=0, key=key)
+
+
+def _key_of(request: HttpRequest, scope: str, service: ServiceName) -> CallKey:
+    named = request.header(KEY_HEADER)
+    content = named.encode() if named else request.body
+    return make_key(scope, service, request.method, request.target, content)
+
+
+def _service_of(request: HttpRequest) -> ServiceName:
+    named = request.header(SERVICE_HEADER)
+    if named is None:
+        named = (request.header(b"host") or "").partition(":")[0]
+    return ServiceName(named.lower())
+
+
+def make_call(request: HttpRequest, plan: Plan, remaining_ms: int) -> Call:
+    """Build the call that carries a request to a gate."""
+    headers = tuple(
+        (name, value)
+        for name, value in end_to_end(request.headers)
+        if name not in OWN_HEADERS
+    )
+    return Call(
+        service=plan.service,
+        method=request.method,
+        target=request.target,
+        headers=flatten(headers),
+        body=request.body,
+        root=plan.chain.root,
+        entry=plan.chain.entry,
+        depth=plan.chain.depth,
+        worth=plan.chain.worth,
+        remaining_ms=remaining_ms,
+        idempotent=plan.rule.idempotent,
+        key=IdempotencyKey(request.header(KEY_HEADER) or ""),
+        max_answer_bytes=plan.rule.max_answer_bytes,
+    )
--- a/persimmonhall/errors.py
+++ b/persimmonhall/errors.py
@@ -31,6 +31,7 @@
     OVERLOADED = "overloaded"
     NODE_OVERLOADED = "nodeOverloaded"
     LEAVING = "leaving"
+    RETRY_LIMIT = "retryLimit"
     DEADLINE_EXCEEDED = "deadlineExceeded"
     CANCELLED = "cancelled"
     CONNECT_FAILED = "connectFailed"
@@ -72,6 +73,7 @@
     ErrorKind.OVERLOADED: ErrorAnswer(503, "Service overloaded", Ran.NO, 2.0),
     ErrorKind.NODE_OVERLOADED: ErrorAnswer(503, "Node overloaded", Ran.NO, 2.0),
     ErrorKind.LEAVING: ErrorAnswer(503, "Server is leaving", Ran.NO, 1.0),
+    ErrorKind.RETRY_LIMIT: ErrorAnswer(503, "Retry limit reached", Ran.NO, 2.0),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
         504, "Deadline exceeded", Ran.UNKNOWN, 2.0
     ),
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.call.entry import Entry
+from persimmonhall.call.plan import Listener
 from persimmonhall.document.in_force import DocumentsInForce
 from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -39,7 +40,7 @@
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one request of this machine."""
         if not request.target.startswith(OWN_PREFIX):
-            return await self._entry.handle(request)
+            return await self._entry.handle(request, Listener.LOCAL)
         match self._route(request):
             case Success(answer):
                 return answer
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -12,6 +12,7 @@
 from persimmonhall.call.entry import Entry
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gates import Gates
+from persimmonhall.call.retries import Retries
 from persimmonhall.control.client import ControlClient
 from persimmonhall.document.follow import DocumentFollower
 from persimmonhall.document.in_force import DocumentsInForce
@@ -26,6 +27,7 @@
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
+from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
@@ -66,14 +68,18 @@
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
-    entry = Entry(
-        own.name, documents, router, RetryLedger(), Gates(own.name, gate, links), rng
-    )
+    tokens = Tokens(own.name, RetryLedger(), table, links)
+    gates = Gates(own.name, gate, links)
+    entry = Entry(own.name, documents, router, Retries(tokens), gates, rng)
     control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
     local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
 
-    handlers = {Channel.CALL: gate.handle, Channel.MEMBERSHIP: gossiper.handle}
+    handlers = {
+        Channel.CALL: gate.handle,
+        Channel.LEDGER: tokens.handle,
+        Channel.MEMBERSHIP: gossiper.handle,
+    }
     frames = await nursery.start(serve_links, handlers, own.frames)
     gossiper.set_frames(frames)
     limits = ServerLimits(
--- /dev/null
+++ b/persimmonhall/routing/failures.py
@@ -0,0 +1,58 @@
+"""Remember calls that failed, so that a resend is known as a retry."""
+
+from dataclasses import dataclass
+
+from xxhash import xxh3_64_intdigest
+
+from persimmonhall.ids import ServiceName
+
+MAX_FAILED_CALLS = 20_000
+
+
+@dataclass(frozen=True)
+class CallKey:
+    """Identify a call and its resends by the one who makes it and its content."""
+
+    scope: str
+    service: ServiceName
+    method: str
+    target: str
+    content: int
+
+
+def make_key(
+    scope: str, service: ServiceName, method: str, target: str, content: bytes
+) -> CallKey:
+    """Build the key of a call; content is its body or its idempotency key."""
+    return CallKey(scope, service, method, target, xxh3_64_intdigest(content))
+
+
+class FailedCalls:
+    """Hold the keys of failed calls until they expire, the oldest first."""
+
+    def __init__(self, max_calls: int = MAX_FAILED_CALLS):
+        self._max_calls = max_calls
+        self._expiry: dict[CallKey, float] = {}
+
+    def __len__(self) -> int:
+        """Return the number of keys held."""
+        return len(self._expiry)
+
+    def record(self, key: CallKey, expiry: float, now: float) -> None:
+        """Remember that a call failed."""
+        self._expiry.pop(key, None)
+        self._expiry[key] = expiry
+        self._drop_expired(now)
+        if len(self._expiry) > self._max_calls:
+            del self._expiry[next(iter(self._expiry))]
+
+    def holds(self, key: CallKey, now: float) -> bool:
+        """Tell whether a call failed before and has not expired."""
+        return self._expiry.get(key, now) > now
+
+    def _drop_expired(self, now: float) -> None:
+        while self._expiry:
+            oldest = next(iter(self._expiry))
+            if self._expiry[oldest] > now:
+                return
+            del self._expiry[oldest]
--- a/persimmonhall/routing/ledger.py
+++ b/persimmonhall/routing/ledger.py
@@ -1,26 +1,46 @@
-"""Bound the retries of each root request."""
+"""Bound the retries of each root request at its entry node."""
+
+from dataclasses import dataclass
 
 from persimmonhall.ids import RootId
 
+MAX_ROOTS = 50_000
+
+
+@dataclass
+class _Grant:
+    """Hold the tokens of one root until its deadline."""
+
+    tokens: int
+    deadline: float
+
 
 class RetryLedger:
     """Hold the retry tokens of the roots that entered here."""
 
-    def __init__(self):
-        self._tokens: dict[RootId, int] = {}
+    def __init__(self, max_roots: int = MAX_ROOTS):
+        self._max_roots = max_roots
+        self._grants: dict[RootId, _Grant] = {}
+
+    def __len__(self) -> int:
+        """Return the number of roots that hold tokens."""
+        return len(self._grants)
 
-    def open(self, root: RootId, tokens: int) -> None:
-        """Grant tokens to a root."""
-        self._tokens[root] = tokens
+    def open(self, root: RootId, tokens: int, deadline: float) -> None:
+        """Grant tokens to a root until its deadline; a full ledger grants none."""
+        if tokens > 0 and len(self._grants) < self._max_roots:
+            self._grants.setdefault(root, _Grant(tokens, deadline))
 
     def close(self, root: RootId) -> None:
         """Forget a root."""
-        self._tokens.pop(root, None)
+        self._grants.pop(root, None)
 
-    def spend(self, root: RootId) -> bool:
-        """Take one token if the root has any left."""
-        left = self._tokens.get(root, 0)
-        if left < 1:
+    def spend(self, root: RootId, now: float) -> bool:
+        """Take one token if the root has any left and its deadline is ahead."""
+        grant = self._grants.get(root)
+        if grant is None or now >= grant.deadline:
             return False
-        self._tokens[root] = left - 1
+        grant.tokens -= 1
+        if grant.tokens == 0:
+            del self._grants[root]
         return True
--- /dev/null
+++ b/persimmonhall/routing/outcomes.py
@@ -0,0 +1,26 @@
+"""Tell what a reply says of the server that gave it."""
+
+from persimmonhall.call.messages import Answered, Reply
+from persimmonhall.errors import ErrorKind, Ran
+from persimmonhall.routing.views import CallOutcome
+
+SERVER_ERROR = 500
+OUTCOMES = {
+    ErrorKind.LEAVING: CallOutcome.TURNED_AWAY,
+    ErrorKind.NO_SERVER: CallOutcome.TURNED_AWAY,
+    ErrorKind.CONNECT_FAILED: CallOutcome.UNREACHABLE,
+    ErrorKind.CONNECTION_LOST: CallOutcome.LOST,
+    ErrorKind.ANSWER_CUT: CallOutcome.LOST,
+    ErrorKind.DEADLINE_EXCEEDED: CallOutcome.TIMED_OUT,
+}
+
+
+def outcome_of(reply: Reply) -> CallOutcome:
+    """Map a reply to what a router learns from it."""
+    if not isinstance(reply, Answered):
+        if reply.kind is ErrorKind.DEADLINE_EXCEEDED and reply.ran is Ran.NO:
+            return CallOutcome.REFUSED
+        return OUTCOMES.get(reply.kind, CallOutcome.REFUSED)
+    if reply.status >= SERVER_ERROR:
+        return CallOutcome.FAILED
+    return CallOutcome.DONE
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -1,15 +1,52 @@
-"""Choose the server of a call by its reported load."""
+"""Choose the server of a call from what earlier answers told."""
 
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
+from enum import Enum
 
 from persimmonhall.call.messages import Load
 from persimmonhall.ids import NodeName, ServiceName, ZoneName
 from persimmonhall.membership.messages import Member
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.pool import Pool, is_usable
+from persimmonhall.routing.views import (
+    CallOutcome,
+    EjectReason,
+    ServerView,
+    Usability,
+)
 
 CHOICES = 2
+MAX_DRAWS = 8
+FULL_USAGE = 0.8
+SPILL_SLOWNESS = 2.0
+SPILL_GAIN = 1.5
+MAX_STRIKES = 2
+SLOW_PROBE_FACTOR = 3.0
+PROBE_PATIENCE_S = 5.0
+
+STRIKES = {
+    CallOutcome.LOST: EjectReason.LOST,
+    CallOutcome.TIMED_OUT: EjectReason.STALLED,
+    CallOutcome.CANCELLED: EjectReason.STALLED,
+}
+CERTAIN = {
+    CallOutcome.UNREACHABLE: EjectReason.UNREACHABLE,
+    CallOutcome.TURNED_AWAY: EjectReason.TURNED_AWAY,
+}
+WAITS = frozenset({CallOutcome.TIMED_OUT, CallOutcome.CANCELLED})
+FAILURES = WAITS | {CallOutcome.FAILED, CallOutcome.LOST}
+
+
+class ChoiceReason(Enum):
+    """Tell why a server was chosen."""
+
+    OWN_ZONE = "own-zone"
+    OTHER_ZONE = "other-zone"
+    SPILL = "spill"
+    PROBE = "probe"
+    ALL_EJECTED = "all-ejected"
 
 
 @dataclass(frozen=True)
@@ -18,39 +55,209 @@
 
     member: Member
     candidates: tuple[NodeName, ...]
-    reason: str
+    reason: ChoiceReason
+
+
+@dataclass(frozen=True)
+class Observation:
+    """Tell how a call to a chosen server ended."""
+
+    outcome: CallOutcome
+    path: str
+    latency_s: float
+    load: Load | None = None
 
 
 class Router:
-    """Pick the less loaded of two random candidates, own zone first."""
+    """Pick the cheaper of two random candidates, own zone first."""
 
     def __init__(self, table: MemberTable, zone: ZoneName, rng: random.Random):
         self._table = table
         self._zone = zone
         self._rng = rng
-        self._loads: dict[NodeName, Load] = {}
-
-    def observe(self, node: NodeName, load: Load, now: float) -> None:
-        """Take in the load that came with an answer."""
-        self._loads[node] = load
+        self._pools: dict[ServiceName, Pool] = {}
 
     def choose(
-        self, service: ServiceName, exclude: Collection[NodeName], now: float
+        self,
+        service: ServiceName,
+        exclude: Collection[NodeName],
+        now: float,
+        *,
+        may_probe: bool = True,
     ) -> Choice | None:
-        """Choose a member that serves the service, or none."""
+        """Choose a server and count the call as outstanding; None if there is none."""
+        pool = self._pool(service, now)
+        pool.sweep(self._rng, now)
+        choice = self._choose(pool, exclude, now, may_probe)
+        if choice is not None:
+            pool.views[choice.member.node].start(now)
+        return choice
+
+    def observe(
+        self, service: ServiceName, node: NodeName, seen: Observation, now: float
+    ) -> None:
+        """Take in how a chosen call ended."""
+        pool = self._pools.get(service)
+        view = pool.views.get(node) if pool is not None else None
+        if view is None:
+            return
+        probed = view.probing
+        view.end(now)
+        if seen.outcome in WAITS and seen.latency_s < view.stall_s:
+            return
+        if seen.load is not None:
+            view.take_load(seen.load, now)
+            pool.take_usage(view.others_usage)
+        if seen.outcome is not CallOutcome.REFUSED:
+            view.take_failure(seen.outcome in FAILURES)
+        self._judge(pool, node, view, seen, probed, now)
+
+    def _judge(
+        self,
+        pool: Pool,
+        node: NodeName,
+        view: ServerView,
+        seen: Observation,
+        probed: bool,
+        now: float,
+    ) -> None:
+        outcome = seen.outcome
+        if outcome in CERTAIN:
+            pool.eject(node, CERTAIN[outcome], self._rng, now)
+        elif outcome in STRIKES:
+            view.strikes += 1
+            if probed or view.strikes >= MAX_STRIKES:
+                pool.eject(node, STRIKES[outcome], self._rng, now)
+        else:
+            view.progress_at = now
+            view.strikes = 0
+            self._take_answer(pool, node, view, seen, probed, now)
+
+    def _take_answer(
+        self,
+        pool: Pool,
+        node: NodeName,
+        view: ServerView,
+        seen: Observation,
+        probed: bool,
+        now: float,
+    ) -> None:
+        if seen.outcome is CallOutcome.DONE:
+            pool.take_latency(view, seen.path, seen.latency_s, now)
+        if not probed:
+            return
+        usual_s = pool.baselines[seen.path].latency_s if pool.baselines else 0.0
+        if seen.outcome is CallOutcome.FAILED:
+            pool.eject(node, EjectReason.FAILING, self._rng, now)
+        elif view.reason is EjectReason.SLOW and (
+            seen.latency_s > SLOW_PROBE_FACTOR * usual_s
+        ):
+            pool.eject(node, EjectReason.SLOW, self._rng, now)
+        else:
+            pool.restore(node, now)
+
+    def _pool(self, service: ServiceName, now: float) -> Pool:
         members = self._table.servers_of(service)
-        members = [m for m in members if m.node not in exclude]
-        near = [m for m in members if m.zone == self._zone]
-        pool = near or members
-        if not pool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = Pool(service)
+        if pool.members is not members:
+            pool.set_members(members, self._zone, now)
+        return pool
+
+    def _choose(
+        self, pool: Pool, exclude: Collection[NodeName], now: float, may_probe: bool
+    ) -> Choice | None:
+        probe = self._find_probe(pool, exclude, now, may_probe)
+        if probe is not None:
+            return Choice(probe, (probe.node,), ChoiceReason.PROBE)
+        near = self._draw(pool, pool.near, exclude, now)
+        if not near:
+            return self._choose_far(pool, exclude, now)
+        best = self._cheapest(pool, near, now)
+        if pool.far and self._wants_spill(pool, best, now):
+            far = self._draw(pool, pool.far, exclude, now)
+            other = self._cheapest(pool, far, now) if far else best
+            if self._gains(pool, best, other, now):
+                return _name(other, [*near, other], ChoiceReason.SPILL)
+        return _name(best, near, ChoiceReason.OWN_ZONE)
+
+    def _choose_far(
+        self, pool: Pool, exclude: Collection[NodeName], now: float
+    ) -> Choice | None:
+        far = self._draw(pool, pool.far, exclude, now)
+        if not far:
+            return self._choose_ejected(pool, exclude)
+        return _name(self._cheapest(pool, far, now), far, ChoiceReason.OTHER_ZONE)
+
+    def _draw(
+        self,
+        pool: Pool,
+        members: list[Member],
+        exclude: Collection[NodeName],
+        now: float,
+    ) -> list[Member]:
+        """Return up to two random members that are usable."""
+        picks: list[Member] = []
+        for member in self._in_random_order(members):
+            if member.node in exclude or member in picks:
+                continue
+            if is_usable(pool.views[member.node], now):
+                picks.append(member)
+                if len(picks) == CHOICES:
+                    break
+        return picks
+
+    def _in_random_order(self, members: list[Member]) -> Iterator[Member]:
+        """Yield random members, then all in turn for when few are usable."""
+        count = len(members)
+        random_number = self._rng.random
+        for _ in range(min(MAX_DRAWS, count)):
+            yield members[int(random_number() * count)]
+        first = int(random_number() * count)
+        for number in range(count):
+            yield members[(first + number) % count]
+
+    def _cheapest(self, pool: Pool, picks: list[Member], now: float) -> Member:
+        usual = pool.usual_usage
+        return min(picks, key=lambda m: pool.views[m.node].cost(usual, now))
+
+    def _wants_spill(self, pool: Pool, near: Member, now: float) -> bool:
+        view = pool.views[near.node]
+        is_full = view.usage(pool.usual_usage, now) >= FULL_USAGE
+        return is_full or view.aged_slowness(now) >= SPILL_SLOWNESS
+
+    def _gains(self, pool: Pool, near: Member, far: Member, now: float) -> bool:
+        """Leave the own zone more often the more is gained, never all at once."""
+        usual = pool.usual_usage
+        near_cost = pool.views[near.node].cost(usual, now)
+        far_cost = pool.views[far.node].cost(usual, now)
+        gain = near_cost / far_cost
+        return gain >= SPILL_GAIN and self._rng.random() < 1 - 1 / gain
+
+    def _find_probe(
+        self, pool: Pool, exclude: Collection[NodeName], now: float, may_probe: bool
+    ) -> Member | None:
+        if not pool.ejected:
+            return None
+        member = pool.members[int(self._rng.random() * len(pool.members))]
+        view = pool.views[member.node]
+        if member.node in exclude or view.usability(now) is not Usability.PROBE_DUE:
             return None
-        picks = self._rng.sample(pool, min(CHOICES, len(pool)))
-        best = min(picks, key=self._usage)
-        reason = "own-zone" if near else "other-zone"
-        return Choice(best, tuple(m.node for m in picks), reason)
-
-    def _usage(self, member: Member) -> float:
-        load = self._loads.get(member.node)
-        if load is None:
-            return 0.0
-        return (load.in_flight + load.queued) / max(1, load.limit)
+        overdue = now - view.ejected_until > PROBE_PATIENCE_S
+        return member if may_probe or overdue else None
+
+    def _choose_ejected(
+        self, pool: Pool, exclude: Collection[NodeName]
+    ) -> Choice | None:
+        members = [m for m in pool.near or pool.far if m.node not in exclude]
+        members = members or [m for m in pool.members if m.node not in exclude]
+        if not members:
+            return None
+        picks = self._rng.sample(members, min(CHOICES, len(members)))
+        best = min(picks, key=lambda m: pool.views[m.node].outstanding)
+        return _name(best, picks, ChoiceReason.ALL_EJECTED)
+
+
+def _name(member: Member, picks: list[Member], reason: ChoiceReason) -> Choice:
+    return Choice(member, tuple(m.node for m in picks), reason)
--- /dev/null
+++ b/persimmonhall/routing/tokens.py
@@ -0,0 +1,77 @@
+"""Take retry tokens from the ledger at the entry node of a root."""
+
+import trio
+from returns.result import Success
+
+from persimmonhall.address import parse_address
+from persimmonhall.ids import NodeName, RootId
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.ledger import RetryLedger
+from persimmonhall.routing.messages import (
+    SpendToken,
+    TokenReply,
+    decode_spend,
+    decode_token_reply,
+    encode_spend,
+    encode_token_reply,
+)
+from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.link import LinkPool
+
+TOKEN_TIMEOUT_S = 0.1
+
+
+class Tokens:
+    """Spend tokens here or at another entry node; no reply means no token."""
+
+    def __init__(
+        self, own: NodeName, ledger: RetryLedger, table: MemberTable, links: LinkPool
+    ):
+        self._own = own
+        self._ledger = ledger
+        self._table = table
+        self._links = links
+
+    def open(self, root: RootId, tokens: int, deadline: float) -> None:
+        """Grant tokens to a root that enters here."""
+        self._ledger.open(root, tokens, deadline)
+
+    def close(self, root: RootId) -> None:
+        """Forget a root that entered here."""
+        self._ledger.close(root)
+
+    async def take(self, root: RootId, entry: NodeName) -> bool:
+        """Take one token of a root from its entry node."""
+        if entry == self._own:
+            return self._ledger.spend(root, trio.current_time())
+        member = self._table.get(entry)
+        if member is None:
+            return False
+        with trio.move_on_after(TOKEN_TIMEOUT_S):
+            return await self._ask(member.frames, root)
+        return False
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer another node that asks for a token."""
+        root = decode_spend(payload).root
+        granted = self._ledger.spend(root, trio.current_time())
+        return encode_token_reply(TokenReply(granted))
+
+    async def _ask(self, frames: str, root: RootId) -> bool:
+        match parse_address(frames):
+            case Success(address):
+                payload = encode_spend(SpendToken(root))
+                reply = await self._links.ask(address, Channel.LEDGER, payload)
+            case _:
+                return False
+        match reply:
+            case Success(data):
+                return _is_granted(data)
+        return False
+
+
+def _is_granted(data: bytes) -> bool:
+    try:
+        return decode_token_reply(data).granted
+    except ValueError:
+        return False
