--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -7,6 +7,11 @@
 from absl import logging
 from returns.result import Failure, Success
 
+<<<<<<< HEAD
+=======
+from persimmonhall.admission.self_limit import SelfLimit
+from persimmonhall.call.chain import CHAIN_HEADER, Chain, new_root, parse_chain
+>>>>>>> main
 from persimmonhall.call.gates import NO_LOAD, Gates
 from persimmonhall.call.messages import Answered, Refused, Reply, pair_up, refused
 from persimmonhall.call.plan import Listener, Plan, make_call, make_plan
@@ -36,6 +41,7 @@
         retries: Retries,
         gates: Gates,
         rng: random.Random,
+        self_limit: SelfLimit,
     ):
         self._node = node
         self._documents = documents
@@ -43,6 +49,7 @@
         self._retries = retries
         self._gates = gates
         self._rng = rng
+        self._self_limit = self_limit
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -58,9 +65,27 @@
         return problem_answer(reply.refusal, self._rng)
 
     async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
+<<<<<<< HEAD
         deadline = trio.current_time() + plan.budget_ms / 1000
         self._retries.open(plan, deadline)
         attempts = _Attempts()
+=======
+        refusal = self._self_limit.refusal(plan.chain.worth, plan.chain.root)
+        if refusal is not None:
+            return refused(refusal, NO_LOAD)
+        if plan.is_root:
+            self._ledger.open(plan.chain.root, plan.rule.retries)
+        try:
+            return await self._run_attempts(request, plan)
+        finally:
+            if plan.is_root:
+                self._ledger.close(plan.chain.root)
+
+    async def _run_attempts(self, request: HttpRequest, plan: Plan) -> Reply:
+        budget_ms = min(plan.rule.deadline_ms, plan.chain.remaining_ms)
+        deadline = trio.current_time() + budget_ms / 1000
+        tried: list[NodeName] = []
+>>>>>>> main
         reply: Reply | None = None
         try:
             with trio.move_on_at(deadline):
--- a/persimmonhall/call/retries.py
+++ b/persimmonhall/call/retries.py
@@ -30,13 +30,13 @@
             self._tokens.open(plan.chain.root, plan.tokens, deadline)
 
     def close(self, plan: Plan, reply: Reply | None) -> None:
-        """Forget a root and remember whether the request failed."""
+        """Forget a root; remember a failure whose resend would be a retry too many."""
+        is_repeat = not plan.is_root or self._tokens.close(plan.chain.root)
+        if not is_repeat or (reply is not None and not has_failed(reply)):
+            return
         now = trio.current_time()
-        if plan.is_root:
-            self._tokens.close(plan.chain.root)
-        if reply is None or has_failed(reply):
-            expiry_s = RESEND_MEMORY_S if plan.is_root else plan.budget_ms / 1000
-            self._failed.record(plan.key, now + expiry_s, now)
+        expiry_s = RESEND_MEMORY_S if plan.is_root else plan.budget_ms / 1000
+        self._failed.record(plan.key, now + expiry_s, now)
 
     async def may_start(self, plan: Plan) -> bool:
         """Let a call start unless a backend server resends it without a token."""
--- a/persimmonhall/routing/ledger.py
+++ b/persimmonhall/routing/ledger.py
@@ -12,6 +12,7 @@
     """Hold the tokens of one root until its deadline."""
 
     tokens: int
+    left: int
     deadline: float
 
 
@@ -29,18 +30,19 @@
     def open(self, root: RootId, tokens: int, deadline: float) -> None:
         """Grant tokens to a root until its deadline; a full ledger grants none."""
         if tokens > 0 and len(self._grants) < self._max_roots:
-            self._grants.setdefault(root, _Grant(tokens, deadline))
+            self._grants.setdefault(root, _Grant(tokens, tokens, deadline))
 
-    def close(self, root: RootId) -> None:
-        """Forget a root."""
-        self._grants.pop(root, None)
+    def close(self, root: RootId) -> bool:
+        """Forget a root; tell whether it spent a token."""
+        grant = self._grants.pop(root, None)
+        return grant is not None and grant.left < grant.tokens
 
     def spend(self, root: RootId, now: float) -> bool:
         """Take one token if the root has any left and its deadline is ahead."""
         grant = self._grants.get(root)
         if grant is None or now >= grant.deadline:
             return False
-        grant.tokens -= 1
-        if grant.tokens == 0:
-            del self._grants[root]
+        if grant.left == 0:
+            return False
+        grant.left -= 1
         return True
--- a/persimmonhall/routing/tokens.py
+++ b/persimmonhall/routing/tokens.py
@@ -36,9 +36,9 @@
         """Grant tokens to a root that enters here."""
         self._ledger.open(root, tokens, deadline)
 
-    def close(self, root: RootId) -> None:
-        """Forget a root that entered here."""
-        self._ledger.close(root)
+    def close(self, root: RootId) -> bool:
+        """Forget a root that entered here; tell whether it spent a token."""
+        return self._ledger.close(root)
 
     async def take(self, root: RootId, entry: NodeName) -> bool:
         """Take one token of a root from its entry node."""
