--- a/harness/standin.py
+++ b/harness/standin.py
@@ -38,6 +38,7 @@
     answer_bytes: int = 200
     queue_when_full: bool = True
     calls: tuple[str, ...] = ()
+    resends: int = 0
     run_log: str = ""
 
 
@@ -134,14 +135,18 @@
                 (CHAIN_HEADER, chain.encode()),
             )
             onward = HttpRequest("GET", "/" + path, headers)
+            if not await self._send_with_resends(onward):
+                return 502
+        return 200
+
+    async def _send_with_resends(self, onward: HttpRequest) -> bool:
+        for _ in range(self._settings.resends + 1):
             match await self._client.send(
                 self._settings.node, onward, MAX_ANSWER_BYTES
             ):
                 case Success(answer) if answer.status < 400:
-                    continue
-                case _:
-                    return 502
-        return 200
+                    return True
+        return False
 
     def _body(self, request: HttpRequest) -> bytes:
         query = parse_qs(urlsplit(request.target).query)
