--- /dev/null
+++ b/harness/micro_routing.py
@@ -0,0 +1,113 @@
+"""Time routing and retry decisions at several sizes."""
+
+import random
+import statistics
+from time import perf_counter_ns
+
+from harness.micro_row import Row
+from persimmonhall.call.messages import Load
+from persimmonhall.ids import NodeName, RootId, ServiceName, ZoneName
+from persimmonhall.membership.messages import Gossip, Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.budget import RetryBudget
+from persimmonhall.routing.failures import FailedCalls, make_key
+from persimmonhall.routing.ledger import RetryLedger
+from persimmonhall.routing.router import Observation, Router
+from persimmonhall.routing.views import CallOutcome
+
+SIZES = (5, 50, 1000)
+TARGET_NODES = 1000
+TARGET_SERVICES = 190
+ZONES = ("suva", "nadi", "lautoka", "labasa")
+ROUNDS = 20_000
+WARM_UP = 2000
+IN_FLIGHT = 8
+CALL_INTERVAL_S = 1 / 120
+LATENCY_S = 0.02
+LATENCY_SPREAD_S = 0.01
+SEED = 1
+PATH = "/segments/*"
+BODY = b"x" * 200
+
+
+def _make_member(number: int, services: int) -> Member:
+    return Member(
+        node=NodeName(f"node-{number}"),
+        zone=ZoneName(ZONES[number // services % len(ZONES)]),
+        region="viti",
+        frames="127.0.0.1:7000",
+        incarnation=1,
+        version=1,
+        service=ServiceName(f"service-{number % services}"),
+        slots=16,
+        state=MemberState.READY,
+    )
+
+
+def _make_table(nodes: int, services: int) -> MemberTable:
+    members = [_make_member(number, services) for number in range(nodes)]
+    table = MemberTable(members[0])
+    table.merge(Gossip(tuple(members[1:])), 0.0)
+    return table
+
+
+def _make_row(name: str, size: int, nanoseconds: list[int]) -> Row:
+    cuts = statistics.quantiles(nanoseconds[WARM_UP:], n=100)
+    return Row(name, size, cuts[49] / 1000, cuts[98] / 1000)
+
+
+def _measure_choice(name: str, nodes: int, services: int, failing: float = 0.0) -> Row:
+    rng = random.Random(SEED)
+    router = Router(_make_table(nodes, services), ZoneName(ZONES[0]), rng)
+    open_calls: list[tuple[ServiceName, NodeName]] = []
+    times: list[int] = []
+    now = 0.0
+    for number in range(ROUNDS + WARM_UP):
+        now += CALL_INTERVAL_S
+        service = ServiceName(f"service-{number % services}")
+        outcome = CallOutcome.LOST if rng.random() < failing else CallOutcome.DONE
+        latency_s = LATENCY_S + LATENCY_SPREAD_S * rng.random()
+        seen = Observation(outcome, PATH, latency_s, Load(4, 0, 16, 0))
+        ended = open_calls.pop(0) if len(open_calls) == IN_FLIGHT else None
+        begin = perf_counter_ns()
+        choice = router.choose(service, (), now)
+        if ended is not None:
+            router.observe(*ended, seen, now)
+        times.append(perf_counter_ns() - begin)
+        open_calls.append((service, choice.member.node))
+    return _make_row(name, nodes, times)
+
+
+def _measure_retry(roots: int) -> Row:
+    """Time what a failed root costs: open, budget, one token, remember, close."""
+    ledger = RetryLedger()
+    budget = RetryBudget(0.0)
+    failed = FailedCalls()
+    for number in range(roots):
+        ledger.open(RootId(f"open-{number}"), 1, 1e9)
+    times: list[int] = []
+    now = 0.0
+    for number in range(ROUNDS + WARM_UP):
+        now += CALL_INTERVAL_S
+        root = RootId(f"root-{number}")
+        begin = perf_counter_ns()
+        key = make_key("callers", ServiceName("cue"), "GET", f"/{number}", BODY)
+        if not failed.holds(key, now):
+            ledger.open(root, 1, now + 2)
+        budget.earn(now)
+        if budget.spend() and not ledger.spend(root, now):
+            budget.refund()
+        ledger.close(root)
+        failed.record(key, now + 10, now)
+        times.append(perf_counter_ns() - begin)
+    return _make_row("retry", roots, times)
+
+
+def measure_routing() -> list[Row]:
+    """Time one choice with its observation, and one retry decision."""
+    rows = [_measure_choice("routing, one service", size, 1) for size in SIZES]
+    rows += [
+        _measure_choice("routing, 5% lost", size, 1, failing=0.05) for size in SIZES
+    ]
+    rows.append(_measure_choice("routing, 190 services", TARGET_NODES, TARGET_SERVICES))
+    return rows + [_measure_retry(size) for size in SIZES]
--- a/persimmonhall/routing/pool.py
+++ b/persimmonhall/routing/pool.py
@@ -12,6 +12,7 @@
 
 SWEEP_INTERVAL_S = 0.5
 FRESH_S = 2.0
+MAX_SWEPT = 32
 MIN_SAMPLES = 5
 SLOW_FACTOR = 3.0
 SLOW_MIN_S = 0.01
@@ -115,37 +116,50 @@
         if now < self.next_sweep:
             return
         self.next_sweep = now + SWEEP_INTERVAL_S
-        self._sweep_slow(self.near, rng, now)
-        self._sweep_slow(self.far, rng, now)
-        self._sweep_failing(rng, now)
+        near = self._pick_swept(self.near, rng)
+        far = self._pick_swept(self.far, rng)
+        self._sweep_slow(near, rng, now)
+        self._sweep_slow(far, rng, now)
+        self._sweep_failing(near | far, rng, now)
+
+    def _pick_swept(
+        self, members: list[Member], rng: random.Random
+    ) -> dict[NodeName, ServerView]:
+        """Return a bounded number of servers that are not ejected."""
+        start = int(rng.random() * len(members)) if len(members) > MAX_SWEPT else 0
+        return {
+            member.node: view
+            for member in members[start : start + MAX_SWEPT]
+            if (view := self.views[member.node]).reason is None
+        }
 
     def _sweep_slow(
-        self, members: list[Member], rng: random.Random, now: float
+        self, swept: dict[NodeName, ServerView], rng: random.Random, now: float
     ) -> None:
         """Compare servers of one side; a slow zone is left by spilling."""
-        known = [
-            (member.node, view)
-            for member in members
-            if (view := self.views[member.node]).samples >= MIN_SAMPLES
-            and view.reason is None
-            and now - view.sampled_at < FRESH_S
-        ]
+        known = {
+            node: view
+            for node, view in swept.items()
+            if view.samples >= MIN_SAMPLES and now - view.sampled_at < FRESH_S
+        }
         if len(known) < 2:
             return
-        usual = statistics.median_low(view.slowness for _, view in known)
-        for node, view in known:
+        usual = statistics.median_low(view.slowness for view in known.values())
+        for node, view in known.items():
             if _is_slow(view, usual):
                 self.eject(node, EjectReason.SLOW, rng, now)
 
-    def _sweep_failing(self, rng: random.Random, now: float) -> None:
-        shares = [view.failure_share for view in self.views.values()]
-        if not shares or max(shares) < FAILING_SHARE:
+    def _sweep_failing(
+        self, swept: dict[NodeName, ServerView], rng: random.Random, now: float
+    ) -> None:
+        failing = [n for n, v in swept.items() if v.failure_share >= FAILING_SHARE]
+        if not failing:
             return
+        shares = (view.failure_share for view in swept.values())
         if statistics.median_low(shares) > USUAL_FAILING_SHARE:
             return
-        for node, view in self.views.items():
-            if view.failure_share >= FAILING_SHARE and view.reason is None:
-                self.eject(node, EjectReason.FAILING, rng, now)
+        for node in failing:
+            self.eject(node, EjectReason.FAILING, rng, now)
 
 
 def _is_slow(view: ServerView, usual: float) -> bool:
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -200,7 +200,7 @@
         """Return up to two random members that are usable."""
         picks: list[Member] = []
         for member in self._in_random_order(members):
-            if member.node in exclude or member in picks:
+            if member.node in exclude or (picks and member is picks[0]):
                 continue
             if is_usable(pool.views[member.node], now):
                 picks.append(member)
--- a/persimmonhall/routing/tests/test_router.py
+++ b/persimmonhall/routing/tests/test_router.py
@@ -181,6 +181,16 @@
     assert traffic.reasons[ChoiceReason.OTHER_ZONE] > 950
 
 
+@pytest.mark.parametrize("name", BAD)
+def test_bad_server_alone_in_its_zone_is_left(name):
+    traffic = Traffic(near=1, far=2)
+    traffic.run(500)
+    bad = "suva-cue-1"
+    traffic.outcome[bad], traffic.latency_s[bad] = BAD[name]
+    traffic.run(400)
+    assert traffic.run(2000)[bad] < 0.15 * 2000
+
+
 def test_stale_load_is_forgotten():
     traffic = Traffic(near=2)
     traffic.load["suva-cue-1"] = Load(40, 40, 4, 0)
