--- a/tests/sender.py
+++ b/tests/sender.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Success
 
 from harness.processes import Running
-from harness.standin import REFUSED_CALL_STATUS
+from harness.standin import REFUSED_CALL_HEADER, Onward
 from persimmonhall.errors import ErrorKind
 from persimmonhall.http.client import PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -83,7 +83,7 @@
 def _judge(answer: HttpAnswer) -> str:
     if answer.status < 400:
         return "whole"
-    if answer.status == REFUSED_CALL_STATUS:
+    if answer.header(REFUSED_CALL_HEADER) == Onward.REFUSED.value:
         return "refused: call of the backend server"
     if answer.header(b"content-type") != "application/problem+json":
         return f"cut: {answer.status} of the backend server"
