Add the replication core and a seeded explorer of it

Cause: the log had one replica, so one lost VM lost every accepted change. A replica's identity is the id of its disk, so a lost disk can never vote again. The explorer runs losses, cuts, freezes, crashes, lost disks and membership changes from a seed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency
+.PHONY: all install format lint test demo latency explore
 
 all: test
 
@@ -30,3 +30,11 @@
 
 latency: install
 	$(BIN)/python -m harness.latency
+
+SEEDS ?= 300
+SEED_START ?= 0
+
+# SEEDS=N runs N seeds from SEED_START on; SEED=N replays one.
+explore: install
+	$(BIN)/python -m harness.explorer --seeds $(SEEDS) --start $(SEED_START) \
+		$(if $(SEED),--seed $(SEED))
--- /dev/null
+++ b/harness/explorer/__init__.py
@@ -0,0 +1,1 @@
+"""Explore seeded schedules of faults over the replication core."""
--- /dev/null
+++ b/harness/explorer/disk.py
@@ -0,0 +1,63 @@
+"""Model a disk that keeps only what was synced."""
+
+import random
+
+from persimmonhall.ids import LogIndex
+from persimmonhall.raft.outbox import Persist
+from persimmonhall.raft.state import Stored
+
+
+class Disk:
+    """Hold synced state and the writes under way."""
+
+    def __init__(self, stored: Stored):
+        self._stored = stored
+        self._unsynced: list[Persist] = []
+
+    def write(self, persists: tuple[Persist, ...]) -> None:
+        """Start to write."""
+        self._unsynced.extend(persists)
+
+    def sync(self) -> int | None:
+        """Finish all writes and return the number of the last one."""
+        if not self._unsynced:
+            return None
+        for persist in self._unsynced:
+            self._stored = written(self._stored, persist)
+        sequence = self._unsynced[-1].sequence
+        self._unsynced = []
+        return sequence
+
+    def crash(self, rng: random.Random) -> Stored:
+        """Drop writes that were not synced, but for some of the oldest."""
+        kept = rng.randint(0, len(self._unsynced))
+        for persist in self._unsynced[:kept]:
+            self._stored = written(self._stored, persist)
+        self._unsynced = []
+        return self._stored
+
+
+class ForgetfulDisk(Disk):
+    """Report writes as synced while they can still be lost."""
+
+    def sync(self) -> int | None:
+        """Return the number of the last write and sync nothing."""
+        return self._unsynced[-1].sequence if self._unsynced else None
+
+    def crash(self, rng: random.Random) -> Stored:
+        """Lose the newest of the writes that were reported as synced."""
+        for persist in self._unsynced[: -rng.randint(1, 5)]:
+            self._stored = written(self._stored, persist)
+        self._unsynced = []
+        return self._stored
+
+
+def written(stored: Stored, persist: Persist) -> Stored:
+    """Return what the disk holds after a write."""
+    if persist.snapshot is not None:
+        return Stored(persist.state, persist.snapshot, persist.entries)
+    if not persist.entries:
+        return Stored(persist.state, stored.snapshot, stored.entries)
+    start = stored.snapshot.index if stored.snapshot else LogIndex(0)
+    kept = stored.entries[: persist.entries[0].index - start - 1]
+    return Stored(persist.state, stored.snapshot, kept + persist.entries)
--- /dev/null
+++ b/harness/explorer/machine.py
@@ -0,0 +1,48 @@
+"""Apply commands to a small state with revisions and claims."""
+
+import json
+import zlib
+
+from persimmonhall.ids import LogIndex
+from persimmonhall.raft.messages import Entry, EntryKind, Snapshot
+
+
+class Machine:
+    """Hold revisions, claims, first answers and a checksum of the history."""
+
+    def __init__(self):
+        self.index = LogIndex(0)
+        self.chain = 0
+        self._revisions: dict[str, int] = {}
+        self._answers: dict[str, str] = {}
+
+    def apply(self, entry: Entry) -> str:
+        """Apply one entry and return its answer."""
+        if entry.index != self.index + 1:
+            raise AssertionError(f"applied {entry.index} after {self.index}")
+        self.index = entry.index
+        text = b"%d %d " % (entry.index, entry.term) + entry.data
+        self.chain = zlib.crc32(text, self.chain)
+        if entry.kind is not EntryKind.COMMAND:
+            return ""
+        change, key, expected = entry.data.decode().split()
+        answer = self._answers.get(change)
+        if answer is None:
+            answer = self._answers[change] = self._decide(key, int(expected))
+        return answer
+
+    def _decide(self, key: str, expected: int) -> str:
+        current = self._revisions.get(key, 0)
+        if expected != current:
+            return f"conflict {key}.{current}"
+        self._revisions[key] = current + 1
+        return f"granted {key}.{expected}"
+
+    def state(self) -> bytes:
+        """Write the state for a snapshot."""
+        return json.dumps([self.chain, self._revisions, self._answers]).encode()
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Take over the state of a snapshot."""
+        self.index = snapshot.index
+        self.chain, self._revisions, self._answers = json.loads(snapshot.data)
--- /dev/null
+++ b/harness/explorer/replica.py
@@ -0,0 +1,120 @@
+"""Run one replica of a schedule: core, disk and state machine."""
+
+import random
+from dataclasses import dataclass, field
+
+from harness.explorer.checker import Checker
+from harness.explorer.disk import Disk
+from harness.explorer.machine import Machine
+from persimmonhall.ids import LogIndex, ReplicaId, Term
+from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.messages import Entry, EntryKind, Snapshot
+from persimmonhall.raft.outbox import Outgoing
+from persimmonhall.raft.state import Stored
+
+SNAPSHOT_ENTRIES = 40
+
+
+@dataclass
+class Variant:
+    """Choose the parts of a replica; tests put broken ones in."""
+
+    core: type[Core] = Core
+    disk: type[Disk] = Disk
+    new_id_after_disk_loss: bool = True
+
+
+@dataclass
+class Pending:
+    """Remember a proposal until its entry is applied."""
+
+    term: Term
+    change: str
+
+
+@dataclass
+class SimReplica:
+    """Hold one replica between its events."""
+
+    name: str
+    replica_id: ReplicaId
+    stored: Stored
+    variant: Variant
+    checker: Checker
+    rng: random.Random
+    now: float
+    up: bool = True
+    frozen: bool = False
+    sync_s: float = 0.005
+    pending: dict[LogIndex, Pending] = field(default_factory=dict)
+    reads: dict[int, LogIndex] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.disk = self.variant.disk(self.stored)
+        self.boot(self.stored, self.now)
+
+    def boot(self, stored: Stored, now: float) -> None:
+        """Start from what the disk holds."""
+        self.up = True
+        self.machine = Machine()
+        self.pending, self.reads = {}, {}
+        self._due_reads: list[tuple[int, LogIndex]] = []
+        self.core = self.variant.core(self.replica_id, stored, self.rng, now)
+
+    def crash(self) -> Stored:
+        """Stop at once and return what the disk still holds."""
+        self.up = False
+        return self.disk.crash(self.rng)
+
+    def propose(self, change: str, key: str, expected: int) -> None:
+        """Propose a change if this replica leads."""
+        index = self.core.propose(f"{change} {key} {expected}".encode())
+        if index is not None:
+            self.pending[index] = Pending(self.core.term, change)
+
+    def read(self, number: int) -> None:
+        """Begin a read."""
+        if self.core.read(number):
+            self.reads[number] = self.checker.acknowledged
+
+    def take(self, now: float) -> tuple[tuple[Outgoing, ...], bool]:
+        """Apply what is committed; return messages and whether a sync is due."""
+        ready = self.core.take(now)
+        if self.core.role is Role.LEADER:
+            self.checker.leads(self.replica_id, self.core.term)
+        self.disk.write(ready.persists)
+        for item in ready.committed:
+            self._apply(item)
+        for read in ready.reads:
+            self._due_reads.append((read.number, read.index))
+        self._serve()
+        self._compact()
+        return ready.messages, bool(ready.persists)
+
+    def _apply(self, item: Entry | Snapshot) -> None:
+        if isinstance(item, Snapshot):
+            if item.data:
+                self.machine.restore(item)
+            self.machine.index = item.index
+            self.checker.applied(self.replica_id, item.index, self.machine.chain)
+            return
+        answer = self.machine.apply(item)
+        self.checker.applied(self.replica_id, item.index, self.machine.chain)
+        if item.kind is EntryKind.REPLICAS:
+            self.checker.replicas_index = max(self.checker.replicas_index, item.index)
+        pending = self.pending.pop(item.index, None)
+        if pending is not None and pending.term == item.term:
+            self.checker.answered(pending.change, answer, item.index)
+
+    def _serve(self) -> None:
+        due, self._due_reads = self._due_reads, []
+        for number, index in due:
+            if index > self.machine.index:
+                self._due_reads.append((number, index))
+            elif number in self.reads:
+                least = self.reads.pop(number)
+                self.checker.served(self.replica_id, self.machine.index, least)
+
+    def _compact(self) -> None:
+        if self.machine.index >= self.core.snapshot_index + SNAPSHOT_ENTRIES:
+            self.core.compact(self.machine.index, self.machine.state())
--- /dev/null
+++ b/harness/explorer/world.py
@@ -0,0 +1,257 @@
+"""Run replicas, clients and faults in virtual time from one seed."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from harness.explorer.checker import Checker, ViolationError
+from harness.explorer.replica import SimReplica, Variant
+from persimmonhall.ids import LogIndex, NodeName, ReplicaId, Term
+from persimmonhall.raft.core import Role
+from persimmonhall.raft.log import encode_replicas
+from persimmonhall.raft.messages import (
+    NO_VOTE,
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    Message,
+    ReplicaSet,
+)
+from persimmonhall.raft.state import Stored
+
+JOIN_INTERVAL_S = 0.5
+RESEND_S = 0.7
+FREEZE_STEP_S = 0.05
+CLUSTER = "explorer"
+
+
+@dataclass
+class NetworkFaults:
+    """Set how often messages are lost, doubled and late."""
+
+    loss: float = 0.0
+    double: float = 0.0
+    delay_s: float = 0.002
+    late: float = 0.0
+
+
+class World:
+    """Hold the events of one schedule."""
+
+    def __init__(self, seed: int, variant: Variant, voters: int = 3):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.steps = 0
+        self.checker = Checker()
+        self.faults = NetworkFaults()
+        self.cuts: set[tuple[str, str]] = set()
+        self.replicas: dict[str, SimReplica] = {}
+        self._variant = variant
+        self._events: list[tuple[float, int, Callable, tuple]] = []
+        self._numbers = itertools.count()
+        self._disks = itertools.count(1)
+        self._ticks: dict[str, float] = {}
+        names = [f"r{n}" for n in range(1, voters + 1)]
+        self._bootstrap(names)
+
+    @property
+    def leader(self) -> SimReplica | None:
+        """Return the leader of the highest term among running replicas."""
+        leaders = [
+            r for r in self.replicas.values() if r.up and r.core.role is Role.LEADER
+        ]
+        return max(leaders, key=lambda r: r.core.term, default=None)
+
+    def _bootstrap(self, names: list[str]) -> None:
+        members = tuple(
+            Member(self._new_id(name), NodeName(name), name, True) for name in names
+        )
+        data = encode_replicas(ReplicaSet(CLUSTER, members))
+        first = Entry(LogIndex(1), Term(1), EntryKind.REPLICAS, data)
+        stored = Stored(HardState(Term(1), NO_VOTE), None, (first,))
+        for member in members:
+            self.add(member.name, member.id, stored)
+
+    def _new_id(self, name: str) -> ReplicaId:
+        return ReplicaId(f"{name}#{next(self._disks)}")
+
+    def add(self, name: str, replica_id: ReplicaId, stored: Stored) -> None:
+        """Start a replica."""
+        seed = self.rng.getrandbits(32)
+        rng = random.Random(seed)
+        self.replicas[name] = SimReplica(
+            name, replica_id, stored, self._variant, self.checker, rng, self.now
+        )
+        self._schedule_tick(self.replicas[name])
+        if not stored.entries and stored.snapshot is None:
+            self._ask_to_join(name, replica_id)
+
+    def add_empty(self, name: str) -> None:
+        """Start a replica with an empty disk; it joins as a learner."""
+        keeps_id = name in self.replicas and not self._variant.new_id_after_disk_loss
+        known = self.replicas[name].replica_id if keeps_id else self._new_id(name)
+        self.add(name, known, Stored())
+
+    def at(self, when: float, function: Callable, *args) -> None:
+        """Schedule an event."""
+        heapq.heappush(self._events, (when, next(self._numbers), function, args))
+
+    def run_until(self, end: float) -> None:
+        """Run events up to a time."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, function, args = heapq.heappop(self._events)
+            function(*args)
+        self.now = end
+
+    def after_input(self, replica: SimReplica) -> None:
+        """Carry out what a replica asks for after an input."""
+        self.steps += 1
+        messages, writes = replica.take(self.now)
+        for outgoing in messages:
+            self._send(replica, outgoing.to, outgoing.message)
+        if writes:
+            delay = replica.sync_s * (0.5 + self.rng.random())
+            self.at(self.now + delay, self._sync, replica, replica.core)
+        self._schedule_tick(replica)
+
+    def client_change(self, number: int, tries: int = 6) -> None:
+        """Send a change to some replica, again until it is answered."""
+        change = f"c{number}"
+        if change in self.checker.answers or tries == 0:
+            return
+        key, expected = f"k{number % 5}.{number // 10}", 0
+        replica = self.rng.choice(list(self.replicas.values()))
+        self.at(self.now + RESEND_S, self.client_change, number, tries - 1)
+        target = self.leader if self.rng.random() < 0.6 else replica
+        if target is not None and target.up and not target.frozen:
+            target.propose(change, key, expected)
+            target.read(number * 10 + tries)
+            self.after_input(target)
+
+    def crash(self, name: str, down_s: float) -> None:
+        """Stop a replica at once and start it again later."""
+        replica = self.replicas[name]
+        if replica.up:
+            stored = replica.crash()
+            self.at(self.now + down_s, self._restart, replica, stored)
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stop a replica from acting for a while."""
+        replica = self.replicas[name]
+        replica.frozen = True
+        self.at(self.now + seconds, self._thaw, replica)
+
+    def lose_disk(self, name: str) -> None:
+        """Stop a replica and start it with an empty disk."""
+        self.replicas[name].up = False
+        self.add_empty(name)
+
+    def may_lose_disk(self, name: str) -> bool:
+        """Tell whether a majority of good disks would be left."""
+        good = {r.replica_id for r in self.replicas.values()}
+        good.discard(self.replicas[name].replica_id)
+        for replica in self.replicas.values():
+            log = replica.core._state.log
+            if log.replicas_index >= self.checker.replicas_index:
+                voters = log.replicas.voters
+                if len(good & set(voters)) < log.replicas.quorum:
+                    return False
+        return True
+
+    def heal(self) -> None:
+        """End all faults of the network, disks and processes."""
+        self.faults = NetworkFaults()
+        self.cuts.clear()
+        for replica in self.replicas.values():
+            replica.sync_s = 0.005
+
+    def check_end(self) -> None:
+        """Check that all members have all that was accepted."""
+        leader = self.leader
+        if leader is None:
+            raise ViolationError("no leader after all faults ended")
+        for replica in self.replicas.values():
+            if leader.core.replicas.get(replica.replica_id) is not None:
+                self.checker.whole(replica.replica_id, replica.machine.index)
+
+    def _restart(self, replica: SimReplica, stored: Stored) -> None:
+        if self.replicas[replica.name] is not replica or replica.up:
+            return
+        replica.boot(stored, self.now)
+        self.after_input(replica)
+
+    def _thaw(self, replica: SimReplica) -> None:
+        replica.frozen = False
+
+    def _sync(self, replica: SimReplica, core: object) -> None:
+        if not replica.up or replica.core is not core:
+            return
+        sequence = replica.disk.sync()
+        if sequence is not None:
+            self._report_sync(replica, core, sequence)
+
+    def _report_sync(self, replica: SimReplica, core: object, sequence: int) -> None:
+        if not replica.up or replica.core is not core:
+            return
+        if replica.frozen:
+            later = self.now + FREEZE_STEP_S
+            self.at(later, self._report_sync, replica, core, sequence)
+            return
+        replica.core.synced(sequence, self.now)
+        self.after_input(replica)
+
+    def _schedule_tick(self, replica: SimReplica) -> None:
+        due = max(replica.core.next_tick, self.now)
+        if self._ticks.get(replica.replica_id) != due:
+            self._ticks[replica.replica_id] = due
+            self.at(due, self._tick, replica, replica.core, due)
+
+    def _tick(self, replica: SimReplica, core: object, due: float) -> None:
+        current = self._ticks.get(replica.replica_id) == due
+        if not replica.up or replica.core is not core or not current:
+            return
+        if replica.frozen:
+            later = self.now + FREEZE_STEP_S
+            self._ticks[replica.replica_id] = later
+            self.at(later, self._tick, replica, core, later)
+            return
+        replica.core.tick(self.now)
+        self._ticks.pop(replica.replica_id, None)
+        self.after_input(replica)
+
+    def _send(self, sender: SimReplica, to: ReplicaId, message: Message) -> None:
+        name = to.partition("#")[0]
+        faults, rng = self.faults, self.rng
+        if (sender.name, name) in self.cuts or rng.random() < faults.loss:
+            return
+        copies = 2 if rng.random() < faults.double else 1
+        for _ in range(copies):
+            delay = faults.delay_s * (0.5 + rng.random())
+            if rng.random() < faults.late:
+                delay += rng.random()
+            self.at(self.now + delay, self._deliver, sender.replica_id, to, message)
+
+    def _deliver(self, sender: ReplicaId, to: ReplicaId, message: Message) -> None:
+        replica = self.replicas.get(to.partition("#")[0])
+        if replica is None or not replica.up or replica.replica_id != to:
+            return
+        if replica.frozen:
+            self.at(self.now + FREEZE_STEP_S, self._deliver, sender, to, message)
+            return
+        replica.core.step(sender, message, self.now)
+        self.after_input(replica)
+
+    def _ask_to_join(self, name: str, replica_id: ReplicaId) -> None:
+        replica = self.replicas[name]
+        if replica.replica_id != replica_id or replica.core.replicas.members:
+            return
+        member = Member(replica_id, NodeName(name), name, False)
+        for other in self.replicas.values():
+            cut = (name, other.name) in self.cuts
+            if other.up and not other.frozen and not cut:
+                other.core.join(member, self.now)
+                self.after_input(other)
+        self.at(self.now + JOIN_INTERVAL_S, self._ask_to_join, name, replica_id)
--- /dev/null
+++ b/persimmonhall/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Replicate a log: the Raft protocol without clocks, sockets or files."""
--- /dev/null
+++ b/persimmonhall/raft/core.py
@@ -0,0 +1,297 @@
+"""Decide what one replica writes, sends and commits."""
+
+import random
+from enum import Enum
+
+from persimmonhall.ids import LogIndex, ReplicaId, Term
+from persimmonhall.raft.follower import Follower
+from persimmonhall.raft.leader import Leader
+from persimmonhall.raft.messages import (
+    NO_VOTE,
+    Append,
+    AppendReply,
+    ChunkReply,
+    Member,
+    Message,
+    ReplicaSet,
+    SnapshotChunk,
+    TimeoutNow,
+    Vote,
+    VoteReply,
+)
+from persimmonhall.raft.outbox import Ready
+from persimmonhall.raft.state import ReplicaState, Stored
+from persimmonhall.raft.timing import ELECTION_S, ELECTION_SPREAD_S
+
+
+class Role(Enum):
+    """Tell what part a replica plays in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "preCandidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Core:
+    """Run the protocol for one replica; the caller does all input and output."""
+
+    leader_class = Leader
+
+    def __init__(
+        self, replica_id: ReplicaId, stored: Stored, rng: random.Random, now: float
+    ):
+        self._state = ReplicaState(replica_id, stored)
+        self._follower = Follower(self._state)
+        self._rng = rng
+        self._role = Role.FOLLOWER
+        self._leader: Leader | None = None
+        self._leader_id: ReplicaId | None = None
+        self._heard_at = -ELECTION_S
+        self._votes: dict[ReplicaId, bool] = {}
+        self._own_vote_sequence = 0
+        self._reset_election(now)
+        if self.replicas.voters == (replica_id,):
+            self._election_at = now
+
+    @property
+    def id(self) -> ReplicaId:
+        """Return the id of the replica's disk."""
+        return self._state.id
+
+    @property
+    def term(self) -> Term:
+        """Return the current term."""
+        return self._state.term
+
+    @property
+    def role(self) -> Role:
+        """Return the current role."""
+        return self._role
+
+    @property
+    def leader_id(self) -> ReplicaId | None:
+        """Return the leader of the current term, if known."""
+        return self._leader_id
+
+    @property
+    def commit(self) -> LogIndex:
+        """Return the highest index known to be committed."""
+        return self._state.commit
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the newest entry."""
+        return self._state.log.last_index
+
+    @property
+    def snapshot_index(self) -> LogIndex:
+        """Return the index of the newest snapshot."""
+        return self._state.log.snapshot.index
+
+    @property
+    def replicas(self) -> ReplicaSet:
+        """Return the newest replica set."""
+        return self._state.replicas
+
+    @property
+    def matches(self) -> dict[ReplicaId, LogIndex]:
+        """Return up to where each peer's log matches, if this replica leads."""
+        return self._leader.matches if self._leader else {}
+
+    @property
+    def accepts_proposals(self) -> bool:
+        """Tell whether a proposal can be appended here now."""
+        return self._leader is not None and not self._leader.transferring
+
+    @property
+    def next_tick(self) -> float:
+        """Return when the replica has to act by itself."""
+        return self._leader.next_tick if self._leader else self._election_at
+
+    def tick(self, now: float) -> None:
+        """Act on the time."""
+        if self._leader is not None:
+            self._leader.tick(now)
+            if self._leader.removed or not self._leader.has_quorum(now):
+                self._follow(self.term, None, now)
+        elif now >= self._election_at:
+            self._reset_election(now)
+            if self._is_voter():
+                self._campaign()
+
+    def step(self, sender: ReplicaId, message: Message, now: float) -> None:
+        """Act on a message."""
+        if isinstance(message, Vote):
+            self._on_vote(sender, message, now)
+            return
+        if isinstance(message, VoteReply) and message.pre and message.granted:
+            self._on_vote_reply(sender, message, now)
+            return
+        if message.term > self.term:
+            self._follow(message.term, None, now)
+        if message.term < self.term:
+            self._on_outdated(sender, message)
+            return
+        self._on_current(sender, message, now)
+
+    def propose(self, data: bytes) -> LogIndex | None:
+        """Append a command if this replica leads and return its index."""
+        return self._leader.propose(data) if self.accepts_proposals else None
+
+    def read(self, number: int) -> bool:
+        """Ask for a linearizable read if this replica leads."""
+        if self._leader is None:
+            return False
+        self._leader.read(number)
+        return True
+
+    def join(self, member: Member, now: float) -> None:
+        """Take in a replica if this replica leads."""
+        if self._leader is not None:
+            self._leader.join(member, now)
+
+    def remove(self, replica: ReplicaId, now: float) -> bool:
+        """Remove a member if this replica leads and no change is under way."""
+        return self._leader is not None and self._leader.remove(replica, now)
+
+    def transfer(self, now: float) -> bool:
+        """Start to hand leadership over if this replica leads."""
+        return self._leader is not None and self._leader.transfer(now)
+
+    def compact(self, index: LogIndex, data: bytes) -> None:
+        """Replace the log up to an applied index by the state at that index."""
+        self._state.compact(index, data)
+
+    def synced(self, sequence: int, now: float) -> None:
+        """Record that writes up to a number are on disk."""
+        self._state.synced(sequence)
+        if self._role is Role.CANDIDATE and sequence >= self._own_vote_sequence:
+            self._count_vote(self.id, True, now)
+
+    def take(self, now: float) -> Ready:
+        """Return what is to be written, sent, applied and read."""
+        if self._leader is not None:
+            self._leader.flush(now)
+        return self._state.take()
+
+    def _is_voter(self) -> bool:
+        return self.id in self.replicas.voters
+
+    def _hears_leader(self, now: float) -> bool:
+        return self._leader is not None or now < self._heard_at + ELECTION_S
+
+    def _reset_election(self, now: float) -> None:
+        spread = self._rng.random() * ELECTION_SPREAD_S
+        self._election_at = now + ELECTION_S + spread
+
+    def _follow(self, term: Term, leader: ReplicaId | None, now: float) -> None:
+        if term > self.term:
+            self._state.set_term(term)
+        if self._leader is not None:
+            self._heard_at = -ELECTION_S
+            self._reset_election(now)
+        self._role = Role.FOLLOWER
+        self._leader = None
+        self._leader_id = leader
+
+    def _campaign(self) -> None:
+        """Ask first whether an election would be won."""
+        self._role = Role.PRE_CANDIDATE
+        self._leader_id = None
+        self._votes = {self.id: True}
+        self._ask_votes(Term(self.term + 1), pre=True)
+        if self._won():
+            self._stand(transfer=False)
+
+    def _stand(self, *, transfer: bool) -> None:
+        """Start a real election."""
+        self._role = Role.CANDIDATE
+        self._leader_id = None
+        self._votes = {}
+        self._state.set_term(Term(self.term + 1), self.id)
+        self._own_vote_sequence = self._state.outbox.sequence
+        self._ask_votes(self.term, pre=False, transfer=transfer)
+
+    def _ask_votes(self, term: Term, *, pre: bool, transfer: bool = False) -> None:
+        log = self._state.log
+        vote = Vote(term, log.last_index, log.last_term, pre, transfer)
+        for voter in self.replicas.voters:
+            if voter != self.id:
+                self._state.outbox.send_after_sync(voter, vote)
+
+    def _on_vote(self, sender: ReplicaId, vote: Vote, now: float) -> None:
+        if self._hears_leader(now) and not vote.transfer:
+            return
+        if vote.term > self.term and not vote.pre:
+            self._follow(vote.term, None, now)
+        log = self._state.log
+        fresh = (vote.last_term, vote.last_index) >= (log.last_term, log.last_index)
+        if vote.pre:
+            granted = fresh and vote.term > self.term
+        else:
+            free = self._state.vote in (NO_VOTE, sender)
+            granted = fresh and free and vote.term == self.term
+        if granted and not vote.pre:
+            self._state.set_term(self.term, sender)
+            self._reset_election(now)
+        term = vote.term if granted else self.term
+        reply = VoteReply(term, granted, vote.pre)
+        self._state.outbox.send_after_sync(sender, reply)
+
+    def _on_vote_reply(self, sender: ReplicaId, reply: VoteReply, now: float) -> None:
+        asked = Role.PRE_CANDIDATE if reply.pre else Role.CANDIDATE
+        term = self.term + 1 if reply.pre else self.term
+        if self._role is asked and reply.term == term:
+            self._count_vote(sender, reply.granted, now)
+
+    def _count_vote(self, voter: ReplicaId, granted: bool, now: float) -> None:
+        self._votes[voter] = granted
+        if not self._won():
+            return
+        if self._role is Role.PRE_CANDIDATE:
+            self._stand(transfer=False)
+        else:
+            self._lead(now)
+
+    def _won(self) -> bool:
+        granted = [v for v in self.replicas.voters if self._votes.get(v)]
+        return len(granted) >= self.replicas.quorum
+
+    def _lead(self, now: float) -> None:
+        self._role = Role.LEADER
+        self._leader_id = self.id
+        self._leader = self.leader_class(self._state, now)
+
+    def _on_outdated(self, sender: ReplicaId, message: Message) -> None:
+        # The sender of an older term steps down when it sees the newer one.
+        if isinstance(message, Append | SnapshotChunk):
+            zero = LogIndex(0)
+            reply = AppendReply(self.term, False, zero, zero, message.round)
+            self._state.outbox.send_after_sync(sender, reply)
+
+    def _on_current(self, sender: ReplicaId, message: Message, now: float) -> None:
+        match message:
+            case Append() | SnapshotChunk():
+                self._on_leader(sender, message, now)
+            case VoteReply():
+                self._on_vote_reply(sender, message, now)
+            case AppendReply() if self._leader is not None:
+                self._leader.on_append_reply(sender, message, now)
+            case ChunkReply() if self._leader is not None:
+                self._leader.on_chunk_reply(sender, message, now)
+            case TimeoutNow() if self._leader is None and self._is_voter():
+                self._stand(transfer=True)
+
+    def _on_leader(
+        self, sender: ReplicaId, message: Append | SnapshotChunk, now: float
+    ) -> None:
+        if self._role is Role.LEADER:
+            raise AssertionError(f"two leaders in term {self.term}")
+        self._follow(self.term, sender, now)
+        self._heard_at = now
+        self._reset_election(now)
+        if isinstance(message, Append):
+            self._follower.on_append(sender, message)
+        else:
+            self._follower.on_chunk(sender, message)
--- /dev/null
+++ b/persimmonhall/raft/follower.py
@@ -0,0 +1,106 @@
+"""Follow: check and store what a leader sends."""
+
+from persimmonhall.ids import LogIndex, ReplicaId
+from persimmonhall.raft.messages import (
+    Append,
+    AppendReply,
+    ChunkReply,
+    Snapshot,
+    SnapshotChunk,
+)
+from persimmonhall.raft.state import ReplicaState
+
+
+class Follower:
+    """Answer a leader; keep the parts of a snapshot under way."""
+
+    def __init__(self, state: ReplicaState):
+        self._state = state
+        self._chunks = bytearray()
+        self._chunks_of: tuple = ()
+
+    def on_append(self, leader: ReplicaId, append: Append) -> None:
+        """Store entries that fit the own log."""
+        state = self._state
+        number = append.round
+        if append.prev_index < state.commit:
+            append = _cut(append, state.commit)
+            if append is None:
+                self._acknowledge(leader, state.commit, number)
+                return
+        if state.log.term_at(append.prev_index) != append.prev_term:
+            self._reject(leader, append)
+            return
+        new = self._unknown_entries(append)
+        if new:
+            state.append(new)
+        matched = LogIndex(append.prev_index + len(append.entries))
+        state.commit_to(LogIndex(min(append.commit, matched)))
+        self._acknowledge(leader, matched, number)
+
+    def on_chunk(self, leader: ReplicaId, chunk: SnapshotChunk) -> None:
+        """Store one part of a snapshot and install it once whole."""
+        state = self._state
+        if chunk.index <= state.commit:
+            self._acknowledge(leader, state.commit, chunk.round)
+            return
+        identity = (chunk.index, chunk.snapshot_term)
+        if identity != self._chunks_of:
+            self._chunks_of = identity
+            self._chunks = bytearray()
+        if chunk.offset == len(self._chunks):
+            self._chunks += chunk.data
+            if chunk.last:
+                self._install(leader, chunk)
+                return
+        reply = ChunkReply(state.term, chunk.index, len(self._chunks), chunk.round)
+        state.outbox.send(leader, reply)
+
+    def _install(self, leader: ReplicaId, chunk: SnapshotChunk) -> None:
+        data = bytes(self._chunks)
+        self._chunks_of, self._chunks = (), bytearray()
+        self._state.install(
+            Snapshot(chunk.index, chunk.snapshot_term, chunk.replicas, data)
+        )
+        reply = AppendReply(
+            self._state.term, True, chunk.index, LogIndex(0), chunk.round
+        )
+        self._state.outbox.send_after_sync(leader, reply)
+
+    def _unknown_entries(self, append: Append) -> tuple:
+        for number, entry in enumerate(append.entries):
+            if self._state.log.term_at(entry.index) != entry.term:
+                return append.entries[number:]
+        return ()
+
+    def _acknowledge(self, leader: ReplicaId, matched: LogIndex, number: int) -> None:
+        state = self._state
+        if state.term_synced:
+            # A slow sync must not make the leader believe that this replica is gone.
+            synced = LogIndex(min(matched, state.stable))
+            early = AppendReply(state.term, True, synced, LogIndex(0), number)
+            state.outbox.send(leader, early)
+            if synced == matched:
+                return
+        reply = AppendReply(state.term, True, matched, LogIndex(0), number)
+        state.outbox.send_after_sync(leader, reply)
+
+    def _reject(self, leader: ReplicaId, append: Append) -> None:
+        state = self._state
+        hint = min(state.log.last_index, LogIndex(append.prev_index - 1))
+        conflict = state.log.term_at(append.prev_index)
+        while conflict is not None and hint > state.commit:
+            if state.log.term_at(hint) != conflict:
+                break
+            hint -= 1
+        reply = AppendReply(state.term, False, hint, append.prev_index, append.round)
+        state.outbox.send_after_sync(leader, reply)
+
+
+def _cut(append: Append, commit: LogIndex) -> Append | None:
+    """Drop the entries up to the commit index, which match in any case."""
+    kept = tuple(e for e in append.entries if e.index > commit)
+    if not kept:
+        return None
+    prev = append.entries[commit - append.prev_index - 1]
+    return Append(append.term, commit, prev.term, kept, append.commit, append.round)
--- /dev/null
+++ b/persimmonhall/raft/leader.py
@@ -0,0 +1,273 @@
+"""Lead: replicate entries, commit them and change the replica set."""
+
+from persimmonhall.ids import LogIndex, ReplicaId
+from persimmonhall.raft.log import encode_replicas
+from persimmonhall.raft.membership import next_change, with_joined, without
+from persimmonhall.raft.messages import (
+    Append,
+    AppendReply,
+    ChunkReply,
+    Entry,
+    EntryKind,
+    Member,
+    ReplicaSet,
+    SnapshotChunk,
+    TimeoutNow,
+)
+from persimmonhall.raft.outbox import ReadReady
+from persimmonhall.raft.progress import Progress
+from persimmonhall.raft.reads import ReadRounds
+from persimmonhall.raft.state import ReplicaState
+from persimmonhall.raft.timing import ELECTION_S, HEARTBEAT_S
+
+MAX_APPEND_BYTES = 256 * 1024
+MAX_CHUNK_BYTES = 256 * 1024
+MAX_UNACKNOWLEDGED_ENTRIES = 4096
+
+
+class Leader:
+    """Hold what a replica needs only while it leads."""
+
+    max_append_bytes = MAX_APPEND_BYTES
+
+    def __init__(self, state: ReplicaState, now: float):
+        self._state = state
+        self._progress: dict[ReplicaId, Progress] = {}
+        self._reads = ReadRounds()
+        self._beat_at = now
+        self._transfer_to: ReplicaId | None = None
+        self._transfer_until = now
+        self._follow_members(now)
+        self._own_term_from = self._append(EntryKind.NO_OP, b"")
+        self._beat(now)
+
+    @property
+    def next_tick(self) -> float:
+        """Return when the next heartbeat is due."""
+        return self._beat_at
+
+    @property
+    def transferring(self) -> bool:
+        """Tell whether leadership is being handed over."""
+        return self._transfer_to is not None
+
+    @property
+    def matches(self) -> dict[ReplicaId, LogIndex]:
+        """Return up to where each peer's log is known to match."""
+        return {peer: p.match for peer, p in self._progress.items()}
+
+    @property
+    def removed(self) -> bool:
+        """Tell whether a committed replica set has no vote for this replica."""
+        state = self._state
+        settled = state.log.replicas_index <= state.commit
+        return settled and state.id not in state.replicas.voters
+
+    def has_quorum(self, now: float) -> bool:
+        """Tell whether a majority was heard from lately."""
+        state = self._state
+        heard = [p for p in state.replicas.voters if self._is_active(p, now)]
+        return len(heard) >= state.replicas.quorum
+
+    def tick(self, now: float) -> None:
+        """Send heartbeats and carry on with changes under way."""
+        if self._transfer_to is not None and now >= self._transfer_until:
+            self._transfer_to = None
+        if now >= self._beat_at:
+            self._change_replicas(now)
+            self._beat(now)
+
+    def propose(self, data: bytes) -> LogIndex:
+        """Append a command and return its index."""
+        return self._append(EntryKind.COMMAND, data)
+
+    def read(self, number: int) -> None:
+        """Confirm leadership before a read is served."""
+        self._reads.add(number)
+
+    def join(self, member: Member, now: float) -> None:
+        """Take in a replica as a learner unless a change is under way."""
+        replicas = with_joined(self._state.replicas, member)
+        if replicas != self._state.replicas:
+            self._set_replicas(replicas, now)
+
+    def remove(self, replica: ReplicaId, now: float) -> bool:
+        """Remove a member; return False while a change is under way."""
+        return self._set_replicas(without(self._state.replicas, replica), now)
+
+    def transfer(self, now: float) -> bool:
+        """Start to hand leadership to the voter that is furthest ahead."""
+        voters = [
+            p
+            for p in self._state.replicas.voters
+            if p != self._state.id and self._is_active(p, now)
+        ]
+        if not voters:
+            return False
+        self._transfer_to = max(voters, key=lambda p: self._progress[p].match)
+        self._transfer_until = now + ELECTION_S
+        self._finish_transfer()
+        return True
+
+    def flush(self, now: float) -> None:
+        """Send what was appended since the last call."""
+        if self._reads.waiting and self._state.commit >= self._own_term_from:
+            self._reads.open_round(self._state.commit)
+            self._beat(now)
+        for peer, progress in self._progress.items():
+            while self._may_send(progress):
+                self._send(peer, progress)
+        self._commit()
+        self._serve_reads()
+
+    def on_append_reply(self, peer: ReplicaId, reply: AppendReply, now: float) -> None:
+        """Record how far a peer's log matches."""
+        progress = self._heard(peer, reply.round, now)
+        if progress is None:
+            return
+        if reply.success:
+            progress.acknowledge(reply.match)
+            self._commit()
+            self._finish_transfer()
+        elif progress.reject(reply.rejected, reply.match):
+            self._send(peer, progress)
+
+    def on_chunk_reply(self, peer: ReplicaId, reply: ChunkReply, now: float) -> None:
+        """Send the next part of a snapshot."""
+        progress = self._heard(peer, reply.round, now)
+        if progress is None or progress.chunk_offset is None:
+            return
+        if reply.index == self._state.log.snapshot.index:
+            progress.chunk_offset = reply.offset
+            self._send_chunk(peer, progress)
+
+    def _heard(self, peer: ReplicaId, number: int, now: float) -> Progress | None:
+        progress = self._progress.get(peer)
+        if progress is not None:
+            progress.active_at = now
+            progress.round = max(progress.round, number)
+        return progress
+
+    def _is_active(self, peer: ReplicaId, now: float) -> bool:
+        if peer == self._state.id:
+            return True
+        progress = self._progress.get(peer)
+        return progress is not None and now < progress.active_at + ELECTION_S
+
+    def _append(self, kind: EntryKind, data: bytes) -> LogIndex:
+        state = self._state
+        index = LogIndex(state.log.last_index + 1)
+        state.append((Entry(index, state.term, kind, data),))
+        return index
+
+    def _set_replicas(self, replicas: ReplicaSet, now: float) -> bool:
+        state = self._state
+        settled = state.log.replicas_index <= state.commit
+        if not settled or state.commit < self._own_term_from:
+            return False
+        self._append(EntryKind.REPLICAS, encode_replicas(replicas))
+        self._follow_members(now)
+        return True
+
+    def _follow_members(self, now: float) -> None:
+        state = self._state
+        peers = [m.id for m in state.replicas.members if m.id != state.id]
+        following = LogIndex(state.log.last_index + 1)
+        self._progress = {
+            peer: self._progress.get(peer) or Progress(following, now) for peer in peers
+        }
+
+    def _change_replicas(self, now: float) -> None:
+        state = self._state
+        caught_up = {
+            peer
+            for peer, progress in self._progress.items()
+            if progress.match >= state.commit and self._is_active(peer, now)
+        }
+        replicas = next_change(state.replicas, caught_up)
+        if replicas is not None:
+            self._set_replicas(replicas, now)
+
+    def _beat(self, now: float) -> None:
+        self._beat_at = now + HEARTBEAT_S
+        for peer, progress in self._progress.items():
+            self._send(peer, progress)
+
+    def _may_send(self, progress: Progress) -> bool:
+        unacknowledged = progress.next - progress.match
+        return (
+            not progress.probing
+            and progress.chunk_offset is None
+            and progress.next <= self._state.log.last_index
+            and unacknowledged <= MAX_UNACKNOWLEDGED_ENTRIES
+        )
+
+    def _send(self, peer: ReplicaId, progress: Progress) -> None:
+        state = self._state
+        prev = LogIndex(progress.next - 1)
+        prev_term = state.log.term_at(prev)
+        if prev_term is None:
+            self._send_chunk(peer, progress)
+            return
+        progress.chunk_offset = None
+        entries: tuple[Entry, ...] = ()
+        if self._may_send(progress):
+            entries = state.log.after(prev, self.max_append_bytes)
+        append = Append(
+            state.term, prev, prev_term, entries, state.commit, self._reads.round
+        )
+        state.outbox.send(peer, append)
+        progress.next = LogIndex(prev + len(entries) + 1)
+
+    def _send_chunk(self, peer: ReplicaId, progress: Progress) -> None:
+        state = self._state
+        snapshot = state.log.snapshot
+        offset = progress.chunk_offset or 0
+        data = snapshot.data[offset : offset + MAX_CHUNK_BYTES]
+        progress.chunk_offset = offset
+        chunk = SnapshotChunk(
+            term=state.term,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            replicas=snapshot.replicas,
+            offset=offset,
+            data=data,
+            last=offset + len(data) >= len(snapshot.data),
+            round=self._reads.round,
+        )
+        state.outbox.send(peer, chunk)
+
+    def _commit(self) -> None:
+        state = self._state
+        voters = state.replicas.voters
+        matches = sorted((self._match(v) for v in voters), reverse=True)
+        index = matches[state.replicas.quorum - 1] if matches else LogIndex(0)
+        if index > state.commit and self._may_commit(index):
+            state.commit_to(index)
+
+    def _match(self, voter: ReplicaId) -> LogIndex:
+        if voter == self._state.id:
+            return self._state.stable
+        return self._progress[voter].match
+
+    def _may_commit(self, index: LogIndex) -> bool:
+        # An older term's entry may still be replaced though a majority holds it.
+        return self._state.log.term_at(index) == self._state.term
+
+    def _serve_reads(self) -> None:
+        state = self._state
+        rounds = {p: progress.round for p, progress in self._progress.items()}
+        rounds[state.id] = self._reads.round
+        acknowledged = sorted((rounds[v] for v in state.replicas.voters), reverse=True)
+        if not acknowledged:
+            return
+        upto = acknowledged[state.replicas.quorum - 1]
+        for number, index in self._reads.take(upto):
+            state.reads.append(ReadReady(number, index))
+
+    def _finish_transfer(self) -> None:
+        target = self._transfer_to
+        if target is None or target not in self._progress:
+            return
+        if self._progress[target].match == self._state.log.last_index:
+            self._state.outbox.send(target, TimeoutNow(self._state.term))
--- /dev/null
+++ b/persimmonhall/raft/log.py
@@ -0,0 +1,114 @@
+"""Hold the log of one replica in memory."""
+
+from persimmonhall.ids import LogIndex, Term
+from persimmonhall.raft.messages import SCHEMA, Entry, EntryKind, ReplicaSet, Snapshot
+from persimmonhall.wire.codec import decode, encode
+
+TRAILING_ENTRIES = 500
+EMPTY = Snapshot(LogIndex(0), Term(0), ReplicaSet(), b"")
+
+
+def encode_replicas(replicas: ReplicaSet) -> bytes:
+    """Write a replica set as the data of an entry."""
+    return encode(SCHEMA.ReplicaSet, replicas)
+
+
+def decode_replicas(data: bytes) -> ReplicaSet:
+    """Read a replica set from the data of an entry."""
+    return decode(SCHEMA.ReplicaSet, ReplicaSet, data)
+
+
+class Log:
+    """Keep entries after a snapshot, and some before it for slow followers."""
+
+    def __init__(self, snapshot: Snapshot | None, entries: tuple[Entry, ...]):
+        self._snapshot = snapshot or EMPTY
+        self._start = self._snapshot.index
+        self._start_term = self._snapshot.term
+        self._entries: list[Entry] = []
+        self._sets = [(self._snapshot.index, self._snapshot.replicas)]
+        self.append(entries)
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the newest snapshot."""
+        return self._snapshot
+
+    @property
+    def first_index(self) -> LogIndex:
+        """Return the index of the oldest entry held."""
+        return LogIndex(self._start + 1)
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the newest entry."""
+        return LogIndex(self._start + len(self._entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the newest entry."""
+        return self._entries[-1].term if self._entries else self._start_term
+
+    @property
+    def replicas(self) -> ReplicaSet:
+        """Return the newest replica set, committed or not."""
+        return self._sets[-1][1]
+
+    @property
+    def replicas_index(self) -> LogIndex:
+        """Return the index of the newest replica set."""
+        return self._sets[-1][0]
+
+    def term_at(self, index: LogIndex) -> Term | None:
+        """Return the term of an entry, or None if it is not held."""
+        if index == self._start:
+            return self._start_term
+        if self._start < index <= self.last_index:
+            return self._entries[index - self._start - 1].term
+        return None
+
+    def replicas_at(self, index: LogIndex) -> ReplicaSet:
+        """Return the replica set in force at an index."""
+        return next(s for at, s in reversed(self._sets) if at <= index)
+
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Append entries, replacing what stands from the first one on."""
+        if not entries:
+            return
+        before = LogIndex(entries[0].index - 1)
+        del self._entries[before - self._start :]
+        while self._sets[-1][0] > before:
+            self._sets.pop()
+        for entry in entries:
+            self._entries.append(entry)
+            if entry.kind is EntryKind.REPLICAS:
+                self._sets.append((entry.index, decode_replicas(entry.data)))
+
+    def after(self, index: LogIndex, max_bytes: int) -> tuple[Entry, ...]:
+        """Return the entries after an index, at least one, up to a size."""
+        chosen: list[Entry] = []
+        size = 0
+        for entry in self._entries[index - self._start :]:
+            size += len(entry.data)
+            if chosen and size > max_bytes:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def between(self, after: LogIndex, upto: LogIndex) -> tuple[Entry, ...]:
+        """Return the entries after one index up to another."""
+        return tuple(self._entries[after - self._start : upto - self._start])
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Keep a snapshot of own entries and drop the oldest entries."""
+        self._snapshot = snapshot
+        start = LogIndex(max(self._start, snapshot.index - TRAILING_ENTRIES))
+        term = self.term_at(start)
+        del self._entries[: start - self._start]
+        self._start, self._start_term = start, term
+        later = [pair for pair in self._sets if pair[0] > snapshot.index]
+        self._sets = [(snapshot.index, snapshot.replicas), *later]
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace the whole log by a snapshot."""
+        self.__init__(snapshot, ())
--- /dev/null
+++ b/persimmonhall/raft/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test the replication core and its storage."""
--- /dev/null
+++ b/tests/test_explorer.py
@@ -0,0 +1,166 @@
+"""Check the replication core under seeded faults, and that a broken rule is found."""
+
+import random
+
+import pytest
+
+from harness.explorer.__main__ import main
+from harness.explorer.checker import ViolationError
+from harness.explorer.disk import ForgetfulDisk
+from harness.explorer.replica import Variant
+from harness.explorer.schedule import run_seed
+from harness.explorer.world import World
+from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.leader import Leader
+from persimmonhall.raft.log import encode_replicas
+from persimmonhall.raft.messages import (
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    ReplicaSet,
+)
+from persimmonhall.raft.state import Stored
+
+SEEDS = 150
+SEEDS_OF_BROKEN_RULE = range(50, 60)
+CUT_S = 30.0
+
+
+class EagerLeader(Leader):
+    """Commit entries of older terms by counting replicas."""
+
+    def _may_commit(self, index):
+        return True
+
+
+class EagerCore(Core):
+    """Lead eagerly."""
+
+    leader_class = EagerLeader
+
+
+class CoreWithoutPreVote(Core):
+    """Stand for election without asking first."""
+
+    def _campaign(self):
+        self._stand(transfer=False)
+
+
+def test_no_seed_breaks_a_promise(capsys):
+    assert main(["--seeds", str(SEEDS)]) == 0
+    assert f"{SEEDS} seeds, " in capsys.readouterr().out
+
+
+def test_a_seed_replays_the_same_schedule():
+    assert run_seed(7) == run_seed(7)
+
+
+def test_failing_seed_is_printed_with_its_replay(capsys, monkeypatch):
+    broken = Variant(disk=ForgetfulDisk)
+    monkeypatch.setattr(
+        "harness.explorer.__main__.run_seed", lambda seed: run_seed(seed, broken)
+    )
+    assert main(["--seeds", "40"]) == 1
+    assert "replay with: make explore SEED=" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("broken", "found"),
+    [
+        (Variant(disk=ForgetfulDisk), "applied another entry"),
+        (Variant(new_id_after_disk_loss=False), "applied another entry"),
+    ],
+    ids=["no sync before a promise", "vote after disk loss"],
+)
+def test_broken_rule_is_found(broken, found):
+    violations = (run_seed(seed, broken).violation for seed in SEEDS_OF_BROKEN_RULE)
+    assert any(found in violation for violation in violations)
+
+
+def _terms_after_cut(core: type[Core]) -> int:
+    """Cut one follower off for long and return how many terms that cost."""
+    world = World(1, Variant(core=core))
+    world.run_until(5.0)
+    follower = next(r for r in world.replicas.values() if r is not world.leader)
+    others = [name for name in world.replicas if name != follower.name]
+    before = world.leader.core.term
+    world.cuts.update((o, follower.name) for o in others)
+    world.cuts.update((follower.name, o) for o in others)
+    world.run_until(5.0 + CUT_S)
+    world.cuts.clear()
+    world.run_until(5.0 + CUT_S + 5.0)
+    return world.leader.core.term - before
+
+
+def test_pre_vote_spares_the_leader_a_replica_that_returns():
+    assert _terms_after_cut(Core) == 0
+    assert _terms_after_cut(CoreWithoutPreVote) > CUT_S / 2
+
+
+def _deliver(source: Core, target: Core, now: float) -> list:
+    """Sync all writes of a replica, then hand its messages to another."""
+    committed = []
+    while True:
+        ready = source.take(now)
+        committed += [item for item in ready.committed if isinstance(item, Entry)]
+        for outgoing in ready.messages:
+            if outgoing.to == target.id:
+                target.step(source.id, outgoing.message, now)
+        if not ready.persists:
+            return committed
+        source.synced(ready.persists[-1].sequence, now)
+
+
+def _restart_with_old_entry(leader_class: type[Core]) -> tuple[list, Entry]:
+    """Let a leader find an old entry on a majority; return what it commits."""
+    members = tuple(Member(i, i, i, True) for i in ("a", "b", "c"))
+    data = encode_replicas(ReplicaSet("cluster", members))
+    first = Entry(1, 1, EntryKind.REPLICAS, data)
+    old = Entry(2, 2, EntryKind.COMMAND, b"old")
+    newer = Entry(2, 3, EntryKind.NO_OP)
+    rng = random.Random(1)
+
+    def boot(name: str, *entries: Entry) -> Core:
+        stored = Stored(HardState(3, ""), None, (first, *entries))
+        return leader_class(name, stored, rng, 0.0)
+
+    a, b, c = boot("a", old), boot("b", old), boot("c", newer)
+    a.tick(9.0)
+    committed = []
+    while a.role is not Role.LEADER:
+        committed += _deliver(a, b, 9.0)
+        _deliver(b, a, 9.0)
+    _deliver(a, b, 9.0)
+    before = b.commit
+    ready = b.take(9.0)
+    for outgoing in ready.messages:
+        a.step("b", outgoing.message, 9.0)
+    # The leader stops here: its own entry never reached the majority.
+    committed += a.take(9.0).committed
+    assert before == 0
+    now = 20.0
+    while c.role is not Role.LEADER:
+        now += 2.0
+        c.tick(now)
+        for _ in range(3):
+            _deliver(c, b, now)
+            _deliver(b, c, now)
+    for _ in range(5):
+        committed += _deliver(c, b, now)
+        _deliver(b, c, now)
+    return [e for e in committed if e.index == 2], newer
+
+
+def test_entry_of_an_older_term_is_not_committed_by_counting():
+    committed, newer = _restart_with_old_entry(Core)
+    assert {e.term for e in committed} == {newer.term}
+    broken, newer = _restart_with_old_entry(EagerCore)
+    assert {e.term for e in broken} == {2, newer.term}
+
+
+def test_checker_rejects_two_leaders_of_a_term():
+    world = World(1, Variant())
+    world.checker.leads("r1", 5)
+    with pytest.raises(ViolationError):
+        world.checker.leads("r2", 5)
