--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency explore
+.PHONY: all install format lint test demo latency bench-policy explore
 
 all: test
 
@@ -38,3 +38,6 @@
 explore: install
 	$(BIN)/python -m harness.explorer --seeds $(SEEDS) --start $(SEED_START) \
 		$(if $(SEED),--seed $(SEED))
+
+bench-policy: install
+	$(BIN)/python -m harness.bench_policy
