--- a/harness/system.py
+++ b/harness/system.py
@@ -1,6 +1,7 @@
 """Start a whole small system on loopback."""
 
 import json
+import socket
 from contextlib import asynccontextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -17,11 +18,19 @@
 
 ANY_PORT = "127.0.0.1:0"
 TOKEN = "token-of-operators"
+TEAM_TOKEN = "token-of-publishing"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 WAIT_S = 20.0
 POLL_S = 0.05
 
 
+def free_address() -> str:
+    """Return an address whose port the kernel just chose, for use after a restart."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
 class System:
     """Hold control, nodes and stand-in backend servers."""
 
@@ -43,22 +52,73 @@
         addresses = tuple(c.addresses["admin"] for c in self.control.values())
         return AdminClient(addresses, TOKEN)
 
-    async def start_control(self, name: str = "control-1", zone: str = "suva") -> None:
-        """Start a control VM's process."""
+    async def start_control(
+        self, name: str = "control-1", zone: str = "suva", **more
+    ) -> None:
+        """Start a control VM's process; the first one makes the cluster."""
+        first = not self.control
+        peers = [str(c.addresses["frames"]) for c in self.control.values()]
         settings = {
             "control": {
                 "name": name,
                 "zone": zone,
-                "admin": ANY_PORT,
-                "frames": ANY_PORT,
+                "admin": free_address(),
+                "frames": free_address(),
                 "data_folder": str(self.folder / f"{name}.data"),
+                "peers": peers,
+                **more,
             },
-            "teams": [{"name": "operators", "token": TOKEN, "operator": True}],
+            "teams": [
+                {"name": "operators", "token": TOKEN, "operator": True},
+                {"name": "publishing", "token": TEAM_TOKEN},
+            ],
         }
+        options = ("--bootstrap",) if first else ()
         self.control[name] = await self._processes.start(
-            name, "persimmonhall.cli.control", settings
+            name, "persimmonhall.cli.control", settings, *options
         )
 
+    async def start_controls(self, count: int) -> None:
+        """Start control VMs in as many zones and wait until all of them vote."""
+        for number in range(1, count + 1):
+            await self.start_control(f"control-{number}", f"zone-{number}")
+        await self.wait_for_voters(count)
+
+    async def restart_control(self, name: str) -> None:
+        """Start an ended control process anew with the same settings."""
+        self.control[name] = await self._processes.restart(self.control[name])
+
+    async def control_status(self, name: str) -> dict | None:
+        """Return what a control VM says of itself, or None without an answer."""
+        address = self.control[name].addresses["admin"]
+        client = AdminClient((address,), TOKEN)
+        return (await client.get("/status")).value_or(None)
+
+    async def wait_for_leader(self, *but: str) -> str:
+        """Wait until one control VM but for some leads, and return its name."""
+        found = []
+
+        async def leads() -> bool:
+            for name in self.control:
+                if name in but or self.control[name].process.returncode is not None:
+                    continue
+                status = await self.control_status(name)
+                if status is not None and status["role"] == "leader":
+                    found.append(name)
+            return bool(found)
+
+        await self.wait_until(leads, "a leader")
+        return found[-1]
+
+    async def wait_for_voters(self, count: int) -> None:
+        """Wait until the replica set is made of so many voters, all known."""
+
+        async def vote() -> bool:
+            replicas = (await self.admin.get("/replicas")).value_or(())
+            return len(replicas) == count and all(r["voter"] for r in replicas)
+
+        await self.wait_until(vote, f"{count} voters")
+
     async def start_node(self, name: str, zone: str, *options: str, **more) -> Running:
         """Start a node that knows control and the first node."""
         settings = {
--- a/persimmonhall/cli/control.py
+++ b/persimmonhall/cli/control.py
@@ -13,13 +13,21 @@
 
 EXAMPLES = """\
   persimmonhall-control --settings control.toml --check
+  persimmonhall-control --settings control.toml --bootstrap
   persimmonhall-control --settings control.toml"""
 
 
 def main(arguments: list[str] | None = None) -> ExitStatus:
     """Run the program and return its exit status."""
     parser = make_parser("persimmonhall-control", DESCRIPTION, EXAMPLES)
-    return serve_program(parser, arguments, ControlSettings, run_control)
+    parser.add_argument(
+        "--bootstrap",
+        action="store_true",
+        help="make a new cluster on an empty data folder; once, on one control VM",
+    )
+    return serve_program(
+        parser, arguments, ControlSettings, run_control, options=("bootstrap",)
+    )
 
 
 if __name__ == "__main__":
--- a/persimmonhall/cli/serving.py
+++ b/persimmonhall/cli/serving.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict
+from functools import partial
 
 import trio
 from returns.result import Failure, Result, Success
@@ -35,22 +36,25 @@
     arguments: list[str] | None,
     settings_class: type,
     run: Callable[..., Awaitable[Result[None, str] | None]],
+    *,
+    options: tuple[str, ...] = (),
 ) -> ExitStatus:
     """Check the settings and run the program until it is stopped."""
     definition.add_settings(parser)
     definition.add_log_level(parser)
     definition.add_check(parser)
-    options = parser.parse_args(arguments)
-    match load_settings(settings_class, options.settings):
+    given = parser.parse_args(arguments)
+    match load_settings(settings_class, given.settings):
         case Failure(reason):
             return fail(parser.prog, reason, ExitStatus.USAGE)
         case Success(settings):
             pass
-    if options.check:
-        print(f"{options.settings}: ok")
+    if given.check:
+        print(f"{given.settings}: ok")
         return ExitStatus.SUCCESS
-    set_up_logs(options.log_level)
-    return _run(parser.prog, run, settings)
+    set_up_logs(given.log_level)
+    own = {name: getattr(given, name) for name in options}
+    return _run(parser.prog, partial(run, **own), settings)
 
 
 def _run(program: str, run: Callable, settings: object) -> ExitStatus:
--- a/persimmonhall/control/admin.py
+++ b/persimmonhall/control/admin.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import time
 import uuid
 from dataclasses import asdict
 from urllib.parse import parse_qs, urlsplit
@@ -10,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.control.replica import Replica
+from persimmonhall.control.status import replicas_of, status_of
 from persimmonhall.document.messages import (
     HeldDocument,
     PutDocument,
@@ -19,7 +21,7 @@
 from persimmonhall.document.schema import Document, parse_document
 from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from persimmonhall.ids import ChangeId, Revision, ServiceName
+from persimmonhall.ids import ChangeId, NodeName, Revision, ServiceName
 from persimmonhall.settings import TeamSection
 
 JSON_TYPE = (b"content-type", b"application/json")
@@ -50,18 +52,29 @@
         parts = urlsplit(request.target).path.strip("/").split("/")
         match (request.method, *parts):
             case ("GET", "status"):
-                return Success(json_answer(200, self._status()))
-            case ("GET", "documents"):
-                return Success(json_answer(200, self._list()))
-            case ("GET", "documents", service):
-                return self._get(ServiceName(service))
+                return Success(json_answer(200, status_of(self._replica)))
+            case ("GET", "replicas"):
+                return Success(json_answer(200, replicas_of(self._replica)))
+            case ("DELETE", "replicas", name):
+                return await self._remove(request, NodeName(name))
+            case ("GET", "documents", *rest):
+                return await self._read(rest)
             case ("PUT", "documents", service):
                 return await self._put(request, ServiceName(service))
         return Failure(refuse(ErrorKind.NOT_FOUND, f"no {request.target} here"))
 
-    def _status(self) -> dict:
-        machine = self._replica.machine
-        return {"index": machine.index, "documents": len(machine.documents.after(0))}
+    async def _read(self, rest: list[str]) -> Result[HttpAnswer, Refusal]:
+        match await self._replica.read_barrier():
+            case Failure() as failure:
+                return failure
+        match rest:
+            case []:
+                return Success(json_answer(200, self._list()))
+            case [service]:
+                return self._get(ServiceName(service))
+            case [service, "history"]:
+                return self._history(ServiceName(service))
+        return Failure(refuse(ErrorKind.NOT_FOUND, f"no /{'/'.join(rest)} here"))
 
     def _list(self) -> list[dict]:
         held = self._replica.machine.documents.after(0)
@@ -73,6 +86,26 @@
             return Failure(refuse(ErrorKind.NOT_FOUND, f"no document for {service}"))
         return Success(json_answer(200, asdict(held)))
 
+    def _history(self, service: ServiceName) -> Result[HttpAnswer, Refusal]:
+        history = self._replica.machine.documents.history(service)
+        if not history:
+            return Failure(refuse(ErrorKind.NOT_FOUND, f"no document for {service}"))
+        return Success(json_answer(200, [asdict(entry) for entry in history]))
+
+    async def _remove(
+        self, request: HttpRequest, name: NodeName
+    ) -> Result[HttpAnswer, Refusal]:
+        team = self._team_of(request)
+        if team is None or not team.operator:
+            detail = "only an operator removes a replica"
+            return Failure(refuse(ErrorKind.FORBIDDEN, detail))
+        match await self._replica.remove(name):
+            case Success():
+                logging.info("replica removed name=%s author=%s", name, team.name)
+                return Success(json_answer(200, {"removed": name}))
+            case failure:
+                return failure
+
     async def _put(
         self, request: HttpRequest, service: ServiceName
     ) -> Result[HttpAnswer, Refusal]:
@@ -119,6 +152,7 @@
                 text=text,
                 author=team.name,
                 team=document.team,
+                at_ms=time.time_ns() // 1_000_000,
             )
         )
 
--- /dev/null
+++ b/persimmonhall/control/joining.py
@@ -0,0 +1,62 @@
+"""Bring a replica with an empty or moved disk into the replica set."""
+
+import trio
+from absl import logging
+from returns.result import Success
+
+from persimmonhall.address import Address
+from persimmonhall.control.replica import Replica
+from persimmonhall.control.replica_messages import Join, Received
+from persimmonhall.ids import NodeName, ReplicaId
+
+JOIN_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = 1.0
+
+
+class Joiner:
+    """Ask the peers of the settings until the leader has taken this replica in."""
+
+    def __init__(
+        self,
+        replica: Replica,
+        name: NodeName,
+        own: Address,
+        peers: tuple[Address, ...],
+    ):
+        self._replica = replica
+        self._join = Join(replica.core.id, name, str(own))
+        self._peers = peers
+
+    async def run(self) -> None:
+        """Ask until cancelled, whenever the set does not know this address."""
+        while True:
+            if self._is_unknown():
+                await self._ask_all()
+            await trio.sleep(JOIN_INTERVAL_S)
+
+    def _is_unknown(self) -> bool:
+        replicas = self._replica.core.replicas
+        if not replicas.members:
+            return True
+        member = replicas.get(self._replica.core.id)
+        # A member that was removed stays out until its data folder is emptied.
+        return member is not None and member.address != self._join.address
+
+    async def _ask_all(self) -> None:
+        logging.info("asking to join id=%s peers=%d", self._join.id, len(self._peers))
+        async with trio.open_nursery() as nursery:
+            for address in self._peers:
+                nursery.start_soon(self._ask, address)
+
+    async def _ask(self, address: Address) -> None:
+        await self._replica.peers.ask(address, self._join, ASK_TIMEOUT_S)
+
+
+async def find_cluster(peers, addresses: tuple[Address, ...]) -> str:
+    """Return the cluster that any of the peers belongs to already."""
+    probe = Join(ReplicaId(""), NodeName(""), "", relayed=True)
+    for address in addresses:
+        match await peers.ask(address, probe, ASK_TIMEOUT_S):
+            case Success(Received(cluster)) if cluster:
+                return cluster
+    return ""
--- a/persimmonhall/control/machine.py
+++ b/persimmonhall/control/machine.py
@@ -1,6 +1,7 @@
 """Apply the commands of the log to the replicated state."""
 
 from persimmonhall.control.messages import Command, CommandReply, NoOp, NoReply
+from persimmonhall.control.snapshot import Part, read_parts, write_parts
 from persimmonhall.document.messages import PutDocument
 from persimmonhall.document.table import DocumentTable
 from persimmonhall.ids import LogIndex
@@ -11,6 +12,7 @@
 
     def __init__(self):
         self._documents = DocumentTable()
+        self._parts: dict[str, Part] = {"documents": self._documents}
         self._index = LogIndex(0)
 
     @property
@@ -31,3 +33,15 @@
                 return self._documents.put(command, index)
             case NoOp():
                 return NoReply()
+
+    def skip(self, index: LogIndex) -> None:
+        """Pass over an entry that holds no command."""
+        self._index = index
+
+    def state(self) -> bytes:
+        """Write all state for a snapshot."""
+        return write_parts(self._index, self._parts)
+
+    def restore(self, data: bytes) -> None:
+        """Take over the state of a snapshot."""
+        self._index = read_parts(data, self._parts)
--- a/persimmonhall/control/messages.capnp
+++ b/persimmonhall/control/messages.capnp
@@ -17,6 +17,7 @@
   text @3 :Text;
   author @4 :Text;
   team @5 :Text;
+  atMs @6 :UInt64;
 }
 
 struct PutReply {
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -1,5 +1,6 @@
 """Run a control VM's process."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -9,14 +10,25 @@
 
 from persimmonhall.address import Address
 from persimmonhall.control.admin import AdminApi
+from persimmonhall.control.bootstrap import first_state, new_disk_id
+from persimmonhall.control.joining import Joiner, find_cluster
+from persimmonhall.control.peers import Peers
 from persimmonhall.control.replica import Replica
 from persimmonhall.control.serve import ControlService
-from persimmonhall.control.storage import open_log
+from persimmonhall.control.serve_peers import PeerService
 from persimmonhall.http.asgi import serve_asgi
-from persimmonhall.settings import ControlSettings
+from persimmonhall.raft.core import Core
+from persimmonhall.raft.state import Stored
+from persimmonhall.raft.storage import (
+    DiskFailedError,
+    Opened,
+    is_empty,
+    open_storage,
+)
+from persimmonhall.settings import ControlSection, ControlSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import serve_links
+from persimmonhall.wire.link import LinkPool, serve_links
 
 
 @dataclass(frozen=True)
@@ -27,24 +39,112 @@
     frames: Address
 
 
+class LateHandler:
+    """Pass asks on once the replica that answers them exists."""
+
+    def __init__(self):
+        self._ready = trio.Event()
+        self._handle = None
+
+    def start(self, handle) -> None:
+        """Name the handler."""
+        self._handle = handle
+        self._ready.set()
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer one ask."""
+        await self._ready.wait()
+        return await self._handle(payload)
+
+
 async def run_control(
-    settings: ControlSettings, on_ready: Callable[[ControlAddresses], None]
+    settings: ControlSettings,
+    on_ready: Callable[[ControlAddresses], None],
+    *,
+    bootstrap: bool = False,
 ) -> Result[None, str]:
     """Serve until a stop signal."""
+    result: Result[None, str] = Success(None)
+    try:
+        result = await _run(settings, on_ready, bootstrap)
+    except* DiskFailedError as group:
+        result = Failure(f"storage failed: {_first_of(group)}")
+    return result
+
+
+def _first_of(error: BaseException) -> BaseException:
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
+
+
+async def _run(
+    settings: ControlSettings,
+    on_ready: Callable[[ControlAddresses], None],
+    bootstrap: bool,
+) -> Result[None, str]:
     own = settings.control
-    match open_log(Path(own.data_folder)):
-        case Failure() as failure:
-            return failure
-        case Success((log, records)):
-            replica = Replica(log, records)
-    stop = trio.Event()
-    handlers = {Channel.CONTROL: ControlService(replica).handle}
-    admin = AdminApi(replica, settings.teams)
+    nodes, replicas = LateHandler(), LateHandler()
+    handlers = {Channel.CONTROL: nodes.handle, Channel.REPLICA: replicas.handle}
     async with trio.open_nursery() as nursery:
         frames = await nursery.start(serve_links, handlers, own.frames)
-        nursery.start_soon(wait_for_stop_signal, stop)
+        address = own.advertise or frames
+        peers = Peers(nursery, LinkPool(nursery), address)
+        match await _open(own, peers, address, bootstrap):
+            case Failure() as failure:
+                nursery.cancel_scope.cancel()
+                return failure
+            case Success(opened):
+                pass
+        rng = random.Random(own.seed or None)
+        core = Core(opened.disk_id, opened.stored, rng, trio.current_time())
+        replica = Replica(core, opened.storage, peers)
+        service = ControlService(replica)
+        nodes.start(service.handle)
+        replicas.start(PeerService(replica).handle)
+        nursery.start_soon(replica.driver.run)
+        nursery.start_soon(Joiner(replica, own.name, address, own.peers).run)
+        await _serve(settings, replica, service, frames, on_ready)
+        nursery.cancel_scope.cancel()
+    opened.storage.close()
+    return Success(None)
+
+
+async def _serve(
+    settings: ControlSettings,
+    replica: Replica,
+    service: ControlService,
+    frames: Address,
+    on_ready: Callable[[ControlAddresses], None],
+) -> None:
+    signalled, stop = trio.Event(), trio.Event()
+    admin = AdminApi(replica, settings.teams)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(wait_for_stop_signal, signalled)
         async with trio.open_nursery() as serving:
-            address = await serving.start(serve_asgi, admin.handle, own.admin, stop)
+            address = await serving.start(
+                serve_asgi, admin.handle, settings.control.admin, stop
+            )
             on_ready(ControlAddresses(address, frames))
+            await signalled.wait()
+            await replica.leave()
+            await service.finish()
+            stop.set()
         nursery.cancel_scope.cancel()
-    return Success(None)
+
+
+async def _open(
+    own: ControlSection, peers: Peers, address: Address, bootstrap: bool
+) -> Result[Opened, str]:
+    folder = Path(own.data_folder)
+    disk_id = new_disk_id(own.name)
+    if not bootstrap:
+        if is_empty(folder) and not own.peers:
+            return Failure(f"{folder}: empty; give --bootstrap or control.peers")
+        return open_storage(folder, disk_id, Stored())
+    if not is_empty(folder):
+        return Failure(f"{folder}: --bootstrap needs an empty data folder")
+    cluster = await find_cluster(peers, own.peers)
+    if cluster:
+        return Failure(f"--bootstrap: a peer belongs to cluster {cluster} already")
+    return open_storage(folder, disk_id, first_state(disk_id, own.name, address))
--- a/persimmonhall/control/serve.py
+++ b/persimmonhall/control/serve.py
@@ -1,5 +1,6 @@
 """Answer nodes over frames."""
 
+import trio
 from returns.result import Failure, Success
 
 from persimmonhall.control.messages import (
@@ -15,15 +16,35 @@
 )
 from persimmonhall.control.replica import Replica
 
+FINISH_TIMEOUT_S = 3.0
+
 
 class ControlService:
     """Serve the asks of nodes from a replica."""
 
     def __init__(self, replica: Replica):
         self._replica = replica
+        self._under_way = 0
+        self._idle = trio.Event()
+
+    async def finish(self) -> None:
+        """Wait for the commands under way before a planned stop."""
+        with trio.move_on_after(FINISH_TIMEOUT_S):
+            while self._under_way:
+                await self._idle.wait()
 
     async def handle(self, payload: bytes) -> bytes:
         """Answer one ask."""
+        self._under_way += 1
+        try:
+            return await self._answer(payload)
+        finally:
+            self._under_way -= 1
+            if not self._under_way:
+                self._idle.set()
+                self._idle = trio.Event()
+
+    async def _answer(self, payload: bytes) -> bytes:
         match ASKS.decode(payload):
             case FetchDocuments(after):
                 return REPLIES.encode(self._documents(after))
--- /dev/null
+++ b/persimmonhall/control/serve_peers.py
@@ -0,0 +1,107 @@
+"""Answer the other control VMs."""
+
+from dataclasses import replace
+
+import trio
+from absl import logging
+from returns.result import Failure, Success
+
+from persimmonhall.control.messages import COMMAND_REPLIES, Declined
+from persimmonhall.control.replica import FORWARD_TIMEOUT_S, Replica
+from persimmonhall.control.replica_messages import (
+    PEER_ASKS,
+    PEER_REPLIES,
+    Forward,
+    Forwarded,
+    Join,
+    Packet,
+    ReadAt,
+    ReadIndex,
+    Received,
+    Remove,
+)
+from persimmonhall.errors import ErrorKind, refuse
+from persimmonhall.raft.core import Role
+from persimmonhall.raft.messages import MESSAGES, Member
+
+
+class PeerService:
+    """Serve packets, joins and forwarded commands."""
+
+    def __init__(self, replica: Replica):
+        self._replica = replica
+        self._core = replica.core
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Answer one ask."""
+        return PEER_REPLIES.encode(await self._answer(PEER_ASKS.decode(payload)))
+
+    async def _answer(self, ask):
+        match ask:
+            case Packet():
+                self._on_packet(ask)
+            case Join():
+                await self._on_join(ask)
+            case Forward(command):
+                return await self._on_forward(command)
+            case ReadIndex():
+                return await self._on_read_index()
+            case Remove(name):
+                return self._on_remove(name)
+        return Received(self._core.replicas.cluster)
+
+    def _on_packet(self, packet: Packet) -> None:
+        own = self._core.replicas.cluster
+        if packet.recipient != self._core.id:
+            return
+        if own and packet.cluster and packet.cluster != own:
+            logging.log_every_n_seconds(
+                logging.ERROR, "packet of another cluster from %s", 10, packet.reply_to
+            )
+            return
+        self._replica.peers.learn(packet)
+        now = trio.current_time()
+        self._core.step(packet.sender, MESSAGES.decode(packet.message), now)
+        self._replica.driver.wake()
+
+    async def _on_join(self, join: Join) -> None:
+        if not join.id:
+            return
+        if self._core.role is Role.LEADER:
+            member = Member(join.id, join.name, join.address, False)
+            self._core.join(member, trio.current_time())
+            self._replica.driver.wake()
+        elif not join.relayed and self._core.leader_id is not None:
+            address = self._replica.peers.address_of(self._core, self._core.leader_id)
+            if address is not None:
+                relayed = replace(join, relayed=True)
+                await self._replica.peers.ask(address, relayed, FORWARD_TIMEOUT_S)
+
+    async def _on_forward(self, command: bytes) -> Forwarded | Declined:
+        match await self._replica.submit_here(command):
+            case Success(reply):
+                return Forwarded(COMMAND_REPLIES.encode(reply))
+            case Failure(refusal):
+                return Declined(refusal.kind, refusal.detail, refusal.ran)
+
+    async def _on_read_index(self) -> ReadAt | Declined:
+        index = await self._replica.read_index()
+        return ReadAt(index) if index is not None else _not_leader()
+
+    def _on_remove(self, name: str) -> Received | Declined:
+        found = [m for m in self._core.replicas.members if m.name == name]
+        if self._core.role is not Role.LEADER:
+            return _not_leader()
+        if not found:
+            refusal = refuse(ErrorKind.NOT_FOUND, f"no replica {name}")
+            return Declined(refusal.kind, refusal.detail, refusal.ran)
+        if not self._core.remove(found[0].id, trio.current_time()):
+            refusal = refuse(ErrorKind.NOT_LEADER, "another change is under way")
+            return Declined(refusal.kind, refusal.detail, refusal.ran)
+        self._replica.driver.wake()
+        return Received(self._core.replicas.cluster)
+
+
+def _not_leader() -> Declined:
+    refusal = refuse(ErrorKind.NOT_LEADER, "this replica does not lead")
+    return Declined(refusal.kind, refusal.detail, refusal.ran)
--- a/persimmonhall/document/messages.py
+++ b/persimmonhall/document/messages.py
@@ -16,6 +16,7 @@
     text: str
     author: str
     team: str
+    at_ms: int = 0
 
 
 class PutOutcome(Enum):
@@ -46,3 +47,35 @@
     author: str
     change_id: ChangeId
     index: LogIndex
+
+
+@dataclass(frozen=True)
+class KnownReply:
+    """Keep the first answer to a change, for when it is resent."""
+
+    change_id: ChangeId
+    outcome: PutOutcome
+    revision: Revision
+    author: str
+
+
+@dataclass(frozen=True)
+class HistoryEntry:
+    """Tell who put a revision, and when by the clock of its control VM."""
+
+    service: ServiceName
+    revision: Revision
+    author: str
+    team: str
+    change_id: ChangeId
+    index: LogIndex
+    at_ms: int
+
+
+@dataclass(frozen=True)
+class TableState:
+    """Hold a whole document table for a snapshot."""
+
+    documents: tuple[HeldDocument, ...]
+    replies: tuple[KnownReply, ...]
+    history: tuple[HistoryEntry, ...]
--- /dev/null
+++ b/persimmonhall/raft/driver.py
@@ -0,0 +1,135 @@
+"""Run a replication core: its clock, its disk and its messages."""
+
+from collections.abc import Callable
+
+import trio
+from absl import logging
+
+from persimmonhall.ids import LogIndex, ReplicaId
+from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.messages import Entry, Message, Snapshot
+from persimmonhall.raft.outbox import Persist
+from persimmonhall.raft.storage import NoSpaceError, Storage
+
+SPACE_RETRY_S = 0.5
+
+SendMessage = Callable[[ReplicaId, Message], None]
+ApplyItem = Callable[[Entry | Snapshot], None]
+
+
+class Driver:
+    """Carry out what the core asks for after each input."""
+
+    def __init__(
+        self, core: Core, storage: Storage, send: SendMessage, apply: ApplyItem
+    ):
+        self._core = core
+        self._storage = storage
+        self._send = send
+        self._apply = apply
+        self._persists: list[Persist] = []
+        self._wake = trio.Event()
+        self._written = trio.Event()
+        self._full = ""
+        self._reads: dict[int, LogIndex | None] = {}
+        self.changed = trio.Event()
+
+    @property
+    def full(self) -> str:
+        """Return why the disk takes no more, or an empty text."""
+        return self._full
+
+    def wake(self) -> None:
+        """Carry out what the core asks for after an input."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Run until cancelled; raise DiskFailedError if the disk fails."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._write_forever)
+            while True:
+                deadline = max(self._core.next_tick, trio.current_time())
+                with trio.move_on_at(deadline):
+                    await self._wake.wait()
+                self._wake = trio.Event()
+                self._take()
+
+    async def read_index(self, number: int) -> LogIndex | None:
+        """Return the index a read must wait for, or None if this is no leader."""
+        if not self._core.read(number):
+            return None
+        self._reads[number] = None
+        self.wake()
+        try:
+            while self._core.role is Role.LEADER:
+                index = self._reads[number]
+                if index is not None:
+                    return index
+                await self.changed.wait()
+        finally:
+            del self._reads[number]
+        return None
+
+    def _take(self) -> None:
+        now = trio.current_time()
+        before = (self._core.role, self._core.term, self._core.leader_id)
+        if now >= self._core.next_tick:
+            self._core.tick(now)
+        ready = self._core.take(now)
+        if ready.persists:
+            self._persists.extend(ready.persists)
+            self._written.set()
+        for outgoing in ready.messages:
+            self._send(outgoing.to, outgoing.message)
+        for item in ready.committed:
+            self._apply(item)
+        for read in ready.reads:
+            if read.number in self._reads:
+                self._reads[read.number] = read.index
+        self._log_role(before)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _log_role(self, before: tuple) -> None:
+        core = self._core
+        if (core.role, core.term, core.leader_id) == before:
+            return
+        logging.info(
+            "replica role=%s term=%d leader=%s commit=%d",
+            core.role.value,
+            core.term,
+            core.leader_id or "none",
+            core.commit,
+        )
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._written.wait()
+            self._written = trio.Event()
+            batch, self._persists = tuple(self._persists), []
+            if not batch:
+                continue
+            await self._write(batch)
+            self._core.synced(batch[-1].sequence, trio.current_time())
+            self.wake()
+
+    async def _write(self, batch: tuple[Persist, ...]) -> None:
+        while True:
+            try:
+                # A sync may take long; heartbeats must go on meanwhile.
+                await trio.to_thread.run_sync(self._storage.write, batch)
+            except NoSpaceError as error:
+                self._refuse_changes(str(error))
+                await trio.sleep(SPACE_RETRY_S)
+                continue
+            if self._full:
+                logging.info("storage has space again")
+                self._full = ""
+            return
+
+    def _refuse_changes(self, reason: str) -> None:
+        if not self._full:
+            logging.error("storage full, changes are refused: %s", reason)
+        self._full = reason
+        if self._core.transfer(trio.current_time()):
+            self.wake()
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -53,16 +53,14 @@
         self._files = files
         self._end = end
         self._batch = batch
+        self._written = 0
         self._descriptor = _open_log(folder)
 
     def write(self, persists: tuple[Persist, ...]) -> None:
-        """Write and sync; raise NoSpaceError and change nothing on a full disk."""
+        """Write and sync; raise NoSpaceError on a full disk, after which to retry."""
         try:
             for group in _grouped(persists):
-                if group[0].snapshot is not None:
-                    self._write_snapshot(group[0])
-                else:
-                    self._append(group)
+                self._write_group(group)
         except OSError as error:
             if error.errno in NO_SPACE:
                 raise NoSpaceError(f"{self._folder}: {error}") from error
@@ -72,6 +70,15 @@
         """Close the log file."""
         os.close(self._descriptor)
 
+    def _write_group(self, group: tuple[Persist, ...]) -> None:
+        if group[-1].sequence <= self._written:
+            return
+        if group[0].snapshot is not None:
+            self._write_snapshot(group[0])
+        else:
+            self._append(group)
+        self._written = group[-1].sequence
+
     def _append(self, persists: tuple[Persist, ...]) -> None:
         payloads = [RECORDS.encode(persists[-1].state)]
         for persist in persists:
@@ -154,9 +161,14 @@
             return Failure(f"{path}: damaged record at offset {offset}")
         case Success(found):
             pass
+    state, entries = _replay(found.payloads)
+    start = snapshot.index if snapshot is not None else 0
+    if entries and entries[0].index > start + 1:
+        return Failure(f"{folder / SNAPSHOT_FILE}: missing or older than the log")
     _cut_tail(path, found.end)
     storage = Storage(folder, files, found.end, found.batch)
-    return Success(Opened(storage, disk_id, _replay(snapshot, found.payloads)))
+    stored = Stored(state, snapshot, _after_snapshot(snapshot, entries))
+    return Success(Opened(storage, disk_id, stored))
 
 
 def _read_single(path: Path) -> Result[bytes, str]:
@@ -166,7 +178,7 @@
     return Failure(f"{path}: damaged record at offset 0")
 
 
-def _replay(snapshot: Snapshot | None, payloads: tuple[bytes, ...]) -> Stored:
+def _replay(payloads: tuple[bytes, ...]) -> tuple[HardState, list[Entry]]:
     state = HardState(Term(0), NO_VOTE)
     entries: list[Entry] = []
     for payload in payloads:
@@ -179,7 +191,7 @@
         if entries:
             del entries[record.index - entries[0].index :]
         entries.append(record)
-    return Stored(state, snapshot, _after_snapshot(snapshot, entries))
+    return state, entries
 
 
 def _after_snapshot(
@@ -188,8 +200,7 @@
     """Return the entries that follow a snapshot written just before a crash."""
     if snapshot is None:
         return tuple(entries)
-    first = entries[0].index if entries else snapshot.index + 1
-    if first == snapshot.index + 1:
+    if not entries or entries[0].index == snapshot.index + 1:
         return tuple(entries)
     known = [e.term for e in entries if e.index == snapshot.index]
     if known != [snapshot.term]:
@@ -226,5 +237,3 @@
         else:
             groups.append((persist,))
     return groups
-
-
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -61,6 +61,8 @@
     admin: Address
     frames: Address
     data_folder: str
+    peers: tuple[Address, ...] = ()
+    advertise: Address | None = None
     seed: int = 0
 
 
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -112,14 +112,23 @@
         self._writer: _Writer | None = None
         self._closed: str | None = None
         self._ready = trio.Event()
+        self._scope = trio.CancelScope()
 
     @property
     def closed(self) -> bool:
         """Tell whether the connection has ended."""
         return self._closed is not None
 
+    def drop(self) -> None:
+        """End the connection, as a peer that is cut off silently never does."""
+        self._scope.cancel()
+
     async def run(self) -> None:
         """Connect and read replies until the connection ends."""
+        with self._scope:
+            await self._run()
+
+    async def _run(self) -> None:
         stream = await self._connect()
         if stream is None:
             self._close(f"{self._address} does not accept a connection")
@@ -203,6 +212,12 @@
             self._nursery.start_soon(link.run)
         return await link.ask(channel, payload)
 
+    def reset(self, address: Address) -> None:
+        """Drop the link to a peer that no longer replies."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.drop()
+
 
 class _LinkServer:
     """Answer the exchanges of one incoming connection."""
