Prove with real processes that accepted changes survive failures

Seen failing first: changes took 30 s and more while the first VM of the operator's list was frozen or cut off, as each change tried it anew for 4 to 5 seconds. Change: the administration client prefers the VM that answered last and carries the worst known 'ran' through its tries; a replica that knows no leader for 2 s says so at once.

--- a/persimmonhall/control/admin_client.py
+++ b/persimmonhall/control/admin_client.py
@@ -20,15 +20,20 @@
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 TIMEOUT_S = 5.0
 TRY_NEXT = frozenset(
-    {ErrorKind.CONNECT_FAILED, ErrorKind.CONNECTION_LOST, ErrorKind.NO_QUORUM}
+    {
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.CONNECTION_LOST,
+        ErrorKind.NO_QUORUM,
+        ErrorKind.NOT_LEADER,
+    }
 )
 
 
 class AdminClient:
-    """Ask the control VMs one after the other."""
+    """Ask the control VMs one after the other, the last that answered first."""
 
     def __init__(self, addresses: tuple[Address, ...], token: str):
-        self._addresses = addresses
+        self._addresses = list(addresses)
         self._token = token
 
     async def get(self, path: str) -> Result[object, Refusal]:
@@ -57,18 +62,32 @@
         self, client: HttpcoreClient, request: HttpRequest
     ) -> Result[object, Refusal]:
         failure = refuse(ErrorKind.NO_QUORUM, "no control VM is configured")
-        for address in self._addresses:
-            with trio.move_on_after(TIMEOUT_S):
-                match await client.send(address, request, MAX_ANSWER_BYTES):
-                    case Success(answer):
-                        result = _read(answer)
-                    case result:
-                        pass
-                if not _try_next(result):
-                    return result
-                failure = result.failure()
+        ran = Ran.NO
+        for address in tuple(self._addresses):
+            result = await self._try(client, address, request)
+            if not _try_next(result):
+                self._prefer(address)
+                return result
+            failure = result.failure()
+            ran = failure.ran if ran is Ran.NO else ran
         detail = f"no control VM answered: {failure.detail}"
-        return Failure(refuse(ErrorKind.NO_QUORUM, detail))
+        return Failure(refuse(ErrorKind.NO_QUORUM, detail, ran=ran))
+
+    async def _try(
+        self, client: HttpcoreClient, address: Address, request: HttpRequest
+    ) -> Result[object, Refusal]:
+        with trio.move_on_after(TIMEOUT_S):
+            match await client.send(address, request, MAX_ANSWER_BYTES):
+                case Success(answer):
+                    return _read(answer)
+                case failure:
+                    return failure
+        detail = f"{address} did not answer in time"
+        return Failure(refuse(ErrorKind.NO_QUORUM, detail, ran=Ran.UNKNOWN))
+
+    def _prefer(self, address: Address) -> None:
+        self._addresses.remove(address)
+        self._addresses.insert(0, address)
 
 
 def _try_next(result: Result[object, Refusal]) -> bool:
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -32,6 +32,7 @@
 from persimmonhall.raft.storage import Storage
 
 SUBMIT_TIMEOUT_S = 4.0
+LEADERLESS_TIMEOUT_S = 2.0
 FORWARD_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 2.0
 RETRY_S = 0.1
@@ -85,7 +86,7 @@
                         return result
                     case Failure(failure):
                         ran = failure.ran if ran_before is Ran.NO else ran_before
-                if failure.kind not in RETRIED:
+                if failure.kind not in RETRIED or self._is_leaderless():
                     break
                 await trio.sleep(RETRY_S)
         return Failure(replace(failure, ran=ran))
@@ -111,6 +112,8 @@
                 if index is not None:
                     await self._wait_applied(index)
                     return Success(None)
+                if self._is_leaderless():
+                    break
                 await trio.sleep(RETRY_S)
         return Failure(refuse(ErrorKind.NO_QUORUM, "no leader confirmed the read"))
 
@@ -141,6 +144,10 @@
             case failure:
                 return failure
 
+    def _is_leaderless(self) -> bool:
+        since = self._driver.leaderless_since
+        return trio.current_time() >= since + LEADERLESS_TIMEOUT_S
+
     async def _submit_once(self, data: bytes) -> Result[CommandReply, Refusal]:
         if self._core.role is Role.LEADER:
             return await self.submit_here(data)
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -31,6 +31,7 @@
         self._wake = trio.Event()
         self._written = trio.Event()
         self._full = ""
+        self._leader_known_at = trio.current_time()
         self._reads: dict[int, LogIndex | None] = {}
         self.changed = trio.Event()
 
@@ -39,6 +40,13 @@
         """Return why the disk takes no more, or an empty text."""
         return self._full
 
+    @property
+    def leaderless_since(self) -> float:
+        """Return when a leader was last known."""
+        if self._core.leader_id is not None:
+            return trio.current_time()
+        return self._leader_known_at
+
     def wake(self) -> None:
         """Carry out what the core asks for after an input."""
         self._wake.set()
@@ -92,6 +100,8 @@
 
     def _log_role(self, before: tuple) -> None:
         core = self._core
+        if before[2] is not None and core.leader_id is None:
+            self._leader_known_at = trio.current_time()
         if (core.role, core.term, core.leader_id) == before:
             return
         logging.info(
--- /dev/null
+++ b/tests/control_scene.py
@@ -0,0 +1,151 @@
+"""Act on several control VMs and remember what they accepted."""
+
+import shutil
+from contextlib import asynccontextmanager
+
+import trio
+from returns.result import Success
+
+from harness.system import TOKEN, System, free_address, open_system
+from persimmonhall.control.admin_client import AdminClient
+from tests.builders import CUE_DOCUMENT
+from tests.relay import Relay
+
+SERVICES = 5
+ANSWER_TIMEOUT_S = 30.0
+
+
+def make_document(service: str) -> str:
+    """Build a document of the operators' team."""
+    return CUE_DOCUMENT.replace('"cue"', f'"{service}"').replace(
+        '"publishing"', '"operators"'
+    )
+
+
+class ControlScene:
+    """Hold control VMs behind relays, and the accepted revisions."""
+
+    def __init__(self, system: System, nursery: trio.Nursery):
+        self.system = system
+        self.accepted: dict[str, int] = {}
+        self.leader = ""
+        self._nursery = nursery
+        self._relays: dict[str, Relay] = {}
+        self._admin: AdminClient | None = None
+
+    async def start(self, count: int) -> None:
+        """Start control VMs and wait until all vote."""
+        for number in range(1, count + 1):
+            name = f"control-{number}"
+            frames = free_address()
+            relay = Relay(frames)
+            await self._nursery.start(relay.run)
+            peers = [r.address for r in self._relays.values()]
+            self._relays[name] = relay
+            await self.system.start_control(
+                name, frames=frames, advertise=relay.address, peers=peers
+            )
+        await self.system.wait_for_voters(count)
+        self._admin = self.system.admin
+        self.leader = await self.system.wait_for_leader()
+
+    async def change(self, count: int) -> None:
+        """Have changes accepted, each tried until it is answered."""
+        async with trio.open_nursery() as nursery:
+            for number in range(min(count, SERVICES)):
+                times = len(range(number, count, SERVICES))
+                nursery.start_soon(self._change_one, f"s{number}", times)
+
+    async def _change_one(self, service: str, times: int) -> None:
+        for _ in range(times):
+            await self.put(service, self.accepted.get(service, 0))
+
+    async def put(self, service: str, revision: int) -> None:
+        """Put one revision until it is accepted."""
+        change = f"{service}-{revision}"
+        with trio.fail_after(ANSWER_TIMEOUT_S):
+            while True:
+                result = await self._admin.put(
+                    service, make_document(service), revision, change
+                )
+                if isinstance(result, Success):
+                    break
+        self.accepted[service] = result.unwrap()["revision"]
+
+    async def put_at(self, name: str, service: str, revision: int, change: str):
+        """Put one revision at one control VM and return the result."""
+        text = make_document(service)
+        return await self.client(name).put(service, text, revision, change)
+
+    def client(self, name: str, token: str = TOKEN) -> AdminClient:
+        """Return a client of one control VM."""
+        return AdminClient((self.system.control[name].addresses["admin"],), token)
+
+    async def revisions_at(self, name: str) -> dict[str, int] | None:
+        """Return the revisions that one control VM reads."""
+        result = await self.client(name).get("/documents")
+        if not isinstance(result, Success):
+            return None
+        return {row["service"]: row["revision"] for row in result.unwrap()}
+
+    async def wait_for_all_accepted(self, *names: str) -> None:
+        """Wait until control VMs read exactly what was accepted."""
+        for name in names or tuple(self.system.control):
+
+            async def has_all(name=name) -> bool:
+                return await self.revisions_at(name) == self.accepted
+
+            await self.system.wait_until(has_all, f"{name} has {self.accepted}")
+
+    async def break_leader(self, fault: str) -> None:
+        """Kill, freeze or cut off the leader."""
+        running = self.system.control[self.leader]
+        match fault:
+            case "killed":
+                running.kill()
+                await running.process.wait()
+            case "frozen":
+                running.freeze()
+            case "cut off":
+                self._cut(self.leader)
+            case "cut off from what comes in":
+                self._relays[self.leader].cut_all()
+
+    async def mend(self, fault: str) -> None:
+        """Undo a fault."""
+        match fault:
+            case "killed":
+                await self.system.restart_control(self.leader)
+            case "frozen":
+                self.system.control[self.leader].thaw()
+            case _:
+                for relay in self._relays.values():
+                    relay.heal()
+
+    def _cut(self, name: str) -> None:
+        for other, relay in self._relays.items():
+            if other == name:
+                relay.cut_all()
+            else:
+                relay.cut_source(name)
+
+    async def lose_disk(self, name: str) -> None:
+        """Kill a control VM, empty its data folder and start it again."""
+        running = self.system.control[name]
+        running.kill()
+        await running.process.wait()
+        shutil.rmtree(self.system.folder / f"{name}.data")
+        await self.system.restart_control(name)
+
+    async def disk_ids(self) -> dict[str, str]:
+        """Return the disk id of each voter."""
+        rows = (await self.system.admin.get("/replicas")).value_or(())
+        return {row["name"]: row["id"] for row in rows if row["voter"]}
+
+
+@asynccontextmanager
+async def open_scene():
+    """Open a scene without control VMs."""
+    async with open_system() as system, trio.open_nursery() as nursery:
+        yield ControlScene(system, nursery)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,93 @@
+"""Relay frame connections and drop bytes silently when told to."""
+
+import trio
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.control.replica_messages import PEER_ASKS, Packet
+from persimmonhall.wire.frames import HEADER, PREAMBLE
+
+RECEIVE_BYTES = 64 * 1024
+
+
+class Relay:
+    """Stand in front of one control VM's frame address."""
+
+    def __init__(self, target: str):
+        self._target: Address = parse_address(target).unwrap()
+        self._all_cut = False
+        self._cut_sources: set[str] = set()
+        self.address = ""
+
+    def cut_all(self) -> None:
+        """Drop whatever comes in, and the replies to it."""
+        self._all_cut = True
+
+    def cut_source(self, name: str) -> None:
+        """Drop what comes from one control VM."""
+        self._cut_sources.add(name)
+
+    def heal(self) -> None:
+        """Relay again."""
+        self._all_cut = False
+        self._cut_sources.clear()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Accept connections until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, incoming: trio.SocketStream) -> None:
+        connection = _Connection(self, incoming)
+        try:
+            outgoing = await trio.open_tcp_stream(self._target.host, self._target.port)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.pump, incoming, outgoing, True)
+                nursery.start_soon(connection.pump, outgoing, incoming, False)
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(incoming)
+
+    def drops(self, source: str | None) -> bool:
+        """Tell whether bytes of a source are dropped."""
+        if self._all_cut:
+            return True
+        return bool(self._cut_sources) and (
+            source is None or source in self._cut_sources
+        )
+
+
+class _Connection:
+    """Relay one connection; once it lost bytes it stays silent."""
+
+    def __init__(self, relay: Relay, incoming: trio.SocketStream):
+        self._relay = relay
+        self._source: str | None = None
+        self._head = b""
+        self._silent = False
+
+    async def pump(self, source, target, from_peer: bool) -> None:
+        """Copy one direction."""
+        while data := await source.receive_some(RECEIVE_BYTES):
+            if from_peer and self._source is None:
+                self._head += data
+                self._source = _source_of(self._head)
+            self._silent = self._silent or self._relay.drops(self._source)
+            if not self._silent:
+                await target.send_all(data)
+        raise trio.BrokenResourceError
+
+
+def _source_of(head: bytes) -> str | None:
+    """Return the name of the control VM that sent the first packet, if known."""
+    start = len(PREAMBLE) + HEADER.size
+    if len(head) < start:
+        return None
+    length = HEADER.unpack_from(head, len(PREAMBLE))[0]
+    if len(head) < start + length:
+        return None
+    ask = PEER_ASKS.decode(head[start : start + length])
+    return ask.sender.partition("#")[0] if isinstance(ask, Packet) else None
