--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency bench-policy explore
+.PHONY: all install format lint test demo latency bench-policy micro explore
 
 all: test
 
@@ -41,3 +41,6 @@
 
 bench-policy: install
 	$(BIN)/python -m harness.bench_policy
+
+micro: install
+	$(BIN)/python -m harness.micro
