--- a/harness/explorer/world.py
+++ b/harness/explorer/world.py
@@ -25,6 +25,7 @@
 JOIN_INTERVAL_S = 0.5
 RESEND_S = 0.7
 FREEZE_STEP_S = 0.05
+MAX_STEPS = 50_000
 CLUSTER = "explorer"
 
 
@@ -109,6 +110,8 @@
     def after_input(self, replica: SimReplica) -> None:
         """Carry out what a replica asks for after an input."""
         self.steps += 1
+        if self.steps > MAX_STEPS:
+            raise ViolationError(f"more than {MAX_STEPS} steps: messages multiply")
         messages, writes = replica.take(self.now)
         for outgoing in messages:
             self._send(replica, outgoing.to, outgoing.message)
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -198,6 +198,7 @@
         return (
             not progress.probing
             and progress.chunk_offset is None
+            and self._state.log.first_index <= progress.next
             and progress.next <= self._state.log.last_index
             and unacknowledged <= MAX_UNACKNOWLEDGED_ENTRIES
         )
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -24,6 +24,7 @@
 
 SEEDS = 150
 SEEDS_OF_BROKEN_RULE = range(50, 60)
+SEED_OF_SNAPSHOT_STORM = 1249
 CUT_S = 30.0
 
 
@@ -56,6 +57,10 @@
     assert run_seed(7) == run_seed(7)
 
 
+def test_messages_do_not_multiply_around_a_snapshot():
+    assert run_seed(SEED_OF_SNAPSHOT_STORM).violation == ""
+
+
 def test_failing_seed_is_printed_with_its_replay(capsys, monkeypatch):
     broken = Variant(disk=ForgetfulDisk)
     monkeypatch.setattr(
