--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency bench-policy micro explore
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu
 
 all: test
 
@@ -44,3 +44,9 @@
 
 micro: install
 	$(BIN)/python -m harness.micro
+
+bench-vanua: install
+	$(BIN)/python -m harness.bench_deployment vanua
+
+bench-hakepuu: install
+	$(BIN)/python -m harness.bench_deployment hakepuu
--- /dev/null
+++ b/harness/bench_deployment.py
@@ -0,0 +1,224 @@
+"""Measure a deployment at its users' sizes under each trigger."""
+
+import argparse
+import json
+import sys
+from dataclasses import asdict
+from functools import partial
+from pathlib import Path
+
+import trio
+
+from harness.deployments import (
+    DEPLOYMENTS,
+    SLOT_SCALE,
+    Deployment,
+    Service,
+    document_text,
+)
+from harness.scenario import Figures, Timing, Trigger, run_trigger
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.load.settings import LoadSection, LoadSettings, RequestSection
+
+RESULTS = Path("results")
+TIMING = Timing(before_s=4.0, trigger_s=5.0, after_s=8.0)
+SURGE_FACTOR = 3.0
+SLOW_FACTOR = 4.0
+RESENDS = 1
+CONTROLS = 3
+CRASH_RESENDS = 20
+CRASH_INTERVAL_S = 0.1
+
+
+def node_name(deployment: Deployment, service: Service, number: int) -> str:
+    """Return the name of a service's node; its zone is the first part."""
+    zone = deployment.zones[number % len(deployment.zones)]
+    return f"{zone}-{service.name}-{number}"
+
+
+async def start_deployment(system: System, deployment: Deployment) -> None:
+    """Start control, nodes and stand-ins of a deployment."""
+    await system.start_controls(CONTROLS)
+    for service in deployment.services:
+        for number in range(service.servers):
+            name = node_name(deployment, service, number)
+            zone = name.partition("-")[0]
+            await system.start_node(name, zone, region=deployment.region)
+            await _start_backend(system, name, service)
+    for service in deployment.services:
+        text = document_text(service, deployment.deadline_ms)
+        await system.put_document(service.name, text)
+    for service in deployment.services:
+        await system.wait_for_document(service.name, 1)
+        await system.wait_for_members(service.name, service.servers)
+
+
+async def _start_backend(system: System, node: str, service: Service) -> None:
+    await system.start_backend(
+        node,
+        service.name,
+        slots=service.scaled_slots,
+        connections=service.connections,
+        service_ms=service.service_ms,
+        calls=list(service.calls),
+    )
+
+
+def load_settings(
+    system: System, deployment: Deployment, factor: float
+) -> LoadSettings:
+    """Mix all kinds of request of all services over all nodes."""
+    targets = tuple(node.addresses["callers"] for node in system.nodes.values())
+    section = LoadSection(
+        targets=targets,
+        timeout_ms=deployment.deadline_ms + 100,
+        resends=RESENDS,
+        connections=4000,
+        client_ms=deployment.client_ms,
+    )
+    requests = tuple(
+        RequestSection(
+            name=request.name,
+            service=service.name,
+            path=request.path,
+            per_second=request.per_second,
+            method=request.method,
+            keyed=not request.idempotent,
+        )
+        for service in deployment.services
+        for request in service.requests
+    )
+    return LoadSettings(section, TIMING.phases(factor), requests)
+
+
+async def _set_speed(deployment: Deployment, factor: float, system: System) -> None:
+    for service in deployment.services:
+        if service.name != deployment.deepest:
+            continue
+        for number in range(service.servers):
+            node = node_name(deployment, service, number)
+            await system.behave(node, service_ms=service.service_ms * factor)
+
+
+def _of_zone(system: System, zone: str) -> list:
+    named = {**system.nodes, **{f"{n}-b": b for n, b in system.backends.items()}}
+    return [process for name, process in named.items() if name.startswith(zone)]
+
+
+async def _freeze_zone(zone: str, system: System) -> None:
+    for process in _of_zone(system, zone):
+        process.freeze()
+
+
+async def _thaw_zone(zone: str, system: System) -> None:
+    for process in _of_zone(system, zone):
+        process.thaw()
+
+
+async def _kill_leader(system: System) -> None:
+    leader = await system.wait_for_leader()
+    system.control[leader].kill()
+
+
+async def _restart_controls(system: System) -> None:
+    for name, control in list(system.control.items()):
+        if control.process.returncode is not None:
+            await system.restart_control(name)
+
+
+async def _send_crashing(deployment: Deployment, system: System) -> None:
+    headers = ((b"persimmonhall-service", deployment.services[0].name.encode()),)
+    request = HttpRequest("GET", "/crash", headers)
+    nodes = list(system.nodes)
+    for number in range(CRASH_RESENDS):
+        await system.send(nodes[number % len(nodes)], request)
+        await trio.sleep(CRASH_INTERVAL_S)
+
+
+async def _restart_backends(system: System) -> None:
+    dead = [n for n, b in system.backends.items() if b.process.returncode is not None]
+    print(f"backend servers that the crashing request killed: {len(dead)}")
+    for node in dead:
+        await system.restart_backend(node)
+
+
+def make_triggers(deployment: Deployment) -> tuple[Trigger, ...]:
+    """Return the triggers in the order they are run."""
+    zone = deployment.lost_zone
+    return (
+        Trigger("surge x3", factor=SURGE_FACTOR),
+        Trigger(
+            f"{deployment.deepest} slow x4",
+            begin=partial(_set_speed, deployment, SLOW_FACTOR),
+            end=partial(_set_speed, deployment, 1.0),
+        ),
+        Trigger(
+            "leader killed",
+            begin=_kill_leader,
+            end=_restart_controls,
+        ),
+        Trigger(
+            "crashing",
+            begin=partial(_send_crashing, deployment),
+            end=_restart_backends,
+        ),
+        Trigger(
+            f"{zone} frozen",
+            begin=partial(_freeze_zone, zone),
+            end=partial(_thaw_zone, zone),
+        ),
+    )
+
+
+def print_figures(figures: list[Figures]) -> None:
+    """Print a line a trigger and the shares by kind of request."""
+    print(
+        f"{'trigger':<18} {'offered/s':>9} {'whole/s':>8} {'before':>7} {'after':>7} "
+        f"{'recovery s':>10} {'runs/good':>9} {'p50':>6} {'p99':>6} {'p999':>6}"
+    )
+    for row in figures:
+        latency = " ".join(f"{value:>6.0f}" for value in row.latency_ms.values())
+        print(
+            f"{row.trigger:<18} {row.offered_per_s:>9.0f} {row.goodput_per_s:>8.0f} "
+            f"{row.before_share:>7.1%} {row.after_share:>7.1%} "
+            f"{row.recovery_s:>10.1f} {row.executions_per_good:>9.2f} {latency}"
+        )
+        shares = "  ".join(f"{k} {v:.0%}" for k, v in row.good_share.items())
+        print(f"  {shares}")
+
+
+async def run_deployment(deployment: Deployment, only: list[str]) -> int:
+    """Run every trigger, print the table, write JSON."""
+    servers = sum(service.servers for service in deployment.services)
+    print(
+        f"{deployment.name}: {servers} servers in {len(deployment.zones)} zones, "
+        f"{CONTROLS} control VMs; slots 1/{SLOT_SCALE}, clients "
+        f"{deployment.client_ms} ms away, no delay between zones"
+    )
+    figures = []
+    async with open_system() as system:
+        await start_deployment(system, deployment)
+        for trigger in make_triggers(deployment):
+            if only and trigger.name not in only:
+                continue
+            settings = load_settings(system, deployment, trigger.factor)
+            figures.append(await run_trigger(system, trigger, TIMING, settings))
+    print_figures(figures)
+    RESULTS.mkdir(exist_ok=True)
+    result = json.dumps([asdict(row) for row in figures], indent=1)
+    (RESULTS / f"{deployment.name}.json").write_text(result)
+    return 0
+
+
+def main() -> int:
+    """Run the benchmark of one deployment."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("deployment", choices=list(DEPLOYMENTS))
+    parser.add_argument("--only", nargs="*", default=[], metavar="TRIGGER")
+    options = parser.parse_args()
+    return trio.run(run_deployment, DEPLOYMENTS[options.deployment], options.only)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harness/deployments.py
@@ -0,0 +1,184 @@
+"""Describe the two users' deployments, scaled to one machine."""
+
+from dataclasses import dataclass, field
+
+SLOT_SCALE = 10
+
+
+@dataclass(frozen=True)
+class RequestMix:
+    """Describe one kind of request of a service and its usual rate."""
+
+    name: str
+    method: str
+    path: str
+    worth: str
+    per_second: float
+    idempotent: bool = True
+
+
+@dataclass(frozen=True)
+class Service:
+    """Describe the servers of one service; slots and connections each."""
+
+    name: str
+    servers: int
+    slots: int
+    connections: int
+    service_ms: float
+    calls: tuple[str, ...] = ()
+    requests: tuple[RequestMix, ...] = ()
+
+    @property
+    def scaled_slots(self) -> int:
+        """Return the slots of a server on one machine."""
+        return max(1, round(self.slots / SLOT_SCALE))
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return how many requests a second all servers can run."""
+        return self.servers * self.scaled_slots * 1000 / self.service_ms
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Describe one user's zones, services and deepest service."""
+
+    name: str
+    region: str
+    zones: tuple[str, ...]
+    client_ms: float
+    deadline_ms: int
+    deepest: str
+    lost_zone: str
+    services: tuple[Service, ...] = field(default=())
+
+
+VANUA = Deployment(
+    name="vanua",
+    region="viti",
+    zones=("suva", "nadi", "lautoka", "labasa"),
+    client_ms=3.0,
+    deadline_ms=1500,
+    deepest="glyph",
+    lost_zone="labasa",
+    services=(
+        Service(
+            "maps",
+            servers=7,
+            slots=35,
+            connections=300,
+            service_ms=250.0,
+            calls=("glyph/internal/symbols",),
+            requests=(
+                RequestMix("chart", "GET", "/charts/1", "customer", 20.0),
+                RequestMix("preview", "GET", "/previews/1", "standard", 10.0),
+            ),
+        ),
+        Service(
+            "cue",
+            servers=4,
+            slots=60,
+            connections=450,
+            service_ms=250.0,
+            requests=(
+                RequestMix("warning", "POST", "/warnings", "critical", 10.0, False),
+                RequestMix("publish", "POST", "/segments", "customer", 15.0, False),
+                RequestMix("archive", "GET", "/archive/1", "internal", 35.0),
+            ),
+        ),
+        Service(
+            "reels",
+            servers=4,
+            slots=60,
+            connections=450,
+            service_ms=400.0,
+            requests=(RequestMix("pack", "GET", "/packs/1", "standard", 15.0),),
+        ),
+        Service(
+            "glyph",
+            servers=4,
+            slots=15,
+            connections=200,
+            service_ms=100.0,
+            requests=(RequestMix("lookup", "GET", "/internal/1", "internal", 20.0),),
+        ),
+    ),
+)
+
+HAKEPUU = Deployment(
+    name="hakepuu",
+    region="fi-south",
+    zones=("espoo", "lahti", "turku"),
+    client_ms=8.0,
+    deadline_ms=1500,
+    deepest="kuljetus",
+    lost_zone="turku",
+    services=(
+        Service(
+            "tarjonta",
+            servers=4,
+            slots=230,
+            connections=1500,
+            service_ms=900.0,
+            requests=(
+                RequestMix("offers", "GET", "/offers/1", "customer", 30.0),
+                RequestMix("prices", "GET", "/internal/prices", "internal", 40.0),
+            ),
+        ),
+        Service(
+            "tilaus",
+            servers=3,
+            slots=300,
+            connections=1900,
+            service_ms=900.0,
+            requests=(
+                RequestMix("booking", "POST", "/bookings", "critical", 15.0, False),
+                RequestMix("order", "POST", "/orders", "customer", 15.0, False),
+                RequestMix("report", "GET", "/internal/1", "internal", 40.0),
+            ),
+        ),
+        Service(
+            "asiakirja",
+            servers=3,
+            slots=300,
+            connections=1900,
+            service_ms=900.0,
+            requests=(
+                RequestMix("bundle", "GET", "/bundles?bytes=50000", "standard", 20.0),
+            ),
+        ),
+        Service(
+            "kuljetus",
+            servers=3,
+            slots=35,
+            connections=300,
+            service_ms=150.0,
+            requests=(RequestMix("arrivals", "GET", "/arrivals", "standard", 40.0),),
+        ),
+    ),
+)
+
+DEPLOYMENTS = {deployment.name: deployment for deployment in (VANUA, HAKEPUU)}
+
+
+def document_text(service: Service, deadline_ms: int) -> str:
+    """Write the document of a service."""
+    lines = [f'service = "{service.name}"', 'team = "operators"']
+    for request in service.requests:
+        lines += [
+            "[[requests]]",
+            f'path = "{request.path.partition("?")[0]}"',
+            f'method = "{request.method}"',
+            f'worth = "{request.worth}"',
+            f"idempotent = {str(request.idempotent).lower()}",
+            f"deadline_ms = {deadline_ms}",
+        ]
+    lines += [
+        "[[requests]]",
+        'path = "/*"',
+        'worth = "internal"',
+        "idempotent = true",
+        f"deadline_ms = {deadline_ms}",
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/harness/scenario.py
@@ -0,0 +1,104 @@
+"""Run one trigger between usual load before and after, and sum it up."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import trio
+
+from harness.system import System
+from persimmonhall.load.caller import Callers
+from persimmonhall.load.report import PERCENTILES, Report
+from persimmonhall.load.settings import LoadSettings, PhaseSection
+
+PHASES = ("before", "trigger", "after")
+
+Fault = Callable[[System], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class Trigger:
+    """Name what goes wrong and what happens at its begin and end."""
+
+    name: str
+    factor: float = 1.0
+    begin: Fault | None = None
+    end: Fault | None = None
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Say how long usual load, trigger and usual load last."""
+
+    before_s: float
+    trigger_s: float
+    after_s: float
+
+    def phases(self, factor: float) -> tuple[PhaseSection, ...]:
+        """Return the phases with a factor of load while the trigger lasts."""
+        return (
+            PhaseSection("before", self.before_s),
+            PhaseSection("trigger", self.trigger_s, factor),
+            PhaseSection("after", self.after_s),
+        )
+
+
+@dataclass(frozen=True)
+class Figures:
+    """Hold what one trigger did; goodput is whole answers a second."""
+
+    trigger: str
+    offered_per_s: float
+    goodput_per_s: float
+    good_share: dict[str, float]
+    before_share: float
+    after_share: float
+    recovery_s: float
+    executions_per_good: float
+    latency_ms: dict[str, float]
+
+
+async def run_trigger(
+    system: System, trigger: Trigger, timing: Timing, settings: LoadSettings
+) -> Figures:
+    """Run one trigger under load."""
+    started = await executions(system)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cause, system, trigger, timing)
+        report = await Callers(settings).run()
+    return _sum_up(trigger, timing, report, await executions(system) - started)
+
+
+async def executions(system: System) -> int:
+    """Return how many requests the backend servers started."""
+    counts = [await system.counts(node) for node in system.backends]
+    return sum(count["started"] for count in counts)
+
+
+async def _cause(system: System, trigger: Trigger, timing: Timing) -> None:
+    await trio.sleep(timing.before_s)
+    if trigger.begin is not None:
+        await trigger.begin(system)
+    await trio.sleep(timing.trigger_s)
+    if trigger.end is not None:
+        await trigger.end(system)
+
+
+def _sum_up(trigger: Trigger, timing: Timing, report: Report, executed: int) -> Figures:
+    sent = {phase: report.total(phase).sent for phase in PHASES}
+    good = {phase: report.total(phase).good for phase in PHASES}
+    histogram = report.total("trigger").histogram
+    before = (0.0, timing.before_s)
+    return Figures(
+        trigger=trigger.name,
+        offered_per_s=sent["trigger"] / timing.trigger_s,
+        goodput_per_s=good["trigger"] / timing.trigger_s,
+        good_share=report.good_shares("trigger"),
+        before_share=good["before"] / max(1, sent["before"]),
+        after_share=good["after"] / max(1, sent["after"]),
+        recovery_s=report.recovery_s(before, timing.before_s + timing.trigger_s),
+        executions_per_good=executed / max(1, sum(good.values())),
+        latency_ms={
+            name: histogram.get_value_at_percentile(percentile) / 1000
+            for name, percentile in PERCENTILES.items()
+        },
+    )
--- a/persimmonhall/load/caller.py
+++ b/persimmonhall/load/caller.py
@@ -77,7 +77,10 @@
 
     async def _send(self, message: HttpRequest) -> tuple[bool, str]:
         target = self._rng.choice(self._settings.load.targets)
-        match await self._client.send(target, message, MAX_ANSWER_BYTES):
+        await trio.sleep(self._settings.load.client_ms / 1000)
+        result = await self._client.send(target, message, MAX_ANSWER_BYTES)
+        await trio.sleep(self._settings.load.client_ms / 1000)
+        match result:
             case Success(answer):
                 return _judge(answer)
             case failure:
--- a/persimmonhall/load/report.py
+++ b/persimmonhall/load/report.py
@@ -83,6 +83,24 @@
         """Return the tally of one kind of request in one phase."""
         return self._tallies.get((phase, name), Tally())
 
+    def total(self, phase: str) -> Tally:
+        """Return the sum over all kinds of request in one phase."""
+        total = Tally()
+        for (name, _), tally in self._tallies.items():
+            if name == phase:
+                total.sent += tally.sent
+                total.good += tally.good
+                total.histogram.add(tally.histogram)
+        return total
+
+    def good_shares(self, phase: str) -> dict[str, float]:
+        """Return the share of whole answers by kind of request in one phase."""
+        return {
+            name: tally.good / max(1, tally.sent)
+            for (of, name), tally in self._tallies.items()
+            if of == phase
+        }
+
     def as_dict(self) -> dict:
         """Return all figures by phase and kind of request."""
         phases: dict[str, dict] = {}
--- a/persimmonhall/load/settings.py
+++ b/persimmonhall/load/settings.py
@@ -17,6 +17,7 @@
     timeout_ms: int = bounded(3000, least=1)
     resends: int = bounded(0, least=0, most=20)
     connections: int = bounded(200, least=1)
+    client_ms: float = bounded(0.0, least=0.0)
     seed: int = 1
 
 
