--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -22,12 +22,15 @@
 from persimmonhall.document.schema import RequestRule
 from persimmonhall.errors import ErrorKind, Ran, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest, end_to_end
-from persimmonhall.ids import IdempotencyKey, NodeName, ServiceName
+from persimmonhall.ids import Fingerprint, IdempotencyKey, NodeName, ServiceName
+from persimmonhall.once.fingerprint import fingerprint_of
+from persimmonhall.once.keys import key_of
+from persimmonhall.once.quarantine import Quarantine
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
 
 SERVICE_HEADER = b"persimmonhall-service"
-KEY_HEADER = b"idempotency-key"
+NO_KEY = IdempotencyKey("")
 OWN_HEADERS = frozenset({CHAIN_HEADER, SERVICE_HEADER})
 TRY_ANOTHER = frozenset(
     {ErrorKind.LEAVING, ErrorKind.CONNECT_FAILED, ErrorKind.NO_SERVER}
@@ -42,6 +45,8 @@
     rule: RequestRule
     chain: Chain
     is_root: bool
+    fingerprint: Fingerprint
+    key: IdempotencyKey
 
 
 class Entry:
@@ -54,6 +59,7 @@
         router: Router,
         ledger: RetryLedger,
         gates: Gates,
+        quarantine: Quarantine,
         rng: random.Random,
     ):
         self._node = node
@@ -61,6 +67,7 @@
         self._router = router
         self._ledger = ledger
         self._gates = gates
+        self._quarantine = quarantine
         self._rng = rng
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
@@ -89,13 +96,33 @@
         header = request.header(CHAIN_HEADER)
         if header is None:
             chain = Chain(new_root(), self._node, 0, rule.worth, rule.deadline_ms)
-            return Success(Plan(service, rule, chain, is_root=True))
+            return self._complete(request, service, rule, chain)
         match parse_chain(header):
             case Success(chain):
-                return Success(Plan(service, rule, chain, is_root=False))
+                return self._complete(request, service, rule, chain)
             case Failure(reason):
                 return Failure(refuse(ErrorKind.BAD_REQUEST, reason))
 
+    def _complete(
+        self,
+        request: HttpRequest,
+        service: ServiceName,
+        rule: RequestRule,
+        chain: Chain,
+    ) -> Result[Plan, Refusal]:
+        fingerprint = fingerprint_of(
+            service, request.method, request.target, request.body
+        )
+        refusal = self._quarantine.refusal(fingerprint)
+        if refusal is not None:
+            return Failure(refusal)
+        is_root = request.header(CHAIN_HEADER) is None
+        if rule.idempotent:
+            return Success(Plan(service, rule, chain, is_root, fingerprint, NO_KEY))
+        return key_of(request, chain.root, fingerprint).map(
+            lambda key: Plan(service, rule, chain, is_root, fingerprint, key)
+        )
+
     async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
         if plan.is_root:
             self._ledger.open(plan.chain.root, plan.rule.retries)
@@ -112,7 +139,9 @@
         reply: Reply | None = None
         while True:
             now = trio.current_time()
-            choice = self._router.choose(plan.service, tried, now)
+            choice = self._quarantine.choose(
+                plan.service, plan.fingerprint, tried
+            ) or self._router.choose(plan.service, tried, now)
             if choice is None:
                 return reply or _no_server(plan.service)
             logging.info(
@@ -167,7 +196,7 @@
         worth=plan.chain.worth,
         remaining_ms=remaining_ms,
         idempotent=plan.rule.idempotent,
-        key=IdempotencyKey(request.header(KEY_HEADER) or ""),
+        key=plan.key,
         max_answer_bytes=plan.rule.max_answer_bytes,
     )
 
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -1,6 +1,7 @@
 """Guard the one way into a backend server."""
 
 import itertools
+from functools import partial
 
 import trio
 from absl import logging
@@ -25,6 +26,7 @@
 from persimmonhall.http.client import PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.ids import TicketId
+from persimmonhall.once.runner import DirectRunner, Runner
 
 SHED_STATUS = 503
 
@@ -32,7 +34,8 @@
 class Gate:
     """Admit calls, run them on the backend server and answer whole."""
 
-    def __init__(self):
+    def __init__(self, runner: Runner | None = None):
+        self._runner = runner or DirectRunner()
         self._core = AdmissionCore()
         self._backend: Backend | None = None
         self._client: PooledClient | None = None
@@ -126,7 +129,7 @@
             return refuse(ErrorKind.NO_SERVER, detail)
         if self._leaving or backend.state is BackendState.LEAVING:
             return refuse(ErrorKind.LEAVING, "the backend server is leaving")
-        return None
+        return self._runner.refusal(call)
 
     def _deliver(self, verdicts: list[Verdict]) -> None:
         for verdict in verdicts:
@@ -143,7 +146,7 @@
     async def _run_admitted(self, call: Call, ticket: TicketId) -> Reply:
         outcome = Outcome.CANCELLED
         try:
-            result = await self._send(call)
+            result = await self._send_once(call)
             outcome = _outcome_of(result)
         finally:
             self._finish(ticket, outcome)
@@ -165,7 +168,15 @@
     def _finish(self, ticket: TicketId, outcome: Outcome) -> None:
         self._deliver(self._core.finish(ticket, outcome, trio.current_time()))
 
+    async def _send_once(self, call: Call) -> Result[HttpAnswer, Refusal]:
+        if self._backend is None:
+            return Failure(_backend_gone())
+        address = self._backend.address
+        return await self._runner.run(call, address, partial(self._send, call))
+
     async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
+        if self._backend is None:
+            return Failure(_backend_gone())
         remaining_ms = max(0, _remaining_ms())
         chain = Chain(call.root, call.entry, call.depth, call.worth, remaining_ms)
         headers = (
@@ -187,6 +198,10 @@
         self.refusal: Refusal | None = None
 
 
+def _backend_gone() -> Refusal:
+    return refuse(ErrorKind.NO_SERVER, "the backend server is gone")
+
+
 def _remaining_ms() -> int:
     left = trio.current_effective_deadline() - trio.current_time()
     return int(min(left * 1000, 2**31))
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.cli.operator_definition import operator_parser
+from persimmonhall.cli.quarantine import run_quarantine
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.document.schema import parse_document
@@ -20,6 +21,7 @@
 PROGRAM = "persimmonhall"
 STATUSES = {
     ErrorKind.NO_QUORUM: ExitStatus.UNREACHABLE,
+    ErrorKind.CONNECT_FAILED: ExitStatus.UNREACHABLE,
     ErrorKind.REVISION_CONFLICT: ExitStatus.CONFLICT,
     ErrorKind.INVALID_DOCUMENT: ExitStatus.USAGE,
 }
@@ -30,6 +32,8 @@
     options = operator_parser().parse_args(arguments)
     if options.command == "check":
         return _check(options.file)
+    if options.command == "quarantine":
+        return _report(trio.run(run_quarantine, options), as_json=options.json)
     if options.settings is None:
         return fail(PROGRAM, "give --settings FILE", ExitStatus.USAGE)
     match load_settings(OperatorSettings, options.settings):
@@ -37,12 +41,16 @@
             return fail(PROGRAM, reason, ExitStatus.USAGE)
         case Success(settings):
             client = AdminClient(settings.operator.control, settings.operator.token)
-    match trio.run(_run, options, client):
+    return _report(trio.run(_run, options, client), as_json=options.json)
+
+
+def _report(result: Result[object, Refusal], *, as_json: bool) -> ExitStatus:
+    match result:
         case Failure(refusal):
             status = STATUSES.get(refusal.kind, ExitStatus.REFUSED)
             return fail(PROGRAM, f"{refusal.kind.value}: {refusal.detail}", status)
         case Success(body):
-            _print(body, as_json=options.json)
+            _print(body, as_json=as_json)
     return ExitStatus.SUCCESS
 
 
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from persimmonhall.cli.definition import add_settings, make_parser
+from persimmonhall.cli.quarantine import add_quarantine
 
 DESCRIPTION = "Check and change documents and look at a running system."
 
@@ -12,7 +13,8 @@
   persimmonhall --settings operator.toml document list
   persimmonhall --settings operator.toml document put cue.toml --revision 3
   persimmonhall --settings operator.toml document get cue
-  persimmonhall --settings operator.toml status --json"""
+  persimmonhall --settings operator.toml status --json
+  persimmonhall quarantine list --node 127.0.0.1:7100"""
 
 
 def operator_parser() -> argparse.ArgumentParser:
@@ -25,6 +27,7 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    add_quarantine(commands)
     return parser
 
 
--- /dev/null
+++ b/persimmonhall/cli/quarantine.py
@@ -0,0 +1,71 @@
+"""List and lift quarantines through a node's loopback API."""
+
+import argparse
+import json
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.errors import PROBLEM_TYPE_PREFIX, ErrorKind, Refusal, refuse
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+
+PATH = "/-/quarantine"
+TIMEOUT_S = 5.0
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+
+
+def add_quarantine(commands: argparse._SubParsersAction) -> None:
+    """Add the command and its actions."""
+    quarantine = commands.add_parser(
+        "quarantine", help="list and lift requests that crash backend servers"
+    )
+    actions = quarantine.add_subparsers(dest="action", required=True, metavar="ACTION")
+    _add_node(actions.add_parser("list", help="list suspected requests"))
+    lift = actions.add_parser("lift", help="let a request run again")
+    lift.add_argument("fingerprint", metavar="FINGERPRINT")
+    _add_node(lift)
+
+
+def _add_node(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--node",
+        required=True,
+        type=_address,
+        metavar="IP:PORT",
+        help="local address of any node",
+    )
+
+
+def _address(text: str) -> Address:
+    match parse_address(text):
+        case Success(address):
+            return address
+        case Failure(reason):
+            raise argparse.ArgumentTypeError(reason)
+
+
+async def run_quarantine(options: argparse.Namespace) -> Result[object, Refusal]:
+    """Run one action and return the JSON body."""
+    if options.action == "list":
+        return await _send(options.node, "GET", PATH)
+    return await _send(options.node, "DELETE", f"{PATH}/{options.fingerprint}")
+
+
+async def _send(node: Address, method: str, target: str) -> Result[object, Refusal]:
+    client = PooledClient(max_connections=1)
+    request = HttpRequest(method, target, ())
+    with trio.move_on_after(TIMEOUT_S):
+        result = await client.send(node, request, MAX_ANSWER_BYTES)
+        await client.aclose()
+        return result.bind(_read)
+    return Failure(refuse(ErrorKind.CONNECT_FAILED, f"{node} did not answer"))
+
+
+def _read(answer: HttpAnswer) -> Result[object, Refusal]:
+    body = json.loads(answer.body)
+    if answer.status < 400:
+        return Success(body)
+    kind = ErrorKind(body["type"].removeprefix(PROBLEM_TYPE_PREFIX))
+    return Failure(refuse(kind, body["detail"]))
--- a/persimmonhall/control/machine.py
+++ b/persimmonhall/control/machine.py
@@ -4,6 +4,14 @@
 from persimmonhall.document.messages import PutDocument
 from persimmonhall.document.table import DocumentTable
 from persimmonhall.ids import LogIndex
+from persimmonhall.once.claims import ClaimTable
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ElapseTime,
+    FinishKey,
+    LoseClaims,
+    ReleaseKey,
+)
 
 
 class StateMachine:
@@ -11,6 +19,7 @@
 
     def __init__(self):
         self._documents = DocumentTable()
+        self._claims = ClaimTable()
         self._index = LogIndex(0)
 
     @property
@@ -18,6 +27,11 @@
         """Return the documents."""
         return self._documents
 
+    @property
+    def claims(self) -> ClaimTable:
+        """Return the claims."""
+        return self._claims
+
     @property
     def index(self) -> LogIndex:
         """Return the index of the last command applied."""
@@ -29,5 +43,16 @@
         match command:
             case PutDocument():
                 return self._documents.put(command, index)
+            case ClaimKey():
+                return self._claims.claim(command)
+            case FinishKey():
+                self._claims.finish(command)
+            case ReleaseKey():
+                self._claims.release(command)
+            case ElapseTime():
+                self._claims.elapse(command)
+            case LoseClaims():
+                self._claims.lose(command)
             case NoOp():
-                return NoReply()
+                pass
+        return NoReply()
--- a/persimmonhall/control/messages.capnp
+++ b/persimmonhall/control/messages.capnp
@@ -1,5 +1,7 @@
 @0xb5a1f0c3d7e94a21;
 
+using Once = import "/once/messages.capnp";
+
 struct HeldDocument {
   service @0 :Text;
   revision @1 :UInt64;
@@ -33,6 +35,11 @@
   union {
     putDocument @0 :PutDocument;
     noOp @1 :NoOp;
+    claimKey @2 :Once.ClaimKey;
+    finishKey @3 :Once.FinishKey;
+    releaseKey @4 :Once.ReleaseKey;
+    elapseTime @5 :Once.ElapseTime;
+    loseClaims @6 :Once.LoseClaims;
   }
 }
 
@@ -40,6 +47,7 @@
   union {
     putReply @0 :PutReply;
     noReply @1 :NoReply;
+    claimReply @2 :Once.ClaimReply;
   }
 }
 
--- a/persimmonhall/control/messages.py
+++ b/persimmonhall/control/messages.py
@@ -6,6 +6,14 @@
 from persimmonhall.document.messages import HeldDocument, PutDocument, PutReply
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import LogIndex
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ClaimReply,
+    ElapseTime,
+    FinishKey,
+    LoseClaims,
+    ReleaseKey,
+)
 from persimmonhall.wire.codec import Union, load_schema
 
 SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
@@ -59,10 +67,14 @@
     """Answer a command that has no reply of its own."""
 
 
-Command = PutDocument | NoOp
-CommandReply = PutReply | NoReply
+OnceCommand = ClaimKey | FinishKey | ReleaseKey | ElapseTime | LoseClaims
+Command = PutDocument | NoOp | OnceCommand
+CommandReply = PutReply | NoReply | ClaimReply
 
-COMMANDS = Union(SCHEMA.Command, (PutDocument, NoOp))
-COMMAND_REPLIES = Union(SCHEMA.CommandReply, (PutReply, NoReply))
+COMMANDS = Union(
+    SCHEMA.Command,
+    (PutDocument, NoOp, ClaimKey, FinishKey, ReleaseKey, ElapseTime, LoseClaims),
+)
+COMMAND_REPLIES = Union(SCHEMA.CommandReply, (PutReply, NoReply, ClaimReply))
 ASKS = Union(SCHEMA.Ask, (FetchDocuments, Submit))
 REPLIES = Union(SCHEMA.Reply, (Documents, Submitted, Declined))
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -13,6 +13,7 @@
 from persimmonhall.control.serve import ControlService
 from persimmonhall.control.storage import open_log
 from persimmonhall.http.asgi import serve_asgi
+from persimmonhall.once.log_clock import run_log_clock
 from persimmonhall.settings import ControlSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
@@ -43,6 +44,7 @@
     async with trio.open_nursery() as nursery:
         frames = await nursery.start(serve_links, handlers, own.frames)
         nursery.start_soon(wait_for_stop_signal, stop)
+        nursery.start_soon(run_log_clock, replica.submit)
         async with trio.open_nursery() as serving:
             address = await serving.start(serve_asgi, admin.handle, own.admin, stop)
             on_ready(ControlAddresses(address, frames))
--- a/persimmonhall/errors.py
+++ b/persimmonhall/errors.py
@@ -41,6 +41,7 @@
     KEY_RUNNING = "keyRunning"
     KEY_MISMATCH = "keyMismatch"
     OUTCOME_UNKNOWN = "outcomeUnknown"
+    ANSWER_NOT_KEPT = "answerNotKept"
     QUARANTINED = "quarantined"
     INVALID_DOCUMENT = "invalidDocument"
     REVISION_CONFLICT = "revisionConflict"
@@ -84,6 +85,7 @@
     ErrorKind.KEY_RUNNING: ErrorAnswer(409, "Request is running", Ran.YES, 1.0),
     ErrorKind.KEY_MISMATCH: ErrorAnswer(422, "Key used for another request", Ran.NO),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(409, "Outcome unknown", Ran.UNKNOWN),
+    ErrorKind.ANSWER_NOT_KEPT: ErrorAnswer(409, "Answer is not kept", Ran.YES),
     ErrorKind.QUARANTINED: ErrorAnswer(503, "Request is quarantined", Ran.NO, 60.0),
     ErrorKind.INVALID_DOCUMENT: ErrorAnswer(422, "Invalid document", Ran.NO),
     ErrorKind.REVISION_CONFLICT: ErrorAnswer(409, "Revision conflict", Ran.NO),
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -12,6 +12,7 @@
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.membership.announce import BackendWatch, parse_announcement
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.api import QUARANTINE_PATH, QuarantineApi
 
 OWN_PREFIX = "/-/"
 JSON_TYPE = (b"content-type", b"application/json")
@@ -26,6 +27,7 @@
         watch: BackendWatch,
         table: MemberTable,
         documents: DocumentsInForce,
+        quarantine: QuarantineApi,
         drain: Callable[[], None],
         rng: random.Random,
     ):
@@ -33,6 +35,7 @@
         self._watch = watch
         self._table = table
         self._documents = documents
+        self._quarantine = quarantine
         self._drain = drain
         self._rng = rng
 
@@ -47,7 +50,10 @@
                 return problem_answer(refusal, self._rng)
 
     def _route(self, request: HttpRequest) -> Result[HttpAnswer, Refusal]:
-        match (request.method, request.target.removeprefix(OWN_PREFIX)):
+        path = request.target.removeprefix(OWN_PREFIX)
+        if path.startswith(QUARANTINE_PATH):
+            return self._quarantine.handle(request.method, path)
+        match (request.method, path):
             case ("POST", "announce"):
                 return parse_announcement(request.body).map(self._announce)
             case ("GET", "status"):
--- a/persimmonhall/membership/announce.py
+++ b/persimmonhall/membership/announce.py
@@ -83,6 +83,11 @@
         state = MEMBER_STATES[backend.state]
         self._gossiper.announce(backend.service, backend.slots, state)
 
+    def drop(self) -> None:
+        """Forget the backend server until it announces itself again."""
+        self._gate.set_backend(None)
+        self._gossiper.announce(ServiceName(""), 0, MemberState.EMPTY)
+
     async def run(self) -> None:
         """Drop the backend server when it stops announcing itself."""
         while True:
@@ -91,5 +96,4 @@
             if backend is None or trio.current_time() - self._heard < SILENCE_S:
                 continue
             logging.warning("backend silent service=%s", backend.service)
-            self._gate.set_backend(None)
-            self._gossiper.announce(ServiceName(""), 0, MemberState.EMPTY)
+            self.drop()
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -24,6 +24,8 @@
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.api import QuarantineApi
+from persimmonhall.once.service import open_once
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
 from persimmonhall.settings import NodeSettings
@@ -32,6 +34,7 @@
 from persimmonhall.wire.link import LinkPool, serve_links
 
 LEAVE_NOTICE_S = 1.0
+SETTLE_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -62,18 +65,32 @@
     links = LinkPool(nursery)
     documents = DocumentsInForce()
     table = MemberTable(_own_member(settings))
-    gate = Gate()
+    control = ControlClient(links, settings.peers.control)
+    once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
+    gate = Gate(once.runner)
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
     entry = Entry(
-        own.name, documents, router, RetryLedger(), Gates(own.name, gate, links), rng
+        own.name,
+        documents,
+        router,
+        RetryLedger(),
+        Gates(own.name, gate, links),
+        once.quarantine,
+        rng,
     )
-    control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
-    local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
+    quarantine_api = QuarantineApi(once.quarantine)
+    local_api = LocalApi(
+        entry, watch, table, documents, quarantine_api, stop.set, rng
+    )
 
-    handlers = {Channel.CALL: gate.handle, Channel.MEMBERSHIP: gossiper.handle}
+    handlers = {
+        Channel.CALL: gate.handle,
+        Channel.MEMBERSHIP: gossiper.handle,
+        Channel.ONCE: once.spreader.handle,
+    }
     frames = await nursery.start(serve_links, handlers, own.frames)
     gossiper.set_frames(frames)
     limits = ServerLimits(
@@ -100,6 +117,7 @@
         local = await serving.start(serve, local_api.handle, own.local)
         nursery.start_soon(gossiper.run)
         nursery.start_soon(watch.run)
+        nursery.start_soon(once.spreader.run)
         nursery.start_soon(DocumentFollower(documents, control).run)
         nursery.start_soon(wait_for_stop_signal, stop)
         on_ready(NodeAddresses(callers, local, frames))
@@ -111,6 +129,7 @@
         closing.set()
         serving.cancel_scope.deadline = trio.current_time() + own.drain_seconds
     await gate.wait_idle(own.drain_seconds)
+    await once.settler.wait_idle(SETTLE_S)
     logging.info("left node=%s", own.name)
 
 
--- /dev/null
+++ b/persimmonhall/once/api.py
@@ -0,0 +1,54 @@
+"""Let an operator list and lift quarantines on a node's loopback API."""
+
+import json
+import re
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.ids import Fingerprint
+from persimmonhall.once.quarantine import Quarantine
+
+QUARANTINE_PATH = "quarantine"
+JSON_TYPE = (b"content-type", b"application/json")
+FINGERPRINT_PATTERN = re.compile(r"[0-9a-f]{16}")
+
+
+class QuarantineApi:
+    """Answer requests below the path of the quarantine."""
+
+    def __init__(self, quarantine: Quarantine):
+        self._quarantine = quarantine
+
+    def handle(self, method: str, path: str) -> Result[HttpAnswer, Refusal]:
+        """List the suspects, or lift the one that the path names."""
+        match (method, *path.split("/")):
+            case ("GET", "quarantine"):
+                return Success(self._list())
+            case ("DELETE", "quarantine", text):
+                return self._lift(text)
+        return Failure(refuse(ErrorKind.NOT_FOUND, f"no {method} {path} here"))
+
+    def _list(self) -> HttpAnswer:
+        rows = [
+            {
+                "fingerprint": f"{suspect.fingerprint:016x}",
+                "service": suspect.service,
+                "request": suspect.request,
+                "state": suspicion.value,
+                "seconds_left": round(seconds_left),
+                "deaths": [d.id for d in suspect.deaths if not d.cleared],
+            }
+            for suspect, suspicion, seconds_left in self._quarantine.list()
+        ]
+        return HttpAnswer(200, (JSON_TYPE,), json.dumps(rows).encode())
+
+    def _lift(self, text: str) -> Result[HttpAnswer, Refusal]:
+        if not FINGERPRINT_PATTERN.fullmatch(text):
+            detail = f"{text!r} is not a fingerprint of 16 hexadecimal digits"
+            return Failure(refuse(ErrorKind.BAD_REQUEST, detail))
+        if not self._quarantine.lift(Fingerprint(int(text, 16))):
+            return Failure(refuse(ErrorKind.NOT_FOUND, f"{text} is not suspected"))
+        body = json.dumps({"lifted": text}).encode()
+        return Success(HttpAnswer(200, (JSON_TYPE,), body))
--- /dev/null
+++ b/persimmonhall/once/claims.py
@@ -0,0 +1,243 @@
+"""Decide which gate may run a key; replicated, so it reads no clock."""
+
+import heapq
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import replace
+
+from persimmonhall.ids import (
+    ClaimId,
+    Fingerprint,
+    IdempotencyKey,
+    NodeName,
+    ServiceName,
+)
+from persimmonhall.once.messages import (
+    NO_ANSWER,
+    ClaimKey,
+    ClaimOutcome,
+    ClaimReply,
+    ClaimState,
+    ClaimTableState,
+    ElapseTime,
+    FinishKey,
+    HeldClaim,
+    KeptAnswer,
+    LoseClaims,
+    ReleaseKey,
+)
+
+MAX_CLAIMS = 250_000
+MAX_KEPT_BYTES = 32 * 1024 * 1024
+MAX_RELEASED_IDS = 4
+RELEASED_KEEP_MS = 10 * 60 * 1000
+
+Slot = tuple[ServiceName, IdempotencyKey]
+
+OUTCOMES = {
+    ClaimState.RUNNING: ClaimOutcome.RUNNING,
+    ClaimState.FINISHED: ClaimOutcome.FINISHED,
+    ClaimState.UNKNOWN: ClaimOutcome.UNKNOWN,
+}
+
+
+class ClaimTable:
+    """Hold the claim of every key until it expires."""
+
+    def __init__(
+        self, max_claims: int = MAX_CLAIMS, max_kept_bytes: int = MAX_KEPT_BYTES
+    ):
+        self._max_claims = max_claims
+        self._max_kept_bytes = max_kept_bytes
+        self._clock_ms = 0
+        self._claims: dict[Slot, HeldClaim] = {}
+        self._expiries: list[tuple[int, Slot]] = []
+        self._answers: OrderedDict[Slot, int] = OrderedDict()
+        self._running: dict[NodeName, set[Slot]] = {}
+        self._kept_bytes = 0
+        self._answer_order = 0
+
+    @property
+    def count(self) -> int:
+        """Return the number of keys held."""
+        return len(self._claims)
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return the bytes of the answers kept whole."""
+        return self._kept_bytes
+
+    def get(self, service: ServiceName, key: IdempotencyKey) -> HeldClaim | None:
+        """Return the claim of a key."""
+        return self._claims.get((service, key))
+
+    def claim(self, command: ClaimKey) -> ClaimReply:
+        """Grant a key once, or tell what became of it."""
+        slot = (command.service, command.key)
+        held = self._claims.get(slot)
+        if held is None:
+            if len(self._claims) >= self._max_claims:
+                return _reply(ClaimOutcome.FULL, command)
+            return self._grant(slot, command, ())
+        if command.claim in held.released:
+            return _reply(ClaimOutcome.WITHDRAWN, command)
+        if held.state is ClaimState.RELEASED:
+            return self._grant(slot, command, held.released)
+        if held.claim == command.claim and held.state is ClaimState.RUNNING:
+            return _reply(ClaimOutcome.GRANTED, held)
+        if held.fingerprint != command.fingerprint:
+            return _reply(ClaimOutcome.MISMATCH, held)
+        return _reply(OUTCOMES[held.state], held, held.answer)
+
+    def finish(self, command: FinishKey) -> None:
+        """Record the end of a run; only its own claim can, and once."""
+        slot = (command.service, command.key)
+        held = self._claims.get(slot)
+        if held is None or held.claim != command.claim:
+            return
+        if held.state not in (ClaimState.RUNNING, ClaimState.UNKNOWN):
+            return
+        self._answer_order += 1
+        self._replace(
+            slot,
+            held,
+            state=command.state,
+            answer=command.answer,
+            answer_order=self._answer_order,
+        )
+        if command.answer.whole:
+            self._keep(slot, command.answer)
+
+    def release(self, command: ReleaseKey) -> None:
+        """Free a key, also if its claim is yet to arrive."""
+        slot = (command.service, command.key)
+        held = self._claims.get(slot)
+        if held is None:
+            if len(self._claims) < self._max_claims:
+                self._put_released(slot, command)
+            return
+        if held.state in (ClaimState.FINISHED, ClaimState.UNKNOWN):
+            return
+        released = (*held.released, command.claim)[-MAX_RELEASED_IDS:]
+        is_holder = held.claim == command.claim
+        state = ClaimState.RELEASED if is_holder else held.state
+        self._replace(slot, held, state=state, released=released)
+
+    def lose(self, command: LoseClaims) -> None:
+        """Mark the runs of a node's earlier incarnations as unknown."""
+        for slot in tuple(self._running.get(command.holder, ())):
+            held = self._claims[slot]
+            if held.incarnation != command.incarnation:
+                self._replace(slot, held, state=ClaimState.UNKNOWN)
+
+    def elapse(self, command: ElapseTime) -> None:
+        """Advance the clock of the log and drop the claims that expired."""
+        self._clock_ms += command.elapsed_ms
+        while self._expiries and self._expiries[0][0] <= self._clock_ms:
+            _, slot = heapq.heappop(self._expiries)
+            held = self._claims.get(slot)
+            if held is not None and held.expires_ms <= self._clock_ms:
+                self._drop_answer(slot)
+                self._set_running(held, running=False)
+                del self._claims[slot]
+
+    def state(self) -> ClaimTableState:
+        """Return what a snapshot needs."""
+        return ClaimTableState(self._clock_ms, tuple(self._claims.values()))
+
+    def restore(self, state: ClaimTableState) -> None:
+        """Replace everything by the state of a snapshot."""
+        self._clock_ms = state.clock_ms
+        self._claims = {(held.service, held.key): held for held in state.claims}
+        self._expiries = [(h.expires_ms, slot) for slot, h in self._claims.items()]
+        heapq.heapify(self._expiries)
+        self._answers.clear()
+        self._running.clear()
+        self._kept_bytes = 0
+        self._answer_order = 0
+        for held in _in_answer_order(state.claims):
+            self._answer_order = held.answer_order
+            self._set_running(held, running=held.state is ClaimState.RUNNING)
+            if held.answer.whole:
+                self._keep((held.service, held.key), held.answer)
+
+    def _grant(
+        self, slot: Slot, command: ClaimKey, released: tuple[ClaimId, ...]
+    ) -> ClaimReply:
+        self._hold(
+            slot,
+            HeldClaim(
+                claim=command.claim,
+                service=command.service,
+                key=command.key,
+                fingerprint=command.fingerprint,
+                holder=command.holder,
+                incarnation=command.incarnation,
+                expires_ms=self._clock_ms + command.keep_ms,
+                released=released,
+            ),
+        )
+        return _reply(ClaimOutcome.GRANTED, command)
+
+    def _put_released(self, slot: Slot, command: ReleaseKey) -> None:
+        self._hold(
+            slot,
+            HeldClaim(
+                claim=command.claim,
+                service=command.service,
+                key=command.key,
+                fingerprint=Fingerprint(0),
+                holder=NodeName(""),
+                incarnation=0,
+                expires_ms=self._clock_ms + RELEASED_KEEP_MS,
+                state=ClaimState.RELEASED,
+                released=(command.claim,),
+            ),
+        )
+
+    def _hold(self, slot: Slot, held: HeldClaim) -> None:
+        self._claims[slot] = held
+        self._set_running(held, running=held.state is ClaimState.RUNNING)
+        heapq.heappush(self._expiries, (held.expires_ms, slot))
+
+    def _replace(self, slot: Slot, held: HeldClaim, **changes) -> None:
+        changed = self._claims[slot] = replace(held, **changes)
+        self._set_running(held, running=changed.state is ClaimState.RUNNING)
+
+    def _set_running(self, held: HeldClaim, *, running: bool) -> None:
+        slot = (held.service, held.key)
+        if running:
+            self._running.setdefault(held.holder, set()).add(slot)
+            return
+        slots = self._running.get(held.holder, set())
+        slots.discard(slot)
+        if not slots:
+            self._running.pop(held.holder, None)
+
+    def _keep(self, slot: Slot, answer: KeptAnswer) -> None:
+        size = len(answer.body) + sum(map(len, answer.headers))
+        self._answers[slot] = size
+        self._kept_bytes += size
+        while self._kept_bytes > self._max_kept_bytes:
+            self._forget_body(next(iter(self._answers)))
+
+    def _forget_body(self, slot: Slot) -> None:
+        self._drop_answer(slot)
+        held = self._claims[slot]
+        answer = replace(held.answer, headers=(), body=b"", whole=False)
+        self._claims[slot] = replace(held, answer=answer)
+
+    def _drop_answer(self, slot: Slot) -> None:
+        self._kept_bytes -= self._answers.pop(slot, 0)
+
+
+def _in_answer_order(claims: Iterable[HeldClaim]) -> list[HeldClaim]:
+    return sorted(claims, key=lambda held: held.answer_order)
+
+
+def _reply(
+    outcome: ClaimOutcome,
+    held: HeldClaim | ClaimKey,
+    answer: KeptAnswer = NO_ANSWER,
+) -> ClaimReply:
+    return ClaimReply(outcome, held.holder, held.incarnation, answer)
--- /dev/null
+++ b/persimmonhall/once/crash_watch.py
@@ -0,0 +1,148 @@
+"""Notice that the backend server died and which requests were in flight."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import trio
+from absl import logging
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.call.messages import Call
+from persimmonhall.errors import ErrorKind, Refusal
+from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.ids import DeathId, Fingerprint
+from persimmonhall.once.claimer import Holder
+from persimmonhall.once.crash_messages import Suspicion
+from persimmonhall.once.quarantine import quarantine_refusal
+from persimmonhall.once.spread import SuspectSpreader
+from persimmonhall.once.suspects import SuspectRequest, SuspectTable
+
+LOST = frozenset({ErrorKind.CONNECTION_LOST, ErrorKind.ANSWER_CUT})
+SHED_STATUS = 503
+PROBE_TIMEOUT_S = 0.5
+SAME_DEATH_S = 0.25
+MAX_REQUEST_LENGTH = 120
+
+Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
+
+
+class _Run:
+    """Hold one request in flight."""
+
+    def __init__(self, request: SuspectRequest):
+        self.request = request
+        self.implicated = False
+
+
+class CrashWatch:
+    """Run requests, suspects one at a time, and report deaths."""
+
+    def __init__(
+        self,
+        own: Holder,
+        suspects: SuspectTable,
+        spreader: SuspectSpreader,
+        on_death: Callable[[], None],
+    ):
+        self._source = f"{own.node}/{own.incarnation}"
+        self._suspects = suspects
+        self._spreader = spreader
+        self._on_death = on_death
+        self._running: set[_Run] = set()
+        self._suspect_turn = trio.Lock()
+        self._probe_done: trio.Event | None = None
+        self._died_at = -SAME_DEATH_S
+        self._numbers = itertools.count(1)
+
+    def refusal(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Return the final refusal of a quarantined request."""
+        return quarantine_refusal(self._suspects, fingerprint, trio.current_time())
+
+    async def run(
+        self, call: Call, fingerprint: Fingerprint, address: Address, send: Send
+    ) -> Result[HttpAnswer, Refusal]:
+        """Send a request; a suspect waits until no other suspect runs here."""
+        if self._suspicion(fingerprint) is Suspicion.NONE:
+            return await self._run(call, fingerprint, address, send)
+        async with self._suspect_turn:
+            if self._suspicion(fingerprint) is Suspicion.SUSPECT:
+                return await self._run(call, fingerprint, address, send)
+        refusal = self.refusal(fingerprint)
+        if refusal is not None:
+            return Failure(refusal)
+        return await self._run(call, fingerprint, address, send)
+
+    def _suspicion(self, fingerprint: Fingerprint) -> Suspicion:
+        return self._suspects.suspicion(fingerprint, trio.current_time())
+
+    async def _run(
+        self, call: Call, fingerprint: Fingerprint, address: Address, send: Send
+    ) -> Result[HttpAnswer, Refusal]:
+        request = f"{call.method} {call.target}"[:MAX_REQUEST_LENGTH]
+        run = _Run(SuspectRequest(fingerprint, call.service, request))
+        self._running.add(run)
+        try:
+            result = await send()
+            match result:
+                case Success(answer) if answer.status != SHED_STATUS:
+                    self._clear(fingerprint)
+                case Failure(refusal) if refusal.kind in LOST:
+                    await self._look_into(run, address)
+        finally:
+            self._running.discard(run)
+        return result
+
+    def _clear(self, fingerprint: Fingerprint) -> None:
+        now = trio.current_time()
+        if self._suspects.suspicion(fingerprint, now) is Suspicion.SUSPECT:
+            logging.info("suspect cleared fingerprint=%016x", fingerprint)
+            self._spreader.tell_all(self._suspects.clear(fingerprint, now))
+
+    async def _look_into(self, run: _Run, address: Address) -> None:
+        while self._probe_done is not None:
+            await self._probe_done.wait()
+        now = trio.current_time()
+        if run.implicated or now - self._died_at < SAME_DEATH_S:
+            return
+        in_flight = [other for other in self._running if not other.implicated]
+        done = self._probe_done = trio.Event()
+        try:
+            if await _refuses_connections(address):
+                self._report(in_flight)
+        finally:
+            self._probe_done = None
+            done.set()
+
+    def _report(self, in_flight: list[_Run]) -> None:
+        now = self._died_at = trio.current_time()
+        death = DeathId(f"{self._source}/{next(self._numbers)}")
+        for run in in_flight:
+            run.implicated = True
+        requests = {run.request.fingerprint: run.request for run in in_flight}
+        self._spreader.tell_all(self._suspects.report(death, requests.values(), now))
+        for request in requests.values():
+            state = self._suspects.suspicion(request.fingerprint, now)
+            _log_suspect(death, request, state)
+        self._on_death()
+
+
+async def _refuses_connections(address: Address) -> bool:
+    with trio.move_on_after(PROBE_TIMEOUT_S):
+        try:
+            stream = await trio.open_tcp_stream(address.host, address.port)
+        except OSError:
+            return True
+        await trio.aclose_forcefully(stream)
+    return False
+
+
+def _log_suspect(death: DeathId, request: SuspectRequest, state: Suspicion) -> None:
+    logging.warning(
+        "backend died death=%s fingerprint=%016x service=%s request=%s suspicion=%s",
+        death,
+        request.fingerprint,
+        request.service,
+        request.request,
+        state.value,
+    )
--- /dev/null
+++ b/persimmonhall/once/fingerprint.py
@@ -0,0 +1,20 @@
+"""Tell requests apart by service, method, target and body."""
+
+import struct
+
+import xxhash
+
+from persimmonhall.ids import Fingerprint, ServiceName
+
+LENGTHS = struct.Struct("<III")
+
+
+def fingerprint_of(
+    service: ServiceName, method: str, target: str, body: bytes
+) -> Fingerprint:
+    """Hash what a request asks of a service; headers do not count."""
+    parts = (service.encode(), method.encode("latin-1"), target.encode("latin-1"))
+    state = xxhash.xxh3_64(LENGTHS.pack(*map(len, parts)))
+    for part in (*parts, body):
+        state.update(part)
+    return Fingerprint(state.intdigest())
--- /dev/null
+++ b/persimmonhall/once/owner.py
@@ -0,0 +1,22 @@
+"""Choose the one server that runs a suspect."""
+
+from collections.abc import Collection, Iterable
+
+import xxhash
+
+from persimmonhall.ids import Fingerprint, NodeName
+from persimmonhall.membership.messages import Member
+from persimmonhall.routing.router import Choice
+
+REASON = "suspect-owner"
+
+
+def choose_owner(
+    members: Iterable[Member], fingerprint: Fingerprint, exclude: Collection[NodeName]
+) -> Choice | None:
+    """Return the member with the highest rendezvous hash, or none."""
+    left = [member for member in members if member.node not in exclude]
+    if not left:
+        return None
+    left.sort(key=lambda m: xxhash.xxh3_64_intdigest(m.node.encode(), fingerprint))
+    return Choice(left[-1], tuple(member.node for member in left[-2:]), REASON)
--- /dev/null
+++ b/persimmonhall/once/quarantine.py
@@ -0,0 +1,76 @@
+"""Keep quarantined requests out and send each suspect to one server."""
+
+from collections.abc import Collection
+
+import trio
+from absl import logging
+
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.ids import Fingerprint, NodeName, ServiceName
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.crash_messages import Suspect, Suspicion
+from persimmonhall.once.owner import choose_owner
+from persimmonhall.once.spread import SuspectSpreader
+from persimmonhall.once.suspects import SuspectTable
+from persimmonhall.routing.router import Choice
+
+
+class Quarantine:
+    """Answer an entry's and an operator's questions about suspects."""
+
+    def __init__(
+        self, suspects: SuspectTable, members: MemberTable, spreader: SuspectSpreader
+    ):
+        self._suspects = suspects
+        self._members = members
+        self._spreader = spreader
+
+    def refusal(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Return the final refusal of a quarantined request."""
+        return quarantine_refusal(self._suspects, fingerprint, trio.current_time())
+
+    def choose(
+        self,
+        service: ServiceName,
+        fingerprint: Fingerprint,
+        exclude: Collection[NodeName],
+    ) -> Choice | None:
+        """Choose the one server of a suspect; leave other requests alone."""
+        if self._suspects.suspicion(fingerprint, trio.current_time()) is Suspicion.NONE:
+            return None
+        members = self._members.servers_of(service)
+        return choose_owner(members, fingerprint, exclude)
+
+    def list(self) -> tuple[tuple[Suspect, Suspicion, float], ...]:
+        """Return every suspect with its state and the seconds left."""
+        now = trio.current_time()
+        rows = (
+            (
+                suspect,
+                self._suspects.suspicion(suspect.fingerprint, now),
+                self._suspects.seconds_left(suspect.fingerprint, now),
+            )
+            for suspect in self._suspects.all(now)
+        )
+        return tuple(row for row in rows if row[1] is not Suspicion.NONE)
+
+    def lift(self, fingerprint: Fingerprint) -> bool:
+        """Clear a request on every node; return whether it was suspected."""
+        changed = self._suspects.clear(fingerprint, trio.current_time())
+        self._spreader.tell_all(changed)
+        if changed:
+            logging.info("quarantine lifted fingerprint=%016x", fingerprint)
+        return bool(changed)
+
+
+def quarantine_refusal(
+    suspects: SuspectTable, fingerprint: Fingerprint, now: float
+) -> Refusal | None:
+    """Return the final refusal of a quarantined request."""
+    if suspects.suspicion(fingerprint, now) is not Suspicion.QUARANTINED:
+        return None
+    return refuse(
+        ErrorKind.QUARANTINED,
+        f"backend servers died running this request ({fingerprint:016x})",
+        retry_after_s=suspects.seconds_left(fingerprint, now),
+    )
--- /dev/null
+++ b/persimmonhall/once/runner.py
@@ -0,0 +1,71 @@
+"""Run an admitted call at most once and watch for crashes."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from returns.result import Result
+
+from persimmonhall.address import Address
+from persimmonhall.call.messages import Call
+from persimmonhall.errors import Refusal
+from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.once.claimer import Claimer
+from persimmonhall.once.crash_watch import CrashWatch
+from persimmonhall.once.fingerprint import fingerprint_of
+
+Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
+
+
+class Runner(Protocol):
+    """Decide whether an admitted call is sent to the backend server."""
+
+    def refusal(self, call: Call) -> Refusal | None:
+        """Return why the call must not run at all."""
+
+    async def run(
+        self, call: Call, address: Address, send: Send
+    ) -> Result[HttpAnswer, Refusal]:
+        """Send the call, or answer it without a run."""
+
+
+class DirectRunner:
+    """Send every call."""
+
+    def refusal(self, call: Call) -> Refusal | None:
+        """Refuse nothing."""
+        return None
+
+    async def run(
+        self, call: Call, address: Address, send: Send
+    ) -> Result[HttpAnswer, Refusal]:
+        """Send the call."""
+        return await send()
+
+
+class OnceRunner:
+    """Send a call under its claim, and a suspect alone."""
+
+    def __init__(self, claimer: Claimer, crashes: CrashWatch):
+        self._claimer = claimer
+        self._crashes = crashes
+
+    def refusal(self, call: Call) -> Refusal | None:
+        """Refuse quarantined requests."""
+        return self._crashes.refusal(_fingerprint(call))
+
+    async def run(
+        self, call: Call, address: Address, send: Send
+    ) -> Result[HttpAnswer, Refusal]:
+        """Send the call unless its key was claimed before."""
+        fingerprint = _fingerprint(call)
+
+        async def run_watched() -> Result[HttpAnswer, Refusal]:
+            return await self._crashes.run(call, fingerprint, address, send)
+
+        if call.idempotent:
+            return await run_watched()
+        return await self._claimer.run(call, fingerprint, run_watched)
+
+
+def _fingerprint(call: Call):
+    return fingerprint_of(call.service, call.method, call.target, call.body)
--- /dev/null
+++ b/persimmonhall/once/settler.py
@@ -0,0 +1,69 @@
+"""Bring the end of each claim to the log, also after the caller left."""
+
+import trio
+from absl import logging
+from returns.result import Failure, Success
+
+from persimmonhall.control.client import ControlClient
+from persimmonhall.once.messages import FinishKey, LoseClaims, ReleaseKey
+
+MAX_PENDING = 10_000
+TRY_TIMEOUT_S = 1.0
+GIVE_UP_AFTER_S = 60.0
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 2.0
+
+Ending = FinishKey | ReleaseKey | LoseClaims
+
+
+class Settler:
+    """Submit endings in the background until they are in the log."""
+
+    def __init__(self, control: ControlClient, nursery: trio.Nursery):
+        self._control = control
+        self._nursery = nursery
+        self._pending = 0
+        self._idle = trio.Event()
+        self._idle.set()
+
+    def settle(self, ending: Ending) -> trio.Event:
+        """Start to submit an ending; the event tells that it is done."""
+        done = trio.Event()
+        if self._pending >= MAX_PENDING:
+            logging.warning("claim ending dropped pending=%d", self._pending)
+            done.set()
+            return done
+        if self._pending == 0:
+            self._idle = trio.Event()
+        self._pending += 1
+        self._nursery.start_soon(self._run, ending, done)
+        return done
+
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until every ending is in the log, at most the timeout."""
+        with trio.move_on_after(timeout_s):
+            await self._idle.wait()
+
+    async def _run(self, ending: Ending, done: trio.Event) -> None:
+        try:
+            with trio.move_on_after(GIVE_UP_AFTER_S) as scope:
+                await self._submit(ending)
+            if scope.cancelled_caught:
+                logging.warning("claim ending lost %s", type(ending).__name__)
+        finally:
+            done.set()
+            self._pending -= 1
+            if self._pending == 0:
+                self._idle.set()
+
+    async def _submit(self, ending: Ending) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            with trio.move_on_after(TRY_TIMEOUT_S):
+                match await self._control.submit(ending):
+                    case Success():
+                        return
+                    case Failure(refusal):
+                        logging.debug("claim ending waits: %s", refusal.detail)
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
--- /dev/null
+++ b/persimmonhall/once/spread.py
@@ -0,0 +1,105 @@
+"""Tell every node of suspects at once, and compare with peers later."""
+
+import random
+
+import trio
+from absl import logging
+from returns.result import Success
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.crash_messages import (
+    Suspect,
+    SuspectNews,
+    decode_news,
+    encode_news,
+)
+from persimmonhall.once.suspects import SuspectTable
+from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.link import LinkPool
+
+COMPARE_INTERVAL_S = 2.0
+TELL_TIMEOUT_S = 2.0
+MAX_TELLS_AT_ONCE = 64
+
+
+class SuspectSpreader:
+    """Keep the suspect tables of all nodes alike."""
+
+    def __init__(
+        self,
+        suspects: SuspectTable,
+        members: MemberTable,
+        links: LinkPool,
+        nursery: trio.Nursery,
+        rng: random.Random,
+    ):
+        self._suspects = suspects
+        self._members = members
+        self._links = links
+        self._nursery = nursery
+        self._rng = rng
+        self._tells = trio.CapacityLimiter(MAX_TELLS_AT_ONCE)
+
+    def tell_all(self, suspects: tuple[Suspect, ...]) -> None:
+        """Send suspects to every known node at once."""
+        if not suspects:
+            return
+        payload = encode_news(self._suspects.news(trio.current_time(), suspects=suspects))
+        for member in self._members.peers():
+            address = parse_address(member.frames).unwrap()
+            self._nursery.start_soon(self._tell, address, payload)
+
+    async def handle(self, payload: bytes) -> bytes:
+        """Take in news and answer with everything if the sender knows less."""
+        now = trio.current_time()
+        news = decode_news(payload)
+        self._take(news, now)
+        own = self._suspects.news(now)
+        if own.digest != news.digest:
+            own = self._suspects.news(now, suspects=self._suspects.all(now))
+        return encode_news(own)
+
+    async def run(self) -> None:
+        """Compare with one random peer at a time until cancelled."""
+        while True:
+            peers = self._members.peers()
+            if peers:
+                address = parse_address(self._rng.choice(peers).frames).unwrap()
+                await self._compare(address)
+            await trio.sleep(COMPARE_INTERVAL_S)
+
+    async def _tell(self, address: Address, payload: bytes) -> None:
+        async with self._tells:
+            with trio.move_on_after(TELL_TIMEOUT_S):
+                await self._links.ask(address, Channel.ONCE, payload)
+
+    async def _compare(self, address: Address) -> None:
+        digest = self._suspects.news(trio.current_time()).digest
+        ask = encode_news(SuspectNews(digest, ()))
+        with trio.move_on_after(TELL_TIMEOUT_S):
+            match await self._links.ask(address, Channel.ONCE, ask):
+                case Success(data):
+                    await self._take_reply(address, decode_news(data))
+
+    async def _take_reply(self, address: Address, news: SuspectNews) -> None:
+        now = trio.current_time()
+        self._take(news, now)
+        own = self._suspects.news(now)
+        if own.digest != news.digest:
+            own = self._suspects.news(now, suspects=self._suspects.all(now))
+            await self._tell(address, encode_news(own))
+
+    def _take(self, news: SuspectNews, now: float) -> None:
+        for suspect in news.suspects:
+            before = self._suspects.suspicion(suspect.fingerprint, now)
+            self._suspects.merge((suspect,), now)
+            after = self._suspects.suspicion(suspect.fingerprint, now)
+            if after is not before:
+                logging.info(
+                    "suspicion fingerprint=%016x service=%s request=%s suspicion=%s",
+                    suspect.fingerprint,
+                    suspect.service,
+                    suspect.request,
+                    after.value,
+                )
--- /dev/null
+++ b/persimmonhall/once/suspects.py
@@ -0,0 +1,153 @@
+"""Decide which requests are suspected of crashing backend servers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+import xxhash
+
+from persimmonhall.ids import DeathId, Fingerprint, ServiceName
+from persimmonhall.once.crash_messages import (
+    Death,
+    Suspect,
+    SuspectNews,
+    Suspicion,
+)
+
+QUARANTINE_S = 600.0
+DEATHS_TO_QUARANTINE = 2
+MAX_SUSPECTS = 2048
+MAX_DEATHS_PER_SUSPECT = 16
+
+
+@dataclass(frozen=True)
+class SuspectRequest:
+    """Name a request that runs on a backend server."""
+
+    fingerprint: Fingerprint
+    service: ServiceName
+    request: str
+
+
+@dataclass(frozen=True)
+class _Sighting:
+    at: float
+    cleared: bool
+
+
+@dataclass(frozen=True)
+class _Record:
+    request: SuspectRequest
+    deaths: dict[DeathId, _Sighting]
+
+    def active(self, now: float) -> list[float]:
+        """Return the times of the deaths that count."""
+        return [
+            death.at
+            for death in self.deaths.values()
+            if not death.cleared and now - death.at < QUARANTINE_S
+        ]
+
+
+class SuspectTable:
+    """Hold a set of deaths for each request; merging commutes."""
+
+    def __init__(self):
+        self._records: dict[Fingerprint, _Record] = {}
+
+    def suspicion(self, fingerprint: Fingerprint, now: float) -> Suspicion:
+        """Tell how to treat a request."""
+        record = self._records.get(fingerprint)
+        count = len(record.active(now)) if record is not None else 0
+        if count >= DEATHS_TO_QUARANTINE:
+            return Suspicion.QUARANTINED
+        return Suspicion.SUSPECT if count else Suspicion.NONE
+
+    def seconds_left(self, fingerprint: Fingerprint, now: float) -> float:
+        """Return how long a quarantine lasts."""
+        record = self._records.get(fingerprint)
+        active = sorted(record.active(now)) if record is not None else []
+        if len(active) < DEATHS_TO_QUARANTINE:
+            return 0.0
+        return active[-DEATHS_TO_QUARANTINE] + QUARANTINE_S - now
+
+    def report(
+        self, death: DeathId, requests: Iterable[SuspectRequest], now: float
+    ) -> tuple[Suspect, ...]:
+        """Record a death with the requests in flight; return them as suspects."""
+        suspects = tuple(
+            Suspect(r.fingerprint, r.service, r.request, (Death(death, 0),))
+            for r in requests
+        )
+        self.merge(suspects, now)
+        return suspects
+
+    def merge(self, suspects: Iterable[Suspect], now: float) -> None:
+        """Take in what a peer knows."""
+        for suspect in suspects:
+            self._merge_one(suspect, now)
+        self._forget(now)
+
+    def clear(self, fingerprint: Fingerprint, now: float) -> tuple[Suspect, ...]:
+        """Take every death so far from a request; return what changed."""
+        record = self._records.get(fingerprint)
+        if record is None or not record.active(now):
+            return ()
+        deaths = {i: replace(d, cleared=True) for i, d in record.deaths.items()}
+        record = self._records[fingerprint] = replace(record, deaths=deaths)
+        return (_to_suspect(record, now),)
+
+    def all(self, now: float) -> tuple[Suspect, ...]:
+        """Return every record, cleared ones too."""
+        self._forget(now)
+        return tuple(_to_suspect(record, now) for record in self._records.values())
+
+    def news(self, now: float, *, suspects: tuple[Suspect, ...] = ()) -> SuspectNews:
+        """Return news with some suspects and the digest of all."""
+        self._forget(now)
+        return SuspectNews(self._digest(), suspects)
+
+    def _merge_one(self, suspect: Suspect, now: float) -> None:
+        record = self._records.get(suspect.fingerprint)
+        deaths = dict(record.deaths) if record is not None else {}
+        for death in suspect.deaths:
+            at = now - death.age_ms / 1000
+            known = deaths.get(death.id)
+            if known is not None:
+                at = min(at, known.at)
+            elif now - at >= QUARANTINE_S or len(deaths) >= MAX_DEATHS_PER_SUSPECT:
+                continue
+            cleared = death.cleared or (known is not None and known.cleared)
+            deaths[death.id] = _Sighting(at, cleared)
+        if deaths:
+            request = SuspectRequest(
+                suspect.fingerprint, suspect.service, suspect.request
+            )
+            self._records[suspect.fingerprint] = _Record(request, deaths)
+
+    def _forget(self, now: float) -> None:
+        ages = {
+            fingerprint: now - max(death.at for death in record.deaths.values())
+            for fingerprint, record in self._records.items()
+        }
+        oldest_first = sorted(ages, key=lambda f: (-ages[f], f))
+        excess = len(ages) - MAX_SUSPECTS
+        for number, fingerprint in enumerate(oldest_first):
+            if number < excess or ages[fingerprint] >= QUARANTINE_S:
+                del self._records[fingerprint]
+
+    def _digest(self) -> int:
+        state = xxhash.xxh3_64()
+        for fingerprint in sorted(self._records):
+            state.update(fingerprint.to_bytes(8, "little"))
+            for death, seen in sorted(self._records[fingerprint].deaths.items()):
+                state.update(f"{death}={seen.cleared};".encode())
+        return state.intdigest()
+
+
+def _to_suspect(record: _Record, now: float) -> Suspect:
+    deaths = tuple(
+        Death(death, max(0, int((now - seen.at) * 1000)), seen.cleared)
+        for death, seen in record.deaths.items()
+    )
+    request = record.request
+    return Suspect(request.fingerprint, request.service, request.request, deaths)
--- a/persimmonhall/wire/codec.py
+++ b/persimmonhall/wire/codec.py
@@ -12,12 +12,13 @@
 
 M = TypeVar("M")
 
+PACKAGE = Path(__file__).parents[1]
 MAX_WORDS = 16 * 1024 * 1024
 
 
 def load_schema(path: Path) -> Any:
-    """Load a schema file that stands beside its slice."""
-    return capnp.load(str(path), imports=[str(path.parent)])
+    """Load a schema file; it imports others as "/slice/file.capnp"."""
+    return capnp.load(str(path), imports=[str(PACKAGE)])
 
 
 @cache
