--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -82,9 +82,7 @@
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
-    local_api = LocalApi(
-        entry, watch, table, documents, quarantine_api, stop.set, rng
-    )
+    local_api = LocalApi(entry, watch, table, documents, quarantine_api, stop.set, rng)
 
     handlers = {
         Channel.CALL: gate.handle,
--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -150,9 +150,7 @@
                 self._finish(command, ClaimState.UNKNOWN)
         return result
 
-    def _finish(
-        self, command: ClaimKey, state: ClaimState, answer=NO_ANSWER
-    ) -> None:
+    def _finish(self, command: ClaimKey, state: ClaimState, answer=NO_ANSWER) -> None:
         self._settler.settle(
             FinishKey(command.claim, command.service, command.key, state, answer)
         )
--- a/persimmonhall/once/spread.py
+++ b/persimmonhall/once/spread.py
@@ -45,7 +45,9 @@
         """Send suspects to every known node at once."""
         if not suspects:
             return
-        payload = encode_news(self._suspects.news(trio.current_time(), suspects=suspects))
+        payload = encode_news(
+            self._suspects.news(trio.current_time(), suspects=suspects)
+        )
         for member in self._members.peers():
             address = parse_address(member.frames).unwrap()
             self._nursery.start_soon(self._tell, address, payload)
--- /dev/null
+++ b/persimmonhall/once/tests/test_claims.py
@@ -0,0 +1,206 @@
+"""Check that the log grants a key once, whatever is lost or repeated."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from persimmonhall.ids import Fingerprint
+from persimmonhall.once.claims import ClaimTable
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ClaimOutcome,
+    ClaimState,
+    ElapseTime,
+    FinishKey,
+    LoseClaims,
+    ReleaseKey,
+    decode_claims,
+    encode_claims,
+)
+from tests.builders import KEY, SERVICE, make_claim, make_finish, make_release
+
+SEEDS = range(300)
+STEPS = 60
+OTHER = {"fingerprint": Fingerprint(8)}
+UNKNOWN = ClaimState.UNKNOWN
+
+CASES = {
+    "first": ([], make_claim(1), "granted"),
+    "same claim again": ([make_claim(1)], make_claim(1), "granted"),
+    "second claim": ([make_claim(1)], make_claim(2), "running"),
+    "finished": ([make_claim(1), make_finish(1)], make_claim(2), "finished"),
+    "own claim finished": ([make_claim(1), make_finish(1)], make_claim(1), "finished"),
+    "outcome lost": (
+        [make_claim(1), make_finish(1, state=UNKNOWN)],
+        make_claim(2),
+        "unknown",
+    ),
+    "holder restarted": (
+        [make_claim(1), LoseClaims(make_claim(1).holder, 2)],
+        make_claim(2),
+        "unknown",
+    ),
+    "other holder restarted": (
+        [make_claim(1), LoseClaims(make_claim(2).holder, 2)],
+        make_claim(2),
+        "running",
+    ),
+    "released": ([make_claim(1), make_release(1)], make_claim(2), "granted"),
+    "released by another": (
+        [make_claim(1), make_release(2)],
+        make_claim(2),
+        "withdrawn",
+    ),
+    "release after finish": (
+        [make_claim(1), make_finish(1), make_release(1)],
+        make_claim(2),
+        "finished",
+    ),
+    "release after loss": (
+        [make_claim(1), make_finish(1, state=UNKNOWN), make_release(1)],
+        make_claim(2),
+        "unknown",
+    ),
+    "released before it came": ([make_release(1)], make_claim(1), "withdrawn"),
+    "late copy of a released claim": (
+        [make_claim(1), make_release(1), make_claim(2), make_release(2)],
+        make_claim(1),
+        "withdrawn",
+    ),
+    "other request": ([make_claim(1)], make_claim(2, **OTHER), "mismatch"),
+    "other request after the end": (
+        [make_claim(1), make_finish(1)],
+        make_claim(2, **OTHER),
+        "mismatch",
+    ),
+    "not expired": ([make_claim(1), ElapseTime(999)], make_claim(2), "running"),
+    "expired": ([make_claim(1), ElapseTime(1000)], make_claim(2), "granted"),
+    "finish of another": ([make_claim(1), make_finish(2)], make_claim(3), "running"),
+    "other service": ([make_claim(1)], make_claim(2, service="maps"), "granted"),
+}
+
+
+def apply(table: ClaimTable, command):
+    """Apply one command of the log."""
+    match command:
+        case ClaimKey():
+            return table.claim(command)
+        case FinishKey():
+            return table.finish(command)
+        case ReleaseKey():
+            return table.release(command)
+        case ElapseTime():
+            return table.elapse(command)
+        case LoseClaims():
+            return table.lose(command)
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_outcome(name):
+    before, command, expected = CASES[name]
+    table = ClaimTable()
+    for earlier in before:
+        apply(table, earlier)
+    restored = ClaimTable()
+    restored.restore(decode_claims(encode_claims(table.state())))
+    outcomes = [t.claim(command).outcome.value for t in (table, restored)]
+    assert outcomes == [expected, expected]
+    assert table.state() == restored.state()
+
+
+def test_kept_answer_is_returned():
+    table = ClaimTable()
+    table.claim(make_claim(1))
+    table.finish(make_finish(1, b"published"))
+    table.finish(make_finish(1, b"another"))
+    assert table.claim(make_claim(2)).answer.body == b"published"
+
+
+def test_bounds():
+    table = ClaimTable(max_claims=3, max_kept_bytes=10)
+    for number in range(3):
+        key = f"caller:{number}"
+        table.claim(make_claim(number, key=key))
+        table.finish(replace(make_finish(number, b"12345"), key=key))
+    assert table.claim(make_claim(9, key="caller:9")).outcome is ClaimOutcome.FULL
+    assert table.kept_bytes == 10
+    forgotten = table.claim(make_claim(9, key="caller:0")).answer
+    assert (forgotten.whole, forgotten.status, forgotten.size) == (False, 200, 5)
+    table.elapse(ElapseTime(1000))
+    assert (table.count, table.kept_bytes) == (0, 0)
+
+
+class Attempts:
+    """Race attempts for one key over a log that loses and repeats messages."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._table = ClaimTable()
+        self._wire: list = []
+        self._waiting: set = set()
+        self.runs = 0
+
+    def step(self, number: int) -> None:
+        """Start an attempt, or move a message or an attempt on."""
+        pick = self._rng.random()
+        if pick < 0.2:
+            claim = make_claim(number, holder=f"node-{self._rng.randrange(3)}")
+            self._waiting.add(claim)
+            self._wire.append(claim)
+        elif pick < 0.3 and self._waiting:
+            self._give_up(self._pick(self._waiting))
+        elif pick < 0.35:
+            self._wire.append(LoseClaims(f"node-{self._rng.randrange(3)}", 2))
+        elif pick < 0.4:
+            self._table.elapse(ElapseTime(10))
+        elif self._wire:
+            self._deliver(self._rng.choice(self._wire))
+
+    def _pick(self, claims):
+        return self._rng.choice(sorted(claims, key=lambda c: c.claim))
+
+    def _give_up(self, claim) -> None:
+        self._waiting.discard(claim)
+        self._wire.append(ReleaseKey(claim.claim, SERVICE, KEY))
+
+    def _deliver(self, command) -> None:
+        if self._rng.random() < 0.7:
+            self._wire.remove(command)
+        reply = apply(self._table, command)
+        lost = self._rng.random() < 0.2
+        if lost or reply is None or command not in self._waiting:
+            return
+        self._waiting.discard(command)
+        if reply.outcome is ClaimOutcome.GRANTED:
+            self._use(command)
+
+    def _use(self, claim) -> None:
+        """Run, or find that the request cannot have run, or die."""
+        pick = self._rng.random()
+        if pick < 0.3:
+            self._wire.append(ReleaseKey(claim.claim, SERVICE, KEY))
+            return
+        self.runs += 1
+        state = ClaimState.FINISHED if pick < 0.6 else ClaimState.UNKNOWN
+        if pick < 0.9:
+            finish = replace(make_finish(0, state=state), claim=claim.claim)
+            self._wire.append(finish)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_runs_at_most_once(seed):
+    attempts = Attempts(random.Random(seed))
+    for number in range(STEPS):
+        attempts.step(number)
+    assert attempts.runs <= 1
+
+
+def test_schedules_do_run():
+    runs = 0
+    for seed in SEEDS:
+        attempts = Attempts(random.Random(seed))
+        for number in range(STEPS):
+            attempts.step(number)
+        runs += attempts.runs
+    assert runs > len(SEEDS) / 2
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,8 @@
 from persimmonhall.document.schema import Worth
 from persimmonhall.ids import (
     ChangeId,
+    ClaimId,
+    Fingerprint,
     IdempotencyKey,
     LogIndex,
     NodeName,
@@ -18,6 +20,14 @@
     ZoneName,
 )
 from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ClaimState,
+    FinishKey,
+    KeptAnswer,
+    ReleaseKey,
+)
+from persimmonhall.once.suspects import SuspectRequest
 
 CUE_DOCUMENT = """\
 service = "cue"
@@ -108,3 +118,39 @@
         state=MemberState.READY,
     )
     return replace(member, **changes)
+
+
+SERVICE = ServiceName("cue")
+KEY = IdempotencyKey("caller:key-1")
+
+
+def make_claim(number: int, **changes) -> ClaimKey:
+    """Build the claim of one key by one attempt."""
+    claim = ClaimKey(
+        claim=ClaimId(f"claim-{number}"),
+        service=SERVICE,
+        key=KEY,
+        fingerprint=Fingerprint(7),
+        holder=NodeName(f"suva-cue-{number}"),
+        incarnation=1,
+        keep_ms=1000,
+    )
+    return replace(claim, **changes)
+
+
+def make_release(number: int) -> ReleaseKey:
+    """Build the release of one claim."""
+    return ReleaseKey(ClaimId(f"claim-{number}"), SERVICE, KEY)
+
+
+def make_finish(
+    number: int, body: bytes = b"done", state: ClaimState = ClaimState.FINISHED
+) -> FinishKey:
+    """Build the end of one claim."""
+    answer = KeptAnswer(200, (), body, len(body), 1, whole=True)
+    return FinishKey(ClaimId(f"claim-{number}"), SERVICE, KEY, state, answer)
+
+
+def make_suspect_request(number: int) -> SuspectRequest:
+    """Build a request that runs on a backend server."""
+    return SuspectRequest(Fingerprint(number), SERVICE, f"GET /segments/{number}")
