--- a/harness/processes.py
+++ b/harness/processes.py
@@ -12,6 +12,7 @@
 
 from persimmonhall.address import Address, parse_address
 
+ANY_PORT = "127.0.0.1:0"
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 45.0
 
@@ -48,6 +49,13 @@
     settings: Path
     module: str
 
+    def keep_addresses(self) -> None:
+        """Write the addresses into the settings, so that a restart takes them."""
+        text = self.settings.read_text()
+        for name, address in self.addresses.items():
+            text = text.replace(f'{name} = "{ANY_PORT}"', f'{name} = "{address}"')
+        self.settings.write_text(text)
+
     def kill(self) -> None:
         """End it at once."""
         self.process.kill()
--- a/harness/system.py
+++ b/harness/system.py
@@ -8,14 +8,13 @@
 import trio
 from returns.result import Result
 
-from harness.processes import Processes, Running
+from harness.processes import ANY_PORT, Processes, Running
 from persimmonhall.address import Address
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.errors import Refusal
 from persimmonhall.http.client import PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 
-ANY_PORT = "127.0.0.1:0"
 TOKEN = "token-of-operators"
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 WAIT_S = 20.0
@@ -96,6 +95,16 @@
         )
         return self.backends[node]
 
+    async def restart_node(self, node: str) -> None:
+        """Start an ended node anew on the same addresses."""
+        self.nodes[node].keep_addresses()
+        self.nodes[node] = await self._processes.restart(self.nodes[node])
+
+    async def restart_control(self, name: str = "control-1") -> None:
+        """Start an ended control VM's process anew on the same addresses."""
+        self.control[name].keep_addresses()
+        self.control[name] = await self._processes.restart(self.control[name])
+
     async def restart_backend(self, node: str) -> None:
         """Start an ended stand-in backend server anew."""
         self.backends[node] = await self._processes.restart(self.backends[node])
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,337 @@
+"""Check with real processes that a key runs at most once around faults."""
+
+import itertools
+import json
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+from returns.result import Success
+
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from tests.portal import open_portal
+
+scenarios("features/at_most_once.feature")
+
+ENTRY, GATE, FAR_GATE = "suva-cue-1", "suva-cue-2", "nadi-cue-1"
+NODES = {ENTRY: "suva", GATE: "suva", FAR_GATE: "nadi"}
+GATES = (GATE, FAR_GATE)
+FROZEN_S = 1.6
+RESENDS = 3
+QUICK_MS, SLOW_MS = 20, 700
+DOCUMENT = """\
+service = "cue"
+team = "operators"
+
+[[requests]]
+path = "/publish/*"
+method = "POST"
+worth = "critical"
+deadline_ms = 1500
+
+[[requests]]
+path = "/segments/*"
+idempotent = true
+"""
+KNOWN_OR_UNKNOWN = {"200", "outcomeUnknown"}
+
+_numbers = itertools.count(1)
+
+
+@dataclass
+class Trial:
+    """Send one key and keep what came back."""
+
+    system: System
+    key: str
+    answers: list[str] = field(default_factory=list)
+
+    async def send(self, node: str, body: bytes = b"warning") -> str:
+        """Send the key to a node and return the status or kind of problem."""
+        headers = (
+            (b"persimmonhall-service", b"cue"),
+            (b"idempotency-key", self.key.encode()),
+        )
+        request = HttpRequest("POST", "/publish/warnings", headers, body)
+        match await self.system.send(node, request):
+            case Success(answer):
+                outcome = outcome_of(answer)
+            case failure:
+                outcome = failure.failure().kind.value
+        self.answers.append(outcome)
+        return outcome
+
+    async def send_everywhere(self) -> None:
+        """Send the key to every node at once."""
+        async with trio.open_nursery() as nursery:
+            for node in NODES:
+                nursery.start_soon(self.send, node)
+
+    async def resend(self) -> None:
+        """Send the key to every node, several times."""
+        for _ in range(RESENDS):
+            await self.send_everywhere()
+
+    async def settle(self) -> None:
+        """Send the key until no node calls it running or refuses it."""
+
+        async def settled() -> bool:
+            return {await self.send(node) for node in NODES} <= KNOWN_OR_UNKNOWN
+
+        await self.system.wait_until(settled, f"settled: {self.answers[-3:]}")
+
+    async def wait_for_run(self) -> str:
+        """Wait until a backend server has started the key; return its node."""
+
+        async def started() -> bool:
+            return any(self.runs().values())
+
+        await self.system.wait_until(started, "a run")
+        return next(node for node, count in self.runs().items() if count)
+
+    def runs(self) -> dict[str, int]:
+        """Count the runs of the key at each backend server, killed or not."""
+        counts = {}
+        for node in GATES:
+            log = self.system.folder / f"{node}.runs"
+            lines = log.read_text().splitlines() if log.exists() else []
+            counts[node] = sum(line.split()[0] == self.key for line in lines)
+        return counts
+
+
+def outcome_of(answer: HttpAnswer) -> str:
+    """Return the kind of a problem, or else the status."""
+    if answer.header(b"content-type") == "application/problem+json":
+        return json.loads(answer.body)["type"].rpartition(":")[2]
+    return str(answer.status)
+
+
+async def _set_speed(system: System, service_ms: float) -> None:
+    for node in GATES:
+        await system.behave(node, service_ms=service_ms)
+
+
+async def _burst(trial: Trial) -> None:
+    await trial.resend()
+
+
+async def _lost_answers(trial: Trial) -> None:
+    await _set_speed(trial.system, SLOW_MS)
+    for node in NODES:
+        with trio.move_on_after(SLOW_MS / 2000):
+            await trial.send(node)
+    await trial.resend()
+
+
+async def _start_slow(trial: Trial, nursery: trio.Nursery, entry: str = ENTRY) -> str:
+    await _set_speed(trial.system, SLOW_MS)
+    nursery.start_soon(trial.send, entry)
+    return await trial.wait_for_run()
+
+
+async def _killed_gate(trial: Trial) -> None:
+    async with trio.open_nursery() as nursery:
+        gate = await _start_slow(trial, nursery)
+        trial.system.nodes[gate].kill()
+    for _ in range(RESENDS):
+        for node in set(NODES) - {gate}:
+            await trial.send(node)
+    await trial.system.restart_node(gate)
+    await trial.system.wait_for_members("cue", len(GATES))
+
+
+async def _killed_entry(trial: Trial) -> None:
+    async with trio.open_nursery() as nursery:
+        gate = await _start_slow(trial, nursery)
+        trial.system.nodes[ENTRY].kill()
+    await trial.send(gate)
+    await trial.system.restart_node(ENTRY)
+    await trial.system.wait_for_members("cue", len(GATES))
+
+
+async def _restarted_control(trial: Trial) -> None:
+    await trial.send(ENTRY)
+    trial.system.control["control-1"].kill()
+    await trial.resend()
+    await trial.system.restart_control()
+
+
+async def _control_lost_during_run(trial: Trial) -> None:
+    async with trio.open_nursery() as nursery:
+        await _start_slow(trial, nursery)
+        trial.system.control["control-1"].kill()
+    await trial.resend()
+    await trial.system.restart_control()
+
+
+async def _frozen_control(trial: Trial) -> None:
+    trial.system.control["control-1"].freeze()
+    await trial.send_everywhere()
+    assert "200" not in trial.answers
+    assert sum(trial.runs().values()) == 0
+    trial.system.control["control-1"].thaw()
+
+
+async def _frozen_gate(trial: Trial) -> None:
+    trial.system.nodes[GATE].freeze()
+    await trial.send(ENTRY)
+    trial.system.nodes[GATE].thaw()
+
+
+async def _frozen_gate_during_run(trial: Trial) -> None:
+    async with trio.open_nursery() as nursery:
+        gate = await _start_slow(trial, nursery, ENTRY)
+        trial.system.nodes[gate].freeze()
+        await trio.sleep(FROZEN_S)
+        trial.system.nodes[gate].thaw()
+
+
+async def _killed_backend(trial: Trial) -> None:
+    async with trio.open_nursery() as nursery:
+        gate = await _start_slow(trial, nursery)
+        trial.system.backends[gate].kill()
+    await trial.resend()
+    await trial.system.restart_backend(gate)
+    await trial.system.wait_for_members("cue", len(GATES))
+
+
+async def _refusing_backend(trial: Trial) -> None:
+    for node in GATES:
+        trial.system.backends[node].kill()
+        await trial.system.backends[node].process.wait()
+    await trial.send(ENTRY)
+    await trial.send(ENTRY)
+    assert sum(trial.runs().values()) == 0
+    for node in GATES:
+        await trial.system.restart_backend(node)
+    await trial.system.wait_for_members("cue", len(GATES))
+
+
+FAULTS = {
+    "a burst at every node": _burst,
+    "lost answers": _lost_answers,
+    "a killed gate": _killed_gate,
+    "a killed gate that came back": _killed_gate,
+    "a killed entry": _killed_entry,
+    "a restart of control": _restarted_control,
+    "control lost during the run": _control_lost_during_run,
+    "control frozen past the deadline": _frozen_control,
+    "a gate frozen before the call": _frozen_gate,
+    "a gate frozen during the run": _frozen_gate_during_run,
+    "a killed backend server": _killed_backend,
+    "a backend server that refuses": _refusing_backend,
+}
+
+
+async def _start(system: System) -> None:
+    await system.start_control()
+    for node, zone in NODES.items():
+        await system.start_node(node, zone)
+    for node in GATES:
+        run_log = str(system.folder / f"{node}.runs")
+        await system.start_backend(node, "cue", run_log=run_log)
+    await system.put_document("cue", DOCUMENT)
+    await system.wait_for_document("cue", 1)
+    await system.wait_for_members("cue", len(GATES))
+
+
+@pytest.fixture(scope="module")
+def running():
+    with open_portal(open_system) as (portal, system):
+        portal.run(_start, system)
+        yield portal, system
+
+
+@pytest.fixture
+def trial(running):
+    portal, system = running
+    portal.run(_set_speed, system, QUICK_MS)
+    return Trial(system, f"key-{next(_numbers)}")
+
+
+@given("control, three nodes and two backend servers of cue")
+def _(running):
+    portal, system = running
+    portal.run(system.wait_for_members, "cue", len(GATES))
+
+
+@when(parsers.parse("one key is sent again around {fault}"))
+def _(running, trial, fault):
+    portal, _ = running
+    portal.run(FAULTS[fault], trial)
+    portal.run(_set_speed, trial.system, QUICK_MS)
+    portal.run(trial.settle)
+    portal.run(trial.resend)
+
+
+@then("the backend servers ran the key at most once")
+def _(trial):
+    assert sum(trial.runs().values()) <= 1, trial.answers
+
+
+@then(parsers.parse("the answers came as {outcome}"))
+def _(trial, outcome):
+    last = set(trial.answers[-RESENDS * len(NODES) :])
+    wanted = KNOWN_OR_UNKNOWN if outcome == "a known or unknown outcome" else {outcome}
+    assert last <= wanted and len(last) == 1, trial.answers
+    if last == {"200"}:
+        assert sum(trial.runs().values()) == 1
+
+
+@when("control is frozen")
+def _(running):
+    _, system = running
+    system.control["control-1"].freeze()
+
+
+@then(parsers.parse("a keyed request is refused as {kind}, not run"))
+def _(running, trial, kind):
+    portal, _ = running
+    assert portal.run(trial.send, ENTRY) == kind
+    assert sum(trial.runs().values()) == 0
+
+
+@then("an idempotent request is served")
+def _(running):
+    portal, system = running
+    request = HttpRequest("GET", "/segments/7", ((b"host", b"cue"),))
+    assert portal.run(system.send, ENTRY, request).unwrap().status == 200
+
+
+@then("after control thaws the same key runs once")
+def _(running, trial):
+    portal, system = running
+    system.control["control-1"].thaw()
+    portal.run(trial.settle)
+    portal.run(trial.resend)
+    assert trial.answers[-1] == "200"
+    assert sum(trial.runs().values()) == 1
+
+
+@when("a key is used for another body")
+def _(running, trial):
+    portal, _ = running
+    portal.run(trial.send, ENTRY)
+    portal.run(trial.send, ENTRY, b"another")
+
+
+@when("a key is given with a bad character")
+def _(running, trial):
+    portal, _ = running
+    trial.key = "bad,key"
+    portal.run(trial.send, ENTRY)
+
+
+@when("a key is longer than allowed")
+def _(running, trial):
+    portal, _ = running
+    trial.key = "k" * 129
+    portal.run(trial.send, ENTRY)
+
+
+@then(parsers.parse("the refusal is {kind}, not run"))
+def _(trial, kind):
+    assert trial.answers[-1] == kind
+    assert sum(trial.runs().values()) == len(trial.answers) - 1
