--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -120,15 +120,12 @@
 
     async def _submit(self, command: ClaimKey) -> Result[ClaimReply, Refusal]:
         while True:
-            refusal = _no_quorum("the claim was not answered in time")
             with trio.move_on_after(TRY_TIMEOUT_S):
                 match await self._control.submit(command):
                     case Success() as success:
                         return success
-                    case Failure(refusal):
-                        pass
-            if refusal.ran is Ran.NO:
-                return Failure(_no_quorum(refusal.detail))
+                    case Failure(refusal) if refusal.ran is Ran.NO:
+                        return Failure(_no_quorum(refusal.detail))
             await trio.sleep(PAUSE_S)
 
     async def _run_granted(
--- a/persimmonhall/once/crash_watch.py
+++ b/persimmonhall/once/crash_watch.py
@@ -21,6 +21,9 @@
 LOST = frozenset({ErrorKind.CONNECTION_LOST, ErrorKind.ANSWER_CUT})
 SHED_STATUS = 503
 PROBE_TIMEOUT_S = 0.5
+MAX_PROBES = 10
+WATCH_S = 0.05
+TELL_WAIT_S = 0.1
 SAME_DEATH_S = 0.25
 MAX_REQUEST_LENGTH = 120
 
@@ -108,35 +111,57 @@
         in_flight = [other for other in self._running if not other.implicated]
         done = self._probe_done = trio.Event()
         try:
-            if await _refuses_connections(address):
-                self._report(in_flight)
+            with trio.CancelScope(shield=True):
+                if await _is_dead(address):
+                    await self._report(in_flight)
         finally:
             self._probe_done = None
             done.set()
 
-    def _report(self, in_flight: list[_Run]) -> None:
+    async def _report(self, in_flight: list[_Run]) -> None:
         now = self._died_at = trio.current_time()
         death = DeathId(f"{self._source}/{next(self._numbers)}")
         for run in in_flight:
             run.implicated = True
         requests = {run.request.fingerprint: run.request for run in in_flight}
-        self._spreader.tell_all(self._suspects.report(death, requests.values(), now))
+        suspects = self._suspects.report(death, requests.values(), now)
         for request in requests.values():
             state = self._suspects.suspicion(request.fingerprint, now)
             _log_suspect(death, request, state)
         self._on_death()
+        # Callers may resend elsewhere as soon as they have an answer.
+        with trio.move_on_after(TELL_WAIT_S):
+            await self._spreader.tell_all(suspects).wait()
 
 
-async def _refuses_connections(address: Address) -> bool:
+async def _is_dead(address: Address) -> bool:
+    """Tell whether a server refuses connections.
+
+    A process that is ending may close a connection before its listener.
+    """
     with trio.move_on_after(PROBE_TIMEOUT_S):
-        try:
-            stream = await trio.open_tcp_stream(address.host, address.port)
-        except OSError:
-            return True
-        await trio.aclose_forcefully(stream)
+        for _ in range(MAX_PROBES):
+            try:
+                stream = await trio.open_tcp_stream(address.host, address.port)
+            except OSError:
+                return True
+            if await _stays_open(stream):
+                return False
     return False
 
 
+async def _stays_open(stream: trio.SocketStream) -> bool:
+    try:
+        with trio.move_on_after(WATCH_S):
+            await stream.receive_some(1)
+            return False
+    except trio.BrokenResourceError:
+        return False
+    finally:
+        await trio.aclose_forcefully(stream)
+    return True
+
+
 def _log_suspect(death: DeathId, request: SuspectRequest, state: Suspicion) -> None:
     logging.warning(
         "backend died death=%s fingerprint=%016x service=%s request=%s suspicion=%s",
--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -38,3 +38,8 @@
       | used for another body       | keyMismatch |
       | given with a bad character  | badRequest  |
       | longer than allowed         | badRequest  |
+
+  Scenario: a backend server's call without a key is repeated by a retried parent
+    Given control, three nodes and two backend servers of cue
+    When the same call is made again for the same root request
+    Then it ran once and both got its answer
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -335,3 +335,25 @@
 def _(trial, kind):
     assert trial.answers[-1] == kind
     assert sum(trial.runs().values()) == len(trial.answers) - 1
+
+
+NESTED_TARGET = "/publish/nested"
+CHAIN = b"root=parent-1;entry=suva-cue-1;depth=1;worth=critical;remaining=1000"
+
+
+@when("the same call is made again for the same root request")
+def _(running, trial):
+    portal, system = running
+    headers = ((b"host", b"cue"), (b"persimmonhall-chain", CHAIN))
+    request = HttpRequest("POST", NESTED_TARGET, headers, b"segment")
+    for node in NODES:
+        answer = portal.run(system.send, node, request, "local").unwrap()
+        trial.answers.append(outcome_of(answer))
+
+
+@then("it ran once and both got its answer")
+def _(trial):
+    assert trial.answers == ["200"] * len(NODES)
+    logs = [trial.system.folder / f"{node}.runs" for node in GATES]
+    text = "".join(log.read_text() for log in logs)
+    assert text.count(NESTED_TARGET) == 1
--- /dev/null
+++ b/tests/test_crashing_request.py
@@ -0,0 +1,223 @@
+"""Check with real processes that a crashing request is stopped."""
+
+import json
+import subprocess
+import sys
+from dataclasses import dataclass, field
+
+import pytest
+import trio
+from pytest_bdd import given, scenarios, then, when
+from returns.result import Success
+
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from tests.portal import open_portal
+
+scenarios("features/crashing_request.feature")
+
+NODES = {
+    "suva-cue-1": "suva",
+    "suva-cue-2": "suva",
+    "nadi-cue-1": "nadi",
+    "nadi-cue-2": "nadi",
+}
+RESENDS = 20
+MOST_DEATHS = 2
+INNOCENTS = 12
+BYSTANDERS = 40
+SERVICE_MS = 80
+SLOTS = 8
+CRASH = "/segments/crash"
+LATER = "labasa-cue-1"
+DOCUMENT = """\
+service = "cue"
+team = "operators"
+
+[[requests]]
+path = "/segments/*"
+idempotent = true
+"""
+
+
+@dataclass
+class Story:
+    """Hold what callers saw."""
+
+    system: System
+    crashes: list[HttpAnswer] = field(default_factory=list)
+    innocents: dict[str, list[int]] = field(default_factory=dict)
+    bystanders: list[int] = field(default_factory=list)
+
+    async def get(self, node: str, path: str) -> HttpAnswer:
+        """Send one idempotent request."""
+        request = HttpRequest("GET", path, ((b"persimmonhall-service", b"cue"),))
+        match await self.system.send(node, request):
+            case Success(answer):
+                return answer
+            case failure:
+                raise AssertionError(failure)
+
+    async def be_innocent(self, number: int) -> None:
+        """Send one request again until it is served."""
+        path = f"/segments/innocent-{number}"
+        node = list(NODES)[number % len(NODES)]
+        statuses = self.innocents[path] = []
+
+        async def served() -> bool:
+            statuses.append((await self.get(node, path)).status)
+            return statuses[-1] == 200
+
+        await self.system.wait_until(served, f"{path}: {statuses}")
+
+    async def stand_by(self) -> None:
+        """Send different requests around the crashes."""
+        for number in range(BYSTANDERS):
+            path = f"/segments/bystander-{number}"
+            answer = await self.get(list(NODES)[number % len(NODES)], path)
+            self.bystanders.append(answer.status)
+
+    async def crash(self) -> None:
+        """Send the crashing request again and again, at another entry each time."""
+        await self._wait_until_busy()
+        for number in range(RESENDS):
+            node = list(NODES)[number % len(NODES)]
+            self.crashes.append(await self.get(node, CRASH))
+
+    async def _wait_until_busy(self) -> None:
+        async def busy() -> bool:
+            counts = [await self.system.counts(node) for node in NODES]
+            return all(count["running"] > 1 for count in counts)
+
+        await self.system.wait_until(busy, "innocent requests in flight")
+
+    async def run(self) -> None:
+        """Run all callers at once."""
+        async with trio.open_nursery() as nursery:
+            for number in range(INNOCENTS):
+                nursery.start_soon(self.be_innocent, number)
+            nursery.start_soon(self.stand_by)
+            nursery.start_soon(self.crash)
+
+    async def suspected(self, node: str) -> dict[str, str]:
+        """Return the requests that a node lists with their states."""
+        request = HttpRequest("GET", "/-/quarantine", ())
+        answer = await self.system.send(node, request, "local")
+        rows = json.loads(answer.unwrap().body)
+        return {row["request"]: row["state"] for row in rows}
+
+    async def wait_for_quarantine(self, expected: set[str]) -> None:
+        """Wait until every node has quarantined just these requests."""
+        last = {}
+
+        async def listed() -> bool:
+            for node in self.system.nodes:
+                rows = await self.suspected(node)
+                last[node] = {r for r, state in rows.items() if state == "quarantined"}
+            return all(rows == expected for rows in last.values())
+
+        await self.system.wait_until(listed, f"lists: {last}")
+
+
+async def _start(system: System) -> None:
+    await system.start_control()
+    for node, zone in NODES.items():
+        await system.start_node(node, zone)
+        await system.start_backend(node, "cue", service_ms=SERVICE_MS, slots=SLOTS)
+    await system.put_document("cue", DOCUMENT)
+    await system.wait_for_document("cue", 1)
+    await system.wait_for_members("cue", len(NODES))
+
+
+@pytest.fixture(scope="module")
+def running():
+    with open_portal(open_system) as (portal, system):
+        portal.run(_start, system)
+        yield portal, Story(system)
+
+
+@given("control, four nodes and four backend servers of cue")
+def _(running):
+    _, story = running
+    assert set(NODES) <= set(story.system.nodes)
+
+
+@when("innocent requests are in flight and a crashing request is resent 20 times")
+def _(running):
+    portal, story = running
+    portal.run(story.run)
+
+
+@then("at most 2 backend servers died")
+def _(running):
+    _, story = running
+    backends = story.system.backends.values()
+    deaths = sum(backend.process.returncode is not None for backend in backends)
+    assert 1 <= deaths <= MOST_DEATHS
+    assert len(story.crashes) == RESENDS
+
+
+@then("every innocent and every bystander was served")
+def _(running):
+    _, story = running
+    assert len(story.innocents) == INNOCENTS
+    assert all(statuses[-1] == 200 for statuses in story.innocents.values())
+    lost = sum(status != 200 for status in story.bystanders)
+    assert lost <= MOST_DEATHS, story.bystanders
+    assert len(story.bystanders) == BYSTANDERS
+
+
+@then("every node has quarantined only the crashing request")
+def _(running):
+    portal, story = running
+    portal.run(story.wait_for_quarantine, {f"GET {CRASH}"})
+    for node in NODES:
+        suspected = portal.run(story.suspected, node)
+        assert not suspected.keys() & {f"GET {path}" for path in story.innocents}
+
+
+@then("the last resends were refused at once with a time to come back")
+def _(running):
+    _, story = running
+    for answer in story.crashes[-len(NODES) :]:
+        problem = json.loads(answer.body)
+        assert problem["type"].endswith(":quarantined")
+        assert problem["ran"] == "no"
+        assert int(answer.header(b"retry-after")) > 60
+
+
+@when("a node joins after the deaths")
+def _(running):
+    portal, story = running
+    portal.run(story.system.start_node, LATER, "labasa")
+    portal.run(story.wait_for_quarantine, {f"GET {CRASH}"})
+    portal.run(story.system.wait_for_document, "cue", 1)
+
+
+@then("it refuses the crashing request")
+def _(running):
+    portal, story = running
+    answer = portal.run(story.get, LATER, CRASH)
+    assert json.loads(answer.body)["type"].endswith(":quarantined")
+
+
+def _operator(*arguments: str) -> str:
+    command = [sys.executable, "-m", "persimmonhall.cli.operator", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    return done.stdout
+
+
+@when("an operator lists and lifts the quarantine at one node")
+def _(running):
+    _, story = running
+    node = str(story.system.nodes[LATER].addresses["local"])
+    rows = json.loads(_operator("--json", "quarantine", "list", "--node", node))
+    [found] = [row for row in rows if row["state"] == "quarantined"]
+    assert found["request"] == f"GET {CRASH}"
+    _operator("quarantine", "lift", found["fingerprint"], "--node", node)
+
+
+@then("no node refuses the crashing request")
+def _(running):
+    portal, story = running
+    portal.run(story.wait_for_quarantine, set())
