Retry a claim whose reply was lost, within half the time left

Found by the claimer's table: a claim whose submit timed out was taken for 'not sent' and refused at once, so one lost reply refused a request needlessly. A claim is now resent under the same claim id; half of the time left is kept for the run, so that the refusal reaches the caller before its deadline.

--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -31,9 +31,9 @@
 CALLER_KEY_KEEP_MS = 24 * 3600 * 1000
 DERIVED_KEY_KEEP_MS = 10 * 60 * 1000
 CLAIM_TIMEOUT_S = 2.0
-TRY_TIMEOUT_S = 0.7
+TRY_TIMEOUT_S = 0.35
 PAUSE_S = 0.02
-DEADLINE_MARGIN_S = 0.002
+CLAIM_SHARE_OF_TIME_LEFT = 0.5
 
 Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
 
@@ -102,7 +102,7 @@
     async def _claim(self, command: ClaimKey) -> Result[ClaimReply, Refusal]:
         if not self._breaker.allow(trio.current_time()):
             return Failure(_no_quorum("the last claim found no quorum"))
-        timeout_s = min(CLAIM_TIMEOUT_S, _time_left_s() - DEADLINE_MARGIN_S)
+        timeout_s = min(CLAIM_TIMEOUT_S, CLAIM_SHARE_OF_TIME_LEFT * _time_left_s())
         result = Failure(_no_quorum("the claim was not answered in time"))
         try:
             with trio.move_on_after(timeout_s):
