--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,8 @@
 
 latency: install
 	$(BIN)/python -m harness.latency
+
+.PHONY: bench-claims
+
+bench-claims: install
+	$(BIN)/python -m harness.claims
--- a/persimmonhall/once/messages.py
+++ b/persimmonhall/once/messages.py
@@ -37,7 +37,7 @@
     FULL = "full"
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class KeptAnswer:
     """Hold an answer, or only its status, size in bytes and digest."""
 
@@ -52,7 +52,7 @@
 NO_ANSWER = KeptAnswer(0, (), b"", 0, 0, whole=False)
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ClaimKey:
     """Ask for the right to run a key; the same claim id gets the same grant."""
 
@@ -65,7 +65,7 @@
     keep_ms: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class FinishKey:
     """Record how the run of a claim ended."""
 
@@ -76,7 +76,7 @@
     answer: KeptAnswer
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ReleaseKey:
     """Give back a claim whose request did not run and never will."""
 
@@ -85,14 +85,14 @@
     key: IdempotencyKey
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ElapseTime:
     """Advance the clock of the log by time that one leader measured."""
 
     elapsed_ms: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class LoseClaims:
     """Declare the runs of earlier incarnations of a node lost."""
 
@@ -100,7 +100,7 @@
     incarnation: int
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ClaimReply:
     """Answer a claim with its outcome and what is known of the key."""
 
@@ -110,7 +110,7 @@
     answer: KeptAnswer
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class HeldClaim:
     """Hold one key of one service; expiry in milliseconds of the log clock."""
 
@@ -127,7 +127,7 @@
     released: tuple[ClaimId, ...] = ()
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class ClaimTableState:
     """Hold everything a snapshot needs of the claims."""
 
