--- a/persimmonhall/once/crash_watch.py
+++ b/persimmonhall/once/crash_watch.py
@@ -98,28 +98,31 @@
 
     def _clear(self, fingerprint: Fingerprint) -> None:
         now = trio.current_time()
-        if self._suspects.suspicion(fingerprint, now) is Suspicion.SUSPECT:
+        changed = self._suspects.clear(fingerprint, now)
+        if changed:
+            # A request that crashes every server never gets a whole answer.
             logging.info("suspect cleared fingerprint=%016x", fingerprint)
-            self._spreader.tell_all(self._suspects.clear(fingerprint, now))
+            self._spreader.tell_all(changed)
 
     async def _look_into(self, run: _Run, address: Address) -> None:
-        while self._probe_done is not None:
+        if self._probe_done is not None:
             await self._probe_done.wait()
-        now = trio.current_time()
-        if run.implicated or now - self._died_at < SAME_DEATH_S:
             return
-        in_flight = [other for other in self._running if not other.implicated]
+        is_known = trio.current_time() - self._died_at < SAME_DEATH_S
+        if run.implicated or is_known:
+            return
         done = self._probe_done = trio.Event()
         try:
             with trio.CancelScope(shield=True):
                 if await _is_dead(address):
-                    await self._report(in_flight)
+                    await self._report()
         finally:
             self._probe_done = None
             done.set()
 
-    async def _report(self, in_flight: list[_Run]) -> None:
+    async def _report(self) -> None:
         now = self._died_at = trio.current_time()
+        in_flight = [run for run in self._running if not run.implicated]
         death = DeathId(f"{self._source}/{next(self._numbers)}")
         for run in in_flight:
             run.implicated = True
--- /dev/null
+++ b/persimmonhall/once/tests/test_crash_watch.py
@@ -0,0 +1,159 @@
+"""Check how a gate notices deaths and treats suspects."""
+
+import random
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+import trio.testing
+from returns.result import Failure, Success
+
+from persimmonhall.address import Address
+from persimmonhall.errors import ErrorKind, refuse
+from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.ids import DeathId, Fingerprint, NodeName
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.claimer import Holder
+from persimmonhall.once.crash_messages import Suspicion
+from persimmonhall.once.crash_watch import CrashWatch
+from persimmonhall.once.spread import SuspectSpreader
+from persimmonhall.once.suspects import SuspectTable
+from persimmonhall.wire.link import LinkPool
+from tests.builders import make_call, make_member, make_suspect_request
+
+FINGERPRINT = Fingerprint(1)
+LOST = Failure(refuse(ErrorKind.CONNECTION_LOST, "lost"))
+
+
+class Gate:
+    """Hold a crash watch beside a backend server that lives or is dead."""
+
+    def __init__(self, nursery: trio.Nursery, address: Address):
+        self.suspects = SuspectTable()
+        members = MemberTable(make_member(1))
+        spreader = SuspectSpreader(
+            self.suspects, members, LinkPool(nursery), nursery, random.Random(1)
+        )
+        self.deaths = 0
+        holder = Holder(NodeName("suva-cue-1"), 1)
+        self._address = address
+        self._watch = CrashWatch(holder, self.suspects, spreader, self._count_death)
+
+    def _count_death(self) -> None:
+        self.deaths += 1
+
+    def report(self, *deaths: str) -> None:
+        """Record earlier deaths with the request in flight."""
+        request = make_suspect_request(FINGERPRINT)
+        for death in deaths:
+            self.suspects.report(DeathId(death), [request], trio.current_time())
+
+    def suspicion(self, fingerprint: int = FINGERPRINT) -> Suspicion:
+        """Return how the gate treats a request."""
+        return self.suspects.suspicion(Fingerprint(fingerprint), trio.current_time())
+
+    async def run(self, send, fingerprint: int = FINGERPRINT):
+        """Run one request."""
+        key = Fingerprint(fingerprint)
+        return await self._watch.run(make_call(), key, self._address, send)
+
+
+@asynccontextmanager
+async def open_gate(*, alive: bool):
+    """Open a gate whose backend server accepts connections, or none."""
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        host, port = listener.socket.getsockname()[:2]
+        if not alive:
+            await listener.aclose()
+        yield Gate(nursery, Address(host, port))
+        await listener.aclose()
+        nursery.cancel_scope.cancel()
+
+
+def answering(status: int):
+    """Make a send that gets an answer."""
+
+    async def send():
+        return Success(HttpAnswer(status, ()))
+
+    return send
+
+
+async def lose():
+    """Lose the connection."""
+    return LOST
+
+
+@pytest.mark.parametrize("alive", [True, False])
+async def test_only_a_refusing_server_is_dead(alive):
+    async with open_gate(alive=alive) as gate, trio.open_nursery() as nursery:
+        nursery.start_soon(gate.run, trio.sleep_forever, 2)
+        await trio.testing.wait_all_tasks_blocked()
+        await gate.run(lose)
+        nursery.cancel_scope.cancel()
+    expected = Suspicion.NONE if alive else Suspicion.SUSPECT
+    assert (gate.suspicion(1), gate.suspicion(2)) == (expected, expected)
+    assert gate.deaths == (0 if alive else 1)
+
+
+async def test_all_losses_of_one_death_count_once():
+    async with open_gate(alive=False) as gate, trio.open_nursery() as nursery:
+        for number in (1, 1, 2):
+            nursery.start_soon(gate.run, lose, number)
+    assert gate.deaths == 1
+    assert gate.suspicion() is Suspicion.SUSPECT
+
+
+CLEARING = {
+    "a whole answer": (["a"], 200, Suspicion.NONE),
+    "an answer with an error": (["a"], 500, Suspicion.NONE),
+    "the server sheds load": (["a"], 503, Suspicion.SUSPECT),
+}
+
+
+@pytest.mark.parametrize("name", CLEARING)
+async def test_clearing(name):
+    deaths, status, expected = CLEARING[name]
+    async with open_gate(alive=True) as gate:
+        gate.report(*deaths)
+        await gate.run(answering(status))
+        assert gate.suspicion() is expected
+
+
+async def test_quarantined_request_is_not_sent():
+    async with open_gate(alive=True) as gate:
+        gate.report("a", "b")
+        result = await gate.run(answering(200))
+        assert result.failure().kind is ErrorKind.QUARANTINED
+        assert gate.suspicion() is Suspicion.QUARANTINED
+
+
+async def test_copy_that_finishes_elsewhere_ends_a_quarantine():
+    async with open_gate(alive=True) as gate:
+
+        async def send():
+            gate.report("a", "b")
+            return await answering(200)()
+
+        await gate.run(send)
+        assert gate.suspicion() is Suspicion.NONE
+
+
+async def test_suspects_run_one_at_a_time():
+    running = most = 0
+    async with open_gate(alive=True) as gate:
+        gate.report("a")
+
+        async def send():
+            nonlocal running, most
+            running += 1
+            most = max(most, running)
+            await trio.testing.wait_all_tasks_blocked()
+            running -= 1
+            return LOST
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(gate.run, send)
+    assert most == 1
