--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -7,6 +7,7 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.chain import CHAIN_HEADER, Chain, new_root, parse_chain
 from persimmonhall.call.gates import NO_LOAD, Gates
 from persimmonhall.call.messages import (
@@ -61,6 +62,7 @@
         gates: Gates,
         quarantine: Quarantine,
         rng: random.Random,
+        self_limit: SelfLimit,
     ):
         self._node = node
         self._documents = documents
@@ -69,6 +71,7 @@
         self._gates = gates
         self._quarantine = quarantine
         self._rng = rng
+        self._self_limit = self_limit
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one request with a whole answer or a refusal."""
@@ -124,6 +127,9 @@
         )
 
     async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
+        refusal = self._self_limit.refusal(plan.chain.worth, plan.chain.root)
+        if refusal is not None:
+            return refused(refusal, NO_LOAD)
         if plan.is_root:
             self._ledger.open(plan.chain.root, plan.rule.retries)
         try:
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -9,6 +9,9 @@
 from absl import logging
 
 from persimmonhall.address import Address
+from persimmonhall.admission.critical_budget import server_share
+from persimmonhall.admission.lag_probe import probe_lag
+from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.entry import Entry
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gates import Gates
@@ -67,7 +70,14 @@
     table = MemberTable(_own_member(settings))
     control = ControlClient(links, settings.peers.control)
     once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
-    gate = Gate(once.runner)
+    self_limit = SelfLimit()
+
+    def critical_share(service: ServiceName) -> float:
+        document = documents.get(service)
+        rate = document.critical_per_second if document is not None else 0.0
+        return server_share(rate, len(table.servers_of(service)))
+
+    gate = Gate(critical_share, self_limit, once.runner)
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
@@ -79,6 +89,7 @@
         Gates(own.name, gate, links),
         once.quarantine,
         rng,
+        self_limit,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
@@ -116,6 +127,8 @@
         nursery.start_soon(gossiper.run)
         nursery.start_soon(watch.run)
         nursery.start_soon(once.spreader.run)
+        nursery.start_soon(gate.keep_time)
+        nursery.start_soon(probe_lag, self_limit)
         nursery.start_soon(DocumentFollower(documents, control).run)
         nursery.start_soon(wait_for_stop_signal, stop)
         on_ready(NodeAddresses(callers, local, frames))
--- a/persimmonhall/once/answers.py
+++ b/persimmonhall/once/answers.py
@@ -33,6 +33,11 @@
     )
 
 
+def is_replayed(answer: HttpAnswer) -> bool:
+    """Tell whether an answer was kept from an earlier run."""
+    return REPLAYED_HEADER in answer.headers
+
+
 def answer_without_run(
     reply: ClaimReply, is_live: IsLive
 ) -> Result[HttpAnswer, Refusal]:
