--- a/harness/processes.py
+++ b/harness/processes.py
@@ -48,6 +48,7 @@
     log: Path
     settings: Path
     module: str
+    stopping: bool = False
 
     def keep_addresses(self) -> None:
         """Write the addresses into the settings, so that a restart takes them."""
@@ -70,6 +71,7 @@
 
     async def terminate(self) -> int:
         """Ask it to stop and return its exit status."""
+        self.stopping = True
         self.process.send_signal(signal.SIGTERM)
         with trio.fail_after(STOP_TIMEOUT_S):
             return await self.process.wait()
--- a/harness/system.py
+++ b/harness/system.py
@@ -1,6 +1,7 @@
 """Start a whole small system on loopback."""
 
 import json
+from collections.abc import Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -95,11 +96,6 @@
         )
         return self.backends[node]
 
-    async def restart_node(self, node: str) -> None:
-        """Start an ended node anew on the same addresses."""
-        self.nodes[node].keep_addresses()
-        self.nodes[node] = await self._processes.restart(self.nodes[node])
-
     async def restart_control(self, name: str = "control-1") -> None:
         """Start an ended control VM's process anew on the same addresses."""
         self.control[name].keep_addresses()
@@ -109,6 +105,23 @@
         """Start an ended stand-in backend server anew."""
         self.backends[node] = await self._processes.restart(self.backends[node])
 
+    async def restart_node(self, name: str) -> Running:
+        """Start an ended node anew on the addresses it had."""
+        running = self.nodes[name]
+        lines = running.settings.read_text().splitlines()
+        kept = [
+            f'{key} = "{running.addresses[key]}"' if key in running.addresses else line
+            for line in lines
+            for key in [line.partition(" ")[0]]
+        ]
+        running.settings.write_text("\n".join(kept))
+        self.nodes[name] = await self._processes.restart(running)
+        return self.nodes[name]
+
+    async def start_task(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a function beside the experiment."""
+        self._processes.nursery.start_soon(run)
+
     async def run_load(self, settings: dict) -> dict:
         """Run persimmonhall-load to its end and return its figures."""
         return await self._processes.run_load(settings)
