--- a/harness/claims.py
+++ b/harness/claims.py
@@ -25,7 +25,6 @@
     ElapseTime,
     FinishKey,
     KeptAnswer,
-    encode_claims,
 )
 
 IN_FLIGHT = (1, 16)
@@ -117,7 +116,7 @@
     timed = ClaimTable()
     claim_s = _time(lambda: [timed.claim(claim) for claim in claims])
     finish_s = _time(lambda: [timed.finish(finish) for finish in finishes])
-    snapshot_s = _time(lambda: encode_claims(timed.state()))
+    snapshot_s = _time(lambda: timed.state())
     expire_s = _time(lambda: timed.elapse(ElapseTime(HOUR_MS)))
     assert timed.count == 0
     return TableRow(
--- /dev/null
+++ b/persimmonhall/call/tests/test_ran.py
@@ -0,0 +1,102 @@
+"""Check what an entry says of a run, and that it answers at its deadline."""
+
+import pytest
+import trio
+
+from persimmonhall.call.gates import NO_LOAD
+from persimmonhall.call.messages import Answered, refused
+from persimmonhall.call.tests.hops import HopModel
+from persimmonhall.errors import ErrorKind, Ran, refuse
+
+DEADLINE_S = 60.0
+
+
+def _refused(kind: ErrorKind, ran: Ran):
+    return refused(refuse(kind, "scripted", ran=ran), NO_LOAD)
+
+
+LOST = _refused(ErrorKind.CONNECTION_LOST, Ran.UNKNOWN)
+CUT = _refused(ErrorKind.ANSWER_CUT, Ran.YES)
+UNREACHABLE = _refused(ErrorKind.CONNECT_FAILED, Ran.NO)
+LEAVING = _refused(ErrorKind.LEAVING, Ran.NO)
+FULL = _refused(ErrorKind.OVERLOADED, Ran.NO)
+LATE = _refused(ErrorKind.DEADLINE_EXCEEDED, Ran.NO)
+LIE = (b"persimmonhall-ran", b"no")
+SHED = Answered(503, LIE, b"", NO_LOAD)
+DONE = Answered(200, LIE, b"", NO_LOAD)
+NEVER = None
+
+TABLE = {
+    "refused": ([FULL], 503, "no"),
+    "refused after an attempt that did not run": ([UNREACHABLE, FULL], 503, "no"),
+    "refused after a lost attempt": ([LOST, FULL], 503, "unknown"),
+    "refused after a cut answer": ([CUT, FULL], 503, "unknown"),
+    "no other server after a lost attempt": ([LOST, LEAVING], 503, "unknown"),
+    "no other server": ([LEAVING, LEAVING], 503, "no"),
+    "too late in the queue after a lost attempt": ([LOST, LATE], 504, "unknown"),
+    "too late in the queue": ([LATE], 504, "no"),
+    "answered after a lost attempt": ([LOST, DONE], 200, "yes"),
+    "a backend server's own 503 that claims no run": ([SHED], 503, "unknown"),
+    "an answer that claims no run": ([DONE], 200, "yes"),
+    "no reply": ([NEVER], 504, "unknown"),
+    "no reply after an attempt that did not run": (
+        [UNREACHABLE, NEVER],
+        504,
+        "unknown",
+    ),
+}
+
+
+class _Scripted(HopModel):
+    """Reply as scripted, attempt by attempt."""
+
+    script: list
+
+    async def call(self, member, call):
+        self.calls.append(call)
+        reply = self.script[len(self.calls) - 1]
+        if reply is NEVER:
+            await trio.sleep(2 * DEADLINE_S)
+        return reply
+
+
+@pytest.mark.parametrize("name", TABLE)
+async def test_answer_tells_the_truth_of_the_run(name, autojump_clock):
+    script, status, ran = TABLE[name]
+    model = _Scripted(1)
+    model.script = script
+    answer = await model.send()
+    assert len(model.calls) == len(script)
+    assert (answer.status, answer.header(b"persimmonhall-ran")) == (status, ran)
+    assert [k for k, _ in answer.headers].count(b"persimmonhall-ran") == 1
+
+
+async def test_entry_answers_at_its_deadline(autojump_clock):
+    model = _Scripted(1)
+    model.script = [NEVER]
+    start = trio.current_time()
+    await model.send()
+    assert trio.current_time() - start == pytest.approx(DEADLINE_S, abs=0.001)
+
+
+async def test_entry_answers_at_its_deadline_while_it_asks_for_a_token(autojump_clock):
+    model = _Scripted(1)
+    model.links_are_cut = True
+    model.script = [LOST]
+    chain = b"root=a;entry=suva-cue-1;depth=1;worth=internal;remaining=50"
+    start = trio.current_time()
+    answer = await model.send(chain=chain)
+    assert answer.header(b"persimmonhall-ran") == "unknown"
+    assert trio.current_time() - start == pytest.approx(0.05, abs=0.001)
+
+
+async def test_caller_that_goes_away_counts_as_a_failure(autojump_clock):
+    model = HopModel(1, retries=0)
+    chain = b"root=a;entry=x;depth=0;worth=internal;remaining=9000;execution=e"
+    scripted = _Scripted(1)
+    scripted.script = [NEVER, DONE]
+    with trio.move_on_after(1):
+        await scripted.send(chain=chain)
+    answer = await scripted.send(chain=chain)
+    assert (answer.status, len(scripted.calls)) == (503, 1)
+    assert model.calls == []
--- a/persimmonhall/membership/table.py
+++ b/persimmonhall/membership/table.py
@@ -11,7 +11,8 @@
         self._own = own
         self._members: dict[NodeName, Member] = {}
         self._servers: dict[ServiceName, dict[NodeName, Member]] = {}
-        self._index(own)
+        self._listed: dict[ServiceName, tuple[Member, ...]] = {}
+        self._replace(None, own)
 
     @property
     def own(self) -> Member:
@@ -20,23 +21,17 @@
 
     def set_own(self, own: Member) -> None:
         """Replace this node's own record."""
-        self._unindex(self._own)
+        self._replace(self._own, own)
         self._own = own
-        self._index(own)
 
     def put(self, member: Member) -> None:
         """Replace the record of another node."""
-        known = self._members.get(member.node)
-        if known is not None:
-            self._unindex(known)
+        self._replace(self._members.get(member.node), member)
         self._members[member.node] = member
-        self._index(member)
 
     def remove(self, node: NodeName) -> None:
         """Forget the record of another node."""
-        known = self._members.pop(node, None)
-        if known is not None:
-            self._unindex(known)
+        self._replace(self._members.pop(node, None), None)
 
     def get(self, node: NodeName) -> Member | None:
         """Return the record of a node."""
@@ -50,16 +45,34 @@
         """Return every member, this node first."""
         return (self._own, *self._members.values())
 
-    def servers_of(self, service: ServiceName) -> list[Member]:
-        """Return the members whose backend server takes calls of a service."""
-        return list(self._servers.get(service, {}).values())
+    def servers_of(self, service: ServiceName) -> tuple[Member, ...]:
+        """Return the ready members of a service; the same tuple until one changes."""
+        listed = self._listed.get(service)
+        if listed is None and service in self._servers:
+            listed = tuple(self._servers[service].values())
+            self._listed[service] = listed
+        return listed or ()
 
-    def _index(self, member: Member) -> None:
-        if member.state is MemberState.READY:
-            self._servers.setdefault(member.service, {})[member.node] = member
+    def _replace(self, old: Member | None, new: Member | None) -> None:
+        """Keep the index; a mere new version of a record leaves it alone."""
+        if _served(old) == _served(new):
+            return
+        if old is not None:
+            self._unindex(old)
+        if new is not None and new.state is MemberState.READY:
+            self._servers.setdefault(new.service, {})[new.node] = new
+            self._listed.pop(new.service, None)
 
     def _unindex(self, member: Member) -> None:
         servers = self._servers.get(member.service, {})
         servers.pop(member.node, None)
+        self._listed.pop(member.service, None)
         if not servers:
             self._servers.pop(member.service, None)
+
+
+def _served(member: Member | None) -> tuple | None:
+    """Return what routing needs to know of a record."""
+    if member is None or member.state is not MemberState.READY:
+        return None
+    return (member.service, member.frames, member.zone, member.slots, member.node)
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -15,6 +15,7 @@
 from persimmonhall.call.entry import Entry
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gates import Gates
+from persimmonhall.call.retries import Retries
 from persimmonhall.control.client import ControlClient
 from persimmonhall.document.follow import DocumentFollower
 from persimmonhall.document.in_force import DocumentsInForce
@@ -32,6 +33,7 @@
 from persimmonhall.once.service import open_once
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
+from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
@@ -81,15 +83,11 @@
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
+    tokens = Tokens(own.name, RetryLedger(), table, links)
+    gates = Gates(own.name, gate, links)
+    retries = Retries(tokens)
     entry = Entry(
-        own.name,
-        documents,
-        router,
-        RetryLedger(),
-        Gates(own.name, gate, links),
-        once.quarantine,
-        rng,
-        self_limit,
+        own.name, documents, router, retries, gates, once.quarantine, rng, self_limit
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
@@ -97,6 +95,7 @@
 
     handlers = {
         Channel.CALL: gate.handle,
+        Channel.LEDGER: tokens.handle,
         Channel.MEMBERSHIP: gossiper.handle,
         Channel.ONCE: once.spreader.handle,
     }
--- a/persimmonhall/once/claims.py
+++ b/persimmonhall/once/claims.py
@@ -25,6 +25,8 @@
     KeptAnswer,
     LoseClaims,
     ReleaseKey,
+    decode_claims,
+    encode_claims,
 )
 
 MAX_CLAIMS = 250_000
@@ -141,12 +143,14 @@
                 self._set_running(held, running=False)
                 del self._claims[slot]
 
-    def state(self) -> ClaimTableState:
-        """Return what a snapshot needs."""
-        return ClaimTableState(self._clock_ms, tuple(self._claims.values()))
+    def state(self) -> bytes:
+        """Write what a snapshot needs."""
+        claims = tuple(self._claims.values())
+        return encode_claims(ClaimTableState(self._clock_ms, claims))
 
-    def restore(self, state: ClaimTableState) -> None:
+    def restore(self, data: bytes) -> None:
         """Replace everything by the state of a snapshot."""
+        state = decode_claims(data)
         self._clock_ms = state.clock_ms
         self._claims = {(held.service, held.key): held for held in state.claims}
         self._expiries = [(h.expires_ms, slot) for slot, h in self._claims.items()]
--- a/persimmonhall/once/owner.py
+++ b/persimmonhall/once/owner.py
@@ -6,9 +6,7 @@
 
 from persimmonhall.ids import Fingerprint, NodeName
 from persimmonhall.membership.messages import Member
-from persimmonhall.routing.router import Choice
-
-REASON = "suspect-owner"
+from persimmonhall.routing.router import Choice, ChoiceReason
 
 
 def choose_owner(
@@ -19,4 +17,6 @@
     if not left:
         return None
     left.sort(key=lambda m: xxhash.xxh3_64_intdigest(m.node.encode(), fingerprint))
-    return Choice(left[-1], tuple(member.node for member in left[-2:]), REASON)
+    return Choice(
+        left[-1], tuple(member.node for member in left[-2:]), ChoiceReason.SUSPECT_OWNER
+    )
--- a/persimmonhall/once/quarantine.py
+++ b/persimmonhall/once/quarantine.py
@@ -1,6 +1,7 @@
 """Keep quarantined requests out and send each suspect to one server."""
 
 from collections.abc import Collection
+from typing import Protocol
 
 import trio
 from absl import logging
@@ -15,6 +16,38 @@
 from persimmonhall.routing.router import Choice
 
 
+class SuspectRouting(Protocol):
+    """Decide about suspects at an entry."""
+
+    def refusal(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Return the final refusal of a quarantined request."""
+
+    def choose(
+        self,
+        service: ServiceName,
+        fingerprint: Fingerprint,
+        exclude: Collection[NodeName],
+    ) -> Choice | None:
+        """Choose the one server of a suspect."""
+
+
+class NoQuarantine:
+    """Suspect nothing."""
+
+    def refusal(self, fingerprint: Fingerprint) -> Refusal | None:
+        """Refuse nothing."""
+        return None
+
+    def choose(
+        self,
+        service: ServiceName,
+        fingerprint: Fingerprint,
+        exclude: Collection[NodeName],
+    ) -> Choice | None:
+        """Leave the choice to the router."""
+        return None
+
+
 class Quarantine:
     """Answer an entry's and an operator's questions about suspects."""
 
--- a/persimmonhall/once/tests/test_claims.py
+++ b/persimmonhall/once/tests/test_claims.py
@@ -15,8 +15,6 @@
     FinishKey,
     LoseClaims,
     ReleaseKey,
-    decode_claims,
-    encode_claims,
 )
 from tests.builders import KEY, SERVICE, make_claim, make_finish, make_release
 
@@ -103,7 +101,7 @@
     for earlier in before:
         apply(table, earlier)
     restored = ClaimTable()
-    restored.restore(decode_claims(encode_claims(table.state())))
+    restored.restore(table.state())
     outcomes = [t.claim(command).outcome.value for t in (table, restored)]
     assert outcomes == [expected, expected]
     assert table.state() == restored.state()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -20,6 +20,7 @@
     ZoneName,
 )
 from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
 from persimmonhall.once.messages import (
     ClaimKey,
     ClaimState,
@@ -120,6 +121,12 @@
     return replace(member, **changes)
 
 
+def merge_members(table: MemberTable, members: list[Member]) -> None:
+    """Put members into a table."""
+    for member in members:
+        table.put(member)
+
+
 SERVICE = ServiceName("cue")
 KEY = IdempotencyKey("caller:key-1")
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -155,7 +155,7 @@
     await trial.send(ENTRY)
     trial.system.control["control-1"].kill()
     await trial.resend()
-    await trial.system.restart_control()
+    await trial.system.restart_control("control-1")
 
 
 async def _control_lost_during_run(trial: Trial) -> None:
@@ -163,7 +163,7 @@
         await _start_slow(trial, nursery)
         trial.system.control["control-1"].kill()
     await trial.resend()
-    await trial.system.restart_control()
+    await trial.system.restart_control("control-1")
 
 
 async def _frozen_control(trial: Trial) -> None:
