--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims
 
 all: test
 
@@ -50,3 +50,8 @@
 
 bench-hakepuu: install
 	$(BIN)/python -m harness.bench_deployment hakepuu
+
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims
+
+bench-claims: install
+	$(BIN)/python -m harness.claims
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -17,6 +17,7 @@
 from persimmonhall.control.serve import ControlService
 from persimmonhall.control.serve_peers import PeerService
 from persimmonhall.http.asgi import serve_asgi
+from persimmonhall.once.log_clock import run_log_clock
 from persimmonhall.raft.core import Core
 from persimmonhall.raft.state import Stored
 from persimmonhall.raft.storage import (
@@ -103,6 +104,7 @@
         nodes.start(service.handle)
         replicas.start(PeerService(replica).handle)
         nursery.start_soon(replica.driver.run)
+        nursery.start_soon(run_log_clock, replica.submit_here)
         nursery.start_soon(Joiner(replica, own.name, address, own.peers).run)
         await _serve(settings, replica, service, frames, on_ready)
         nursery.cancel_scope.cancel()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,6 +8,8 @@
 from persimmonhall.document.schema import Worth
 from persimmonhall.ids import (
     ChangeId,
+    ClaimId,
+    Fingerprint,
     IdempotencyKey,
     LogIndex,
     NodeName,
@@ -19,6 +21,14 @@
 )
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ClaimState,
+    FinishKey,
+    KeptAnswer,
+    ReleaseKey,
+)
+from persimmonhall.once.suspects import SuspectRequest
 
 CUE_DOCUMENT = """\
 service = "cue"
@@ -115,3 +125,39 @@
     """Put members into a table."""
     for member in members:
         table.put(member)
+
+
+SERVICE = ServiceName("cue")
+KEY = IdempotencyKey("caller:key-1")
+
+
+def make_claim(number: int, **changes) -> ClaimKey:
+    """Build the claim of one key by one attempt."""
+    claim = ClaimKey(
+        claim=ClaimId(f"claim-{number}"),
+        service=SERVICE,
+        key=KEY,
+        fingerprint=Fingerprint(7),
+        holder=NodeName(f"suva-cue-{number}"),
+        incarnation=1,
+        keep_ms=1000,
+    )
+    return replace(claim, **changes)
+
+
+def make_release(number: int) -> ReleaseKey:
+    """Build the release of one claim."""
+    return ReleaseKey(ClaimId(f"claim-{number}"), SERVICE, KEY)
+
+
+def make_finish(
+    number: int, body: bytes = b"done", state: ClaimState = ClaimState.FINISHED
+) -> FinishKey:
+    """Build the end of one claim."""
+    answer = KeptAnswer(200, (), body, len(body), 1, whole=True)
+    return FinishKey(ClaimId(f"claim-{number}"), SERVICE, KEY, state, answer)
+
+
+def make_suspect_request(number: int) -> SuspectRequest:
+    """Build a request that runs on a backend server."""
+    return SuspectRequest(Fingerprint(number), SERVICE, f"GET /segments/{number}")
