Let nodes pass over a control VM that is frozen or cut off

Cause: a node asked the same control VM again and again: a frozen one never answers, and one that lost touch with the leader answers with old documents. Seen failing first: in both new scenarios the accepted changes were not in force on the node after 20 s.

--- /dev/null
+++ b/harness/bench_control.py
@@ -0,0 +1,129 @@
+"""Measure control VMs: changes a second, latency, failover and restart."""
+
+import time
+
+import trio
+from returns.result import Success
+
+from harness.system import System, open_system
+from persimmonhall.control.client import ControlClient
+from persimmonhall.document.messages import PutDocument
+from persimmonhall.ids import ChangeId, Revision, ServiceName
+from persimmonhall.wire.link import LinkPool
+
+SECONDS = 5.0
+CLIENTS = (1, 32)
+REPLICAS = (1, 3)
+RESTART_CHANGES = (500, 5000)
+KILLS = 3
+TEXT = "x" * 1000
+
+
+def make_change(number: int) -> PutDocument:
+    """Build a change of a document of 1 kB; 200 documents take turns."""
+    return PutDocument(
+        change_id=ChangeId(f"change-{number}"),
+        service=ServiceName(f"service-{number % 200}"),
+        expected_revision=Revision(number // 200),
+        text=TEXT,
+        author="bench",
+        team="bench",
+    )
+
+
+async def run_changes(
+    system: System, clients: int, seconds: float, first: int, most: int = 1 << 60
+) -> list[float]:
+    """Send changes from some clients and return the latency of each, in ms."""
+    latencies: list[float] = []
+    numbers = iter(range(first, first + most))
+    leader = system.control[await system.wait_for_leader()]
+    end = time.perf_counter() + seconds
+
+    async def client(control: ControlClient) -> None:
+        for number in numbers:
+            start = time.perf_counter()
+            result = await control.submit(make_change(number))
+            if not isinstance(result, Success):
+                raise RuntimeError(str(result))
+            latencies.append((time.perf_counter() - start) * 1000)
+            if time.perf_counter() > end:
+                return
+
+    async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as work:
+            links = LinkPool(nursery)
+            for _ in range(clients):
+                control = ControlClient(links, (leader.addresses["frames"],))
+                work.start_soon(client, control)
+        nursery.cancel_scope.cancel()
+    return latencies
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile."""
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))]
+
+
+async def measure_changes(replicas: int) -> None:
+    """Print changes a second and latency."""
+    async with open_system() as system:
+        await system.start_controls(replicas)
+        first = 0
+        for clients in CLIENTS:
+            start = time.perf_counter()
+            latencies = await run_changes(system, clients, SECONDS, first)
+            took = time.perf_counter() - start
+            first += len(latencies) + clients
+            print(
+                f"{replicas} replicas, {clients} clients: "
+                f"{len(latencies) / took:.0f} changes/s, "
+                f"p50 {quantile(latencies, 0.5):.1f} ms, "
+                f"p99 {quantile(latencies, 0.99):.1f} ms"
+            )
+
+
+async def measure_failover() -> None:
+    """Print how long a change waits for a new leader after a kill."""
+    times = []
+    for _ in range(KILLS):
+        async with open_system() as system:
+            await system.start_controls(3)
+            await system.put_document("cue", "")
+            leader = await system.wait_for_leader()
+            system.control[leader].kill()
+            start = time.perf_counter()
+            await system.wait_for_leader(leader)
+            times.append(time.perf_counter() - start)
+    print("new leader after a kill: " + ", ".join(f"{t:.2f} s" for t in times))
+
+
+async def measure_restart(changes: int) -> None:
+    """Print how long a replica alone takes to lead again after many changes."""
+    async with open_system() as system:
+        await system.start_control()
+        await system.wait_for_leader()
+        await run_changes(system, 32, 600.0, 0, changes)
+        running = system.control["control-1"]
+        running.kill()
+        await running.process.wait()
+        start = time.perf_counter()
+        await system.restart_control("control-1")
+        await system.wait_for_leader()
+        took = time.perf_counter() - start
+        files = (system.folder / "control-1.data").iterdir()
+        size = sum(file.stat().st_size for file in files) / 1e6
+        print(f"restart after {changes} changes: {took:.2f} s, {size:.2f} MB on disk")
+
+
+async def main() -> None:
+    """Run all measurements."""
+    for replicas in REPLICAS:
+        await measure_changes(replicas)
+    await measure_failover()
+    for changes in RESTART_CHANGES:
+        await measure_restart(changes)
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- a/harness/explorer/schedule.py
+++ b/harness/explorer/schedule.py
@@ -42,7 +42,7 @@
 
 
 def _check_progress(world: World) -> None:
-    world.client_change(CHANGES)
+    world.client_change(CHANGES, leader_share=1.0)
     world.run_until(world.now + QUIET_S)
     if f"c{CHANGES}" not in world.checker.answers:
         raise ViolationError("no change was accepted after all faults ended")
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.cli.operator_definition import operator_parser
+from persimmonhall.cli.operator_status import gather_status, status_table
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.document.schema import parse_document
@@ -42,7 +43,7 @@
             status = STATUSES.get(refusal.kind, ExitStatus.REFUSED)
             return fail(PROGRAM, f"{refusal.kind.value}: {refusal.detail}", status)
         case Success(body):
-            _print(body, as_json=options.json)
+            _print(body, options)
     return ExitStatus.SUCCESS
 
 
@@ -65,11 +66,17 @@
 ) -> Result[object, Refusal]:
     match (options.command, getattr(options, "action", None)):
         case ("status", _):
-            return await client.get("/status")
+            return await gather_status(client)
         case ("document", "list"):
             return await client.get("/documents")
         case ("document", "get"):
             return await client.get(f"/documents/{options.service}")
+        case ("document", "history"):
+            return await client.get(f"/documents/{options.service}/history")
+        case ("replica", "list"):
+            return await client.get("/replicas")
+        case ("replica", "remove"):
+            return await client.delete(f"/replicas/{options.name}")
         case ("document", "put"):
             return await _put(options, client)
 
@@ -77,7 +84,11 @@
 async def _put(
     options: argparse.Namespace, client: AdminClient
 ) -> Result[object, Refusal]:
-    text = options.file.read_text(encoding="utf-8")
+    try:
+        text = options.file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        detail = f"{options.file}: cannot be read: {error}"
+        return Failure(refuse(ErrorKind.INVALID_DOCUMENT, detail))
     match parse_document(text):
         case Failure(problems):
             detail = f"{options.file}: {problems[0]}"
@@ -87,9 +98,11 @@
     return await client.put(document.service, text, options.revision, change)
 
 
-def _print(body: object, *, as_json: bool) -> None:
-    if as_json:
+def _print(body: object, options: argparse.Namespace) -> None:
+    if options.json:
         print(json.dumps(body))
+    elif options.command == "status":
+        print(status_table(body))
     elif isinstance(body, list):
         for row in body:
             print("  ".join(f"{key}={value}" for key, value in row.items()))
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -12,6 +12,8 @@
   persimmonhall --settings operator.toml document list
   persimmonhall --settings operator.toml document put cue.toml --revision 3
   persimmonhall --settings operator.toml document get cue
+  persimmonhall --settings operator.toml document history cue
+  persimmonhall --settings operator.toml replica list
   persimmonhall --settings operator.toml status --json"""
 
 
@@ -25,6 +27,7 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    _add_replica(commands)
     return parser
 
 
@@ -48,4 +51,14 @@
     )
     get = actions.add_parser("get", help="print a document")
     get.add_argument("service", metavar="SERVICE")
+    history = actions.add_parser("history", help="show who changed a document")
+    history.add_argument("service", metavar="SERVICE")
     actions.add_parser("list", help="list the documents and their revisions")
+
+
+def _add_replica(commands: argparse._SubParsersAction) -> None:
+    replica = commands.add_parser("replica", help="list or remove control VMs")
+    actions = replica.add_subparsers(dest="action", required=True, metavar="ACTION")
+    actions.add_parser("list", help="list the replica set")
+    remove = actions.add_parser("remove", help="remove a control VM that was stopped")
+    remove.add_argument("name", metavar="NAME")
--- /dev/null
+++ b/persimmonhall/cli/operator_status.py
@@ -0,0 +1,47 @@
+"""Gather and print what every control VM says of itself."""
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.control.admin_client import AdminClient
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+
+COLUMNS = ("name", "role", "term", "index", "commit", "snapshot", "match", "storage")
+
+
+async def gather_status(client: AdminClient) -> Result[list[dict], Refusal]:
+    """Return one row for each control VM, with how far its log matches."""
+    rows = []
+    failure = None
+    for address, result in await client.get_each("/status"):
+        match result:
+            case Success(status):
+                rows.append({"address": str(address), **status})
+            case Failure(refusal):
+                failure = refusal
+                row = {"role": "no answer", "why": refusal.detail}
+                rows.append({"address": str(address), **row})
+    if all("why" in row for row in rows):
+        why = failure.detail if failure is not None else "none is configured"
+        return Failure(refuse(ErrorKind.NO_QUORUM, f"no control VM answered: {why}"))
+    matches = _matches(rows)
+    return Success([{**row, "match": matches.get(row.get("name"), "")} for row in rows])
+
+
+def _matches(rows: list[dict]) -> dict[str, int]:
+    leaders = [row for row in rows if row["role"] == "leader"]
+    newest = max(leaders, key=lambda row: row["term"], default=None)
+    return newest["matches"] if newest is not None else {}
+
+
+def status_table(rows: list[dict]) -> str:
+    """Write the rows as a table with the leader in its last line."""
+    cells = [COLUMNS] + [tuple(str(r.get(c, "-")) for c in COLUMNS) for r in rows]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(COLUMNS))]
+    lines = [
+        "  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True))
+        for row in cells
+    ]
+    lines += [f"{r['address']}: no answer: {r['why']}" for r in rows if "why" in r]
+    leaders = [row["name"] for row in rows if row["role"] == "leader"]
+    lines.append(f"leader: {', '.join(leaders) or 'none; no change is accepted'}")
+    return "\n".join(line.rstrip() for line in lines)
--- a/persimmonhall/control/admin_client.py
+++ b/persimmonhall/control/admin_client.py
@@ -40,6 +40,25 @@
         """Return the JSON body of a path."""
         return await self._send(HttpRequest("GET", path, self._headers()))
 
+    async def get_each(
+        self, path: str
+    ) -> tuple[tuple[Address, Result[object, Refusal]], ...]:
+        """Return the JSON body of a path from every control VM."""
+        clients = [(a, AdminClient((a,), self._token)) for a in self._addresses]
+        results: dict[Address, Result[object, Refusal]] = {}
+
+        async def get(address: Address, client: AdminClient) -> None:
+            results[address] = await client.get(path)
+
+        async with trio.open_nursery() as nursery:
+            for address, client in clients:
+                nursery.start_soon(get, address, client)
+        return tuple((address, results[address]) for address, _ in clients)
+
+    async def delete(self, path: str) -> Result[object, Refusal]:
+        """Delete what stands at a path."""
+        return await self._send(HttpRequest("DELETE", path, self._headers()))
+
     async def put(
         self, service: ServiceName, text: str, revision: int, change: str
     ) -> Result[object, Refusal]:
--- a/persimmonhall/control/messages.capnp
+++ b/persimmonhall/control/messages.capnp
@@ -51,6 +51,7 @@
 struct Documents {
   index @0 :UInt64;
   items @1 :List(HeldDocument);
+  current @2 :Bool;
 }
 
 struct Submit {
--- a/persimmonhall/control/messages.py
+++ b/persimmonhall/control/messages.py
@@ -20,10 +20,14 @@
 
 @dataclass(frozen=True)
 class Documents:
-    """Answer with documents and the index they reach up to."""
+    """Answer with documents and the index they reach up to.
+
+    They are current unless the control VM has lost touch with the leader.
+    """
 
     index: LogIndex
     items: tuple[HeldDocument, ...]
+    current: bool = True
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -98,7 +98,7 @@
                 pass
         rng = random.Random(own.seed or None)
         core = Core(opened.disk_id, opened.stored, rng, trio.current_time())
-        replica = Replica(core, opened.storage, peers)
+        replica = Replica(core, opened.storage, peers, own.snapshot_entries)
         service = ControlService(replica)
         nodes.start(service.handle)
         replicas.start(PeerService(replica).handle)
--- a/persimmonhall/control/status.py
+++ b/persimmonhall/control/status.py
@@ -20,6 +20,7 @@
         "storage": replica.driver.full or "ok",
         "documents": len(replica.machine.documents.after(0)),
         "voters": len(core.replicas.voters),
+        "matches": {row["name"]: row["match"] for row in replicas_of(replica)},
     }
 
 
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -63,6 +63,7 @@
     data_folder: str
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
+    snapshot_entries: int = bounded(5000, least=100, most=100_000)
     seed: int = 0
 
 
--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -82,3 +82,16 @@
     Given 1 control VMs and 6 accepted changes
     When control-1 is killed and a byte of its log is changed
     Then its start ends with status 1 and names the file and the offset
+
+  Scenario Outline: A node learns of changes though a control VM is <fault>
+    Given 3 control VMs and 6 accepted changes
+    And a node that follows the leader
+    When the leader is <fault>
+    Then another control VM leads
+    And 6 more changes are accepted
+    And the accepted changes are in force on the node
+
+    Examples:
+      | fault   |
+      | cut off |
+      | frozen  |
--- /dev/null
+++ b/tests/test_administration.py
@@ -0,0 +1,168 @@
+"""Check the operator's command line against running control VMs."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from harness.processes import toml_text
+from harness.system import TEAM_TOKEN, TOKEN, free_address
+from tests.builders import CUE_DOCUMENT
+from tests.control_scene import open_scene
+from tests.portal import open_portal
+
+scenarios("features/administration.feature")
+
+TOKENS = {"publishing": TEAM_TOKEN, "operators": TOKEN, "nobody": "no-such-token"}
+DOCUMENTS = {
+    "its document": CUE_DOCUMENT,
+    "a stolen one": CUE_DOCUMENT.replace('"publishing"', '"operators"'),
+    "a taken over one": CUE_DOCUMENT.replace('"publishing"', '"operators"'),
+    "an unknown key": CUE_DOCUMENT.replace("\n\n", '\nworthh = "x"\n\n', 1),
+}
+RUN_TIMEOUT_S = 60
+
+
+@pytest.fixture
+def stage():
+    with open_portal(open_scene) as (portal, scene):
+        yield portal, scene
+
+
+@pytest.fixture
+def context() -> dict:
+    return {}
+
+
+def run_operator(scene, who: str, *arguments: str) -> subprocess.CompletedProcess:
+    """Run persimmonhall with the token of a team."""
+    addresses = [str(c.addresses["admin"]) for c in scene.system.control.values()]
+    path = scene.system.folder / f"operator-{who}.toml"
+    path.write_text(
+        toml_text({"operator": {"control": addresses, "token": TOKENS[who]}})
+    )
+    command = [sys.executable, "-m", "persimmonhall.cli.operator", "--settings", path]
+    return subprocess.run(
+        [*command, *arguments], capture_output=True, text=True, timeout=RUN_TIMEOUT_S
+    )
+
+
+def put_document(scene, who: str, name: str, revision: int):
+    """Put a document of the table with the command line."""
+    path = scene.system.folder / "document.toml"
+    path.unlink(missing_ok=True)
+    if name in DOCUMENTS:
+        path.write_text(DOCUMENTS[name])
+    arguments = ("document", "put", str(path), "--revision", str(revision))
+    return run_operator(scene, who, *arguments)
+
+
+@given("3 control VMs and a document of publishing")
+def _(stage):
+    portal, scene = stage
+    portal.run(scene.start, 3)
+    assert put_document(scene, "publishing", "its document", 0).returncode == 0
+
+
+@when(
+    parsers.re(r"(?P<who>\w+) puts (?P<name>.+) with revision (?P<revision>\d+)"),
+    converters={"revision": int},
+)
+def _(stage, context, who, name, revision):
+    _, scene = stage
+    context["done"] = put_document(scene, who, name, revision)
+
+
+@then(parsers.parse("the command ends with status {status:d} and says {said}"))
+def _(context, status, said):
+    done = context["done"]
+    assert said in done.stderr
+    assert done.returncode == status
+    assert done.stderr.count("\n") == 1
+
+
+@then("the history of cue names publishing for revisions 1 and 2")
+def _(stage):
+    _, scene = stage
+    done = run_operator(scene, "publishing", "--json", "document", "history", "cue")
+    rows = json.loads(done.stdout)
+    told = [(row["revision"], row["author"]) for row in rows]
+    assert told == [(1, "publishing"), (2, "publishing")]
+    assert all(row["at_ms"] > 0 for row in rows)
+
+
+@then("status shows 3 control VMs, one leader and a match for each")
+def _(stage):
+    _, scene = stage
+    rows = json.loads(run_operator(scene, "operators", "--json", "status").stdout)
+    assert [row["name"] for row in rows] == list(scene.system.control)
+    assert [row["role"] for row in rows].count("leader") == 1
+    assert all(row["match"] > 0 for row in rows)
+    table = run_operator(scene, "operators", "status").stdout
+    assert f"leader: {scene.leader}" in table
+
+
+@when("one follower is killed")
+def _(stage, context):
+    portal, scene = stage
+    name = next(n for n in scene.system.control if n != scene.leader)
+    context["killed"] = name
+    scene.system.control[name].kill()
+    portal.run(scene.system.control[name].process.wait)
+
+
+@then("status shows that it does not answer")
+def _(stage, context):
+    _, scene = stage
+    address = scene.system.control[context["killed"]].addresses["admin"]
+    table = run_operator(scene, "operators", "status").stdout
+    assert f"{address}: no answer" in table
+
+
+@then("publishing may not remove it")
+def _(stage, context):
+    _, scene = stage
+    done = run_operator(scene, "publishing", "replica", "remove", context["killed"])
+    assert done.returncode == 5
+    assert "forbidden" in done.stderr
+
+
+@then("operators remove it and 2 voters are left")
+def _(stage, context):
+    portal, scene = stage
+    done = run_operator(scene, "operators", "replica", "remove", context["killed"])
+    assert done.returncode == 0, done.stderr
+    portal.run(scene.system.wait_for_voters, 2)
+
+
+@when("an empty control VM is started with --bootstrap and the peers")
+def _(stage, context):
+    _, scene = stage
+    peers = [str(c.addresses["frames"]) for c in scene.system.control.values()]
+    settings = {
+        "control": {
+            "name": "control-4",
+            "zone": "suva",
+            "admin": free_address(),
+            "frames": free_address(),
+            "data_folder": str(scene.system.folder / "control-4.data"),
+            "peers": peers,
+        },
+        "teams": [{"name": "operators", "token": TOKEN, "operator": True}],
+    }
+    path = scene.system.folder / "control-4.toml"
+    path.write_text(toml_text(settings))
+    command = [sys.executable, "-m", "persimmonhall.cli.control"]
+    command += ["--settings", path, "--bootstrap"]
+    context["done"] = subprocess.run(
+        command, capture_output=True, text=True, timeout=RUN_TIMEOUT_S
+    )
+
+
+@then("it ends with status 1 and names the cluster")
+def _(stage, context):
+    done = context["done"]
+    assert done.returncode == 1
+    assert "a peer belongs to cluster" in done.stderr
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -90,6 +90,21 @@
     portal.run(scene.break_leader, fault)
 
 
+@given("a node that follows the leader")
+def _(stage):
+    portal, scene = stage
+    leader = scene.system.control.pop(scene.leader)
+    scene.system.control = {scene.leader: leader, **scene.system.control}
+    portal.run(scene.system.start_node, "suva-cue-1", "suva")
+    portal.run(scene.wait_for_node)
+
+
+@then("the accepted changes are in force on the node")
+def _(stage):
+    portal, scene = stage
+    portal.run(scene.wait_for_node)
+
+
 @when("both followers are killed")
 def _(stage):
     portal, scene = stage
