--- /dev/null
+++ b/persimmonhall/call/tests/hops.py
@@ -0,0 +1,190 @@
+"""Model a call tree on real entries: fake gates, backend servers and links."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from enum import Enum
+
+import trio
+from returns.result import Failure, Success
+
+from persimmonhall.address import Address
+from persimmonhall.admission.self_limit import SelfLimit
+from persimmonhall.call.chain import CHAIN_HEADER, Chain
+from persimmonhall.call.entry import Entry
+from persimmonhall.call.gates import NO_LOAD
+from persimmonhall.call.messages import Answered, Call, Reply, refused
+from persimmonhall.call.plan import Listener
+from persimmonhall.call.retries import Retries
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.errors import ErrorKind, refuse
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.ids import NodeName, RootId, ServiceName
+from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.ledger import RetryLedger
+from persimmonhall.routing.router import Router
+from persimmonhall.routing.tokens import Tokens
+from persimmonhall.wire.link import LinkError
+from tests.builders import make_held, make_member, merge_members
+
+DOCUMENT = """\
+service = "{service}"
+team = "publishing"
+
+[[requests]]
+path = "/*"
+worth = "standard"
+idempotent = true
+deadline_ms = 60000
+retries = {retries}
+"""
+
+
+class Fault(Enum):
+    """Tell what one execution of a backend server comes to."""
+
+    NONE = "none"
+    CONNECT_FAILED = "connectFailed"
+    LEAVING = "leaving"
+    OVERLOADED = "overloaded"
+    CONNECTION_LOST = "connectionLost"
+    STATUS_500 = "status500"
+    STATUS_503 = "status503"
+
+
+BEFORE_RUN = {Fault.CONNECT_FAILED, Fault.LEAVING, Fault.OVERLOADED}
+FaultOf = Callable[[str, NodeName], Fault]
+
+
+class HopModel:
+    """Hold nodes of services s0, s1, ... where each calls the next."""
+
+    def __init__(
+        self,
+        depth: int,
+        *,
+        fan_out: int = 1,
+        retries: int = 1,
+        resends: int = 0,
+        servers: int = 2,
+        fault_of: FaultOf = lambda path, node: Fault.CONNECTION_LOST,
+    ):
+        self._depth = depth
+        self._fan_out = fan_out
+        self._resends = resends
+        self._fault_of = fault_of
+        self.links_are_cut = False
+        self.runs: Counter[tuple[RootId, str]] = Counter()
+        self.calls: list[Call] = []
+        self._documents = DocumentsInForce()
+        self._tokens: dict[Address, Tokens] = {}
+        self.entries: dict[NodeName, Entry] = {}
+        first = make_member(0, state=MemberState.EMPTY, service=ServiceName(""))
+        self._table = MemberTable(first)
+        self._add_node(first)
+        for level in range(depth):
+            self._add_service(ServiceName(f"s{level}"), servers, retries)
+
+    @property
+    def positions(self) -> int:
+        """Return the number of executions of a request that meets no fault."""
+        return sum(self._fan_out**level for level in range(self._depth))
+
+    def _add_service(self, service: ServiceName, servers: int, retries: int) -> None:
+        text = DOCUMENT.format(service=service, retries=retries)
+        self._documents.apply(make_held(service=service, text=text))
+        for _ in range(servers):
+            number = len(self.entries)
+            member = make_member(number, service=service)
+            merge_members(self._table, [member])
+            self._add_node(member)
+
+    def _add_node(self, member: Member) -> None:
+        rng = random.Random(len(self.entries))
+        tokens = Tokens(member.node, RetryLedger(), self._table, self)
+        host, _, port = member.frames.partition(":")
+        self._tokens[Address(host, int(port))] = tokens
+        self.entries[member.node] = Entry(
+            member.node,
+            self._documents,
+            Router(self._table, member.zone, rng),
+            self._make_retries(tokens),
+            self,
+            rng,
+            SelfLimit(),
+        )
+
+    def _make_retries(self, tokens: Tokens) -> Retries:
+        return Retries(tokens)
+
+    async def send(
+        self, path: str = "/r", node: str = "suva-cue-0", chain: bytes | None = None
+    ) -> HttpAnswer:
+        """Send a request of a caller to a node."""
+        request = make_request(0, path, chain)
+        return await self.entries[NodeName(node)].handle(request)
+
+    async def ask(self, address: Address, channel, payload: bytes):
+        """Carry a message of the ledger between nodes."""
+        if self.links_are_cut:
+            await trio.sleep_forever()
+        tokens = self._tokens.get(address)
+        if tokens is None:
+            return Failure(LinkError("no such node", sent=False))
+        return Success(await tokens.handle(payload))
+
+    async def call(self, member: Member, call: Call) -> Reply:
+        """Stand in for the gate of a member and its backend server."""
+        self.calls.append(call)
+        fault = self._fault_of(call.target, member.node)
+        if fault in BEFORE_RUN:
+            return refused(refuse(ErrorKind(fault.value), "fault"), NO_LOAD)
+        self.runs[call.root, call.target] += 1
+        status = await self._call_onward(member, call)
+        if fault is Fault.CONNECTION_LOST:
+            return refused(refuse(ErrorKind.CONNECTION_LOST, "fault"), NO_LOAD)
+        if fault is not Fault.NONE:
+            status = int(fault.value.removeprefix("status"))
+        return Answered(status, (), b"", NO_LOAD)
+
+    async def _call_onward(self, member: Member, call: Call) -> int:
+        level = call.depth + 1
+        if level == self._depth:
+            return 200
+        chain = Chain(call.root, call.entry, call.depth, call.worth, call.remaining_ms)
+        header = chain.child(call.remaining_ms).encode()
+        status = 200
+        for number in range(self._fan_out):
+            path = f"{call.target}/{number}"
+            request = make_request(level, path, header)
+            answer = await self._call_with_resends(member.node, request)
+            status = max(status, 502 if answer.status >= 500 else 200)
+        return status
+
+    async def _call_with_resends(
+        self, node: NodeName, request: HttpRequest
+    ) -> HttpAnswer:
+        for _ in range(self._resends + 1):
+            answer = await self.entries[node].handle(request, Listener.LOCAL)
+            if answer.status < 500:
+                break
+        return answer
+
+    def most_runs(self) -> int:
+        """Return the most executions of one position for one root."""
+        return max(self.runs.values(), default=0)
+
+    def runs_by_root(self) -> Counter[RootId]:
+        """Return the executions made for each root."""
+        totals: Counter[RootId] = Counter()
+        for (root, _), count in self.runs.items():
+            totals[root] += count
+        return totals
+
+
+def make_request(level: int, path: str, chain: bytes | None) -> HttpRequest:
+    """Build a request of the service of a level."""
+    service = (b"persimmonhall-service", f"s{level}".encode())
+    headers = (service, (CHAIN_HEADER, chain)) if chain else (service,)
+    return HttpRequest("GET", path, headers)
