--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -73,6 +73,13 @@
     Then 6 more changes are accepted
     And every control VM has exactly the accepted changes
 
+  Scenario: A leader whose disk is full makes room for another
+    Given 3 control VMs and 6 accepted changes
+    When the disk of the leader is full
+    Then 6 more changes are accepted
+    And another control VM leads
+    And every other control VM has exactly the accepted changes
+
   Scenario: A torn tail is cut at the start
     Given 1 control VMs and 6 accepted changes
     When control-1 is killed and half a record follows its log
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -76,6 +76,7 @@
 
 
 @then("every running control VM has exactly the accepted changes")
+@then("every other control VM has exactly the accepted changes")
 def _(stage):
     portal, scene = stage
     names = [n for n in scene.system.control if n != scene.leader]
@@ -237,13 +238,23 @@
     assert isinstance(again, Success)
 
 
-@when("the disk of control-1 is full")
+@when("the disk of the leader is full")
 def _(stage):
-    _, scene = stage
-    pid = scene.system.control["control-1"].process.pid
-    size = log_of(scene).stat().st_size
+    portal, scene = stage
+    scene.leader = portal.run(scene.system.wait_for_leader)
+    _fill_disk(scene, scene.leader)
+
+
+def _fill_disk(scene, name: str) -> None:
+    pid = scene.system.control[name].process.pid
+    size = log_of(scene, name).stat().st_size
     resource.prlimit(pid, resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+
+@when("the disk of control-1 is full")
+def _(stage):
     portal, scene = stage
+    _fill_disk(scene, "control-1")
     portal.run(scene.put_at, "control-1", "s2", scene.accepted["s2"], "in-flight")
 
 
