Tell damage in the last batch of the log from a torn write

Cause: without a later batch, a damaged last batch looked like a write that was cut off, and an acknowledged change was dropped at the start without a word. Seen failing first: the damage test with the last batch. Change: an empty batch follows each sync; if it is there, the batch before it was synced, and a bad record in it stops the start.

--- a/harness/explorer/world.py
+++ b/harness/explorer/world.py
@@ -160,10 +160,9 @@
         good = {r.replica_id for r in self.replicas.values()}
         good.discard(self.replicas[name].replica_id)
         for replica in self.replicas.values():
-            log = replica.core._state.log
-            if log.replicas_index >= self.checker.replicas_index:
-                voters = log.replicas.voters
-                if len(good & set(voters)) < log.replicas.quorum:
+            if replica.core.replicas_index >= self.checker.replicas_index:
+                replicas = replica.core.replicas
+                if len(good & set(replicas.voters)) < replicas.quorum:
                     return False
         return True
 
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -94,6 +94,11 @@
         """Return the newest replica set."""
         return self._state.replicas
 
+    @property
+    def replicas_index(self) -> LogIndex:
+        """Return the index of the newest replica set."""
+        return self._state.log.replicas_index
+
     @property
     def matches(self) -> dict[ReplicaId, LogIndex]:
         """Return up to where each peer's log matches, if this replica leads."""
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -87,12 +87,27 @@
         try:
             write_all(self._files, self._descriptor, data)
         except OSError:
-            os.ftruncate(self._descriptor, self._end)
-            os.lseek(self._descriptor, self._end, os.SEEK_SET)
+            self._take_back()
             raise
         self._sync()
         self._end += len(data)
         self._batch += 1
+        self._mark_synced()
+
+    def _mark_synced(self) -> None:
+        """Write a batch that tells damage to the one before from a torn write."""
+        marker = frame_batch((END_MARKER,), self._batch + 1)
+        try:
+            write_all(self._files, self._descriptor, marker)
+        except OSError:
+            self._take_back()
+            return
+        self._end += len(marker)
+        self._batch += 1
+
+    def _take_back(self) -> None:
+        os.ftruncate(self._descriptor, self._end)
+        os.lseek(self._descriptor, self._end, os.SEEK_SET)
 
     def _sync(self) -> None:
         try:
--- a/persimmonhall/raft/tests/test_storage.py
+++ b/persimmonhall/raft/tests/test_storage.py
@@ -132,8 +132,8 @@
     assert indexes(tmp_path) == [1, 2, 3, 4, 5]
 
 
-@pytest.mark.parametrize("batch", [0, 1, 2])
-def test_damage_before_a_synced_batch_stops_with_file_and_offset(tmp_path, batch):
+@pytest.mark.parametrize("batch", [0, 1, 2, 3])
+def test_damage_in_a_synced_batch_stops_with_file_and_offset(tmp_path, batch):
     starts = [0, *fill(tmp_path, 4)]
     path = tmp_path / LOG_FILE
     data = bytearray(path.read_bytes())
