--- a/harness/explorer/replica.py
+++ b/harness/explorer/replica.py
@@ -7,9 +7,10 @@
 from harness.explorer.disk import Disk
 from harness.explorer.machine import Machine
 from persimmonhall.ids import LogIndex, ReplicaId, Term
-from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.core import Core
 from persimmonhall.raft.messages import Entry, EntryKind, Snapshot
 from persimmonhall.raft.outbox import Outgoing
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
 
 SNAPSHOT_ENTRIES = 40
--- a/harness/explorer/world.py
+++ b/harness/explorer/world.py
@@ -9,7 +9,6 @@
 from harness.explorer.checker import Checker, ViolationError
 from harness.explorer.replica import SimReplica, Variant
 from persimmonhall.ids import LogIndex, NodeName, ReplicaId, Term
-from persimmonhall.raft.core import Role
 from persimmonhall.raft.log import encode_replicas
 from persimmonhall.raft.messages import (
     NO_VOTE,
@@ -20,6 +19,7 @@
     Message,
     ReplicaSet,
 )
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
 
 JOIN_INTERVAL_S = 0.5
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -26,9 +26,10 @@
 from persimmonhall.control.waiting import Waiters
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import LogIndex, NodeName
-from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.core import Core
 from persimmonhall.raft.driver import Driver
 from persimmonhall.raft.messages import Entry, EntryKind, Snapshot
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.storage import Storage
 
 SUBMIT_TIMEOUT_S = 4.0
--- a/persimmonhall/control/serve_peers.py
+++ b/persimmonhall/control/serve_peers.py
@@ -21,8 +21,8 @@
     Remove,
 )
 from persimmonhall.errors import ErrorKind, refuse
-from persimmonhall.raft.core import Role
 from persimmonhall.raft.messages import MESSAGES, Member
+from persimmonhall.raft.role import Role
 
 
 class PeerService:
--- a/persimmonhall/document/tests/test_table.py
+++ b/persimmonhall/document/tests/test_table.py
@@ -1,8 +1,14 @@
 """Check compare-and-set of documents."""
 
 from persimmonhall.document.in_force import DocumentsInForce
-from persimmonhall.document.messages import PutOutcome
-from persimmonhall.document.table import DocumentTable
+from persimmonhall.document.messages import PutOutcome, TableState
+from persimmonhall.document.table import (
+    MAX_HISTORY_PER_DOCUMENT,
+    MAX_REPLIES,
+    SCHEMA,
+    DocumentTable,
+)
+from persimmonhall.wire.codec import decode
 from tests.builders import make_held, make_put
 
 
@@ -34,3 +40,26 @@
     assert documents.apply(make_held(revision=2))
     assert not documents.apply(make_held(revision=1))
     assert documents.revisions == {"cue": 2}
+
+
+def test_restored_table_gives_first_answers_and_history():
+    table = DocumentTable()
+    first = table.put(make_put(change_id="a", at_ms=5), 1)
+    lost = table.put(make_put(change_id="b"), 2)
+    restored = DocumentTable()
+    restored.restore(table.state())
+    assert restored.put(make_put(change_id="a"), 3) == first
+    assert restored.put(make_put(change_id="b"), 4) == lost
+    assert restored.after(0) == table.after(0)
+    assert restored.history("cue") == table.history("cue")
+    assert restored.state() == table.state()
+
+
+def test_answers_and_history_are_bounded():
+    table = DocumentTable()
+    for number in range(MAX_REPLIES + 10):
+        table.put(make_put(change_id=f"c{number}", expected_revision=number), number)
+    state = decode(SCHEMA.TableState, TableState, table.state())
+    assert len(state.replies) == MAX_REPLIES
+    assert len(state.history) == MAX_HISTORY_PER_DOCUMENT
+    assert state.history[-1].revision == MAX_REPLIES + 10
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -1,7 +1,6 @@
 """Decide what one replica writes, sends and commits."""
 
 import random
-from enum import Enum
 
 from persimmonhall.ids import LogIndex, ReplicaId, Term
 from persimmonhall.raft.follower import Follower
@@ -20,19 +19,11 @@
     VoteReply,
 )
 from persimmonhall.raft.outbox import Ready
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import ReplicaState, Stored
 from persimmonhall.raft.timing import ELECTION_S, ELECTION_SPREAD_S
 
 
-class Role(Enum):
-    """Tell what part a replica plays in its term."""
-
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "preCandidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-
-
 class Core:
     """Run the protocol for one replica; the caller does all input and output."""
 
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -6,9 +6,10 @@
 from absl import logging
 
 from persimmonhall.ids import LogIndex, ReplicaId
-from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.core import Core
 from persimmonhall.raft.messages import Entry, Message, Snapshot
 from persimmonhall.raft.outbox import Persist
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.storage import NoSpaceError, Storage
 
 SPACE_RETRY_S = 0.5
--- /dev/null
+++ b/persimmonhall/raft/tests/test_core.py
@@ -0,0 +1,105 @@
+"""Check that a replica promises nothing before the sync of what it rests on."""
+
+import random
+
+import pytest
+
+from persimmonhall.raft.core import Core
+from persimmonhall.raft.log import encode_replicas
+from persimmonhall.raft.messages import (
+    Append,
+    AppendReply,
+    Entry,
+    EntryKind,
+    HardState,
+    Member,
+    ReplicaSet,
+    SnapshotChunk,
+    Vote,
+    VoteReply,
+)
+from persimmonhall.raft.role import Role
+from persimmonhall.raft.state import Stored
+
+LATER = 20.0
+
+
+def make_core(name: str, *names: str) -> Core:
+    """Build a replica of a set of voters in term 1."""
+    members = tuple(Member(n, n, n, True) for n in names)
+    data = encode_replicas(ReplicaSet("cluster", members))
+    first = Entry(1, 1, EntryKind.REPLICAS, data)
+    stored = Stored(HardState(1, ""), None, (first,))
+    return Core(name, stored, random.Random(1), 0.0)
+
+
+def promises(messages) -> list:
+    """Return the messages that promise something."""
+    return [
+        m.message
+        for m in messages
+        if (isinstance(m.message, VoteReply) and m.message.granted)
+        or (isinstance(m.message, AppendReply) and m.message.match > 1)
+    ]
+
+
+ENTRY = Entry(2, 2, EntryKind.COMMAND, b"x")
+CHUNK = SnapshotChunk(2, 9, 2, ReplicaSet(), 0, b"state", True, 0)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [Vote(2, 1, 1), Append(2, 1, 1, (ENTRY,), 2, 0), CHUNK],
+    ids=["vote", "append", "snapshot"],
+)
+def test_promise_is_held_back_until_the_sync(message):
+    core = make_core("a", "a", "b", "c")
+    core.step("b", message, LATER)
+    ready = core.take(LATER)
+    assert ready.persists
+    assert promises(ready.messages) == []
+    core.synced(ready.persists[-1].sequence, LATER)
+    assert len(promises(core.take(LATER).messages)) == 1
+
+
+def test_vote_goes_to_one_candidate_of_a_term():
+    core = make_core("a", "a", "b", "c")
+    for candidate in ("b", "c"):
+        core.step(candidate, Vote(2, 1, 1), LATER)
+    ready = core.take(LATER)
+    core.synced(ready.persists[-1].sequence, LATER)
+    replies = [m for m in core.take(LATER).messages if m.message.granted]
+    assert [m.to for m in replies] == ["b"]
+
+
+def test_sole_voter_commits_only_what_is_synced():
+    core = make_core("a", "a")
+    core.tick(0.0)
+    core.synced(core.take(0.0).persists[-1].sequence, 0.0)
+    assert core.role is Role.LEADER
+    index = core.propose(b"x")
+    ready = core.take(0.0)
+    assert core.commit < index
+    core.synced(ready.persists[-1].sequence, 0.0)
+    core.take(0.0)
+    assert core.commit == index
+
+
+def test_leader_without_its_majority_steps_down():
+    core = make_core("a", "a", "b", "c")
+    core.tick(LATER)
+    core.step("b", VoteReply(2, True, True), LATER)
+    core.synced(core.take(LATER).persists[-1].sequence, LATER)
+    core.step("b", VoteReply(2, True, False), LATER)
+    assert core.role is Role.LEADER
+    core.tick(LATER + 5)
+    assert core.role is Role.FOLLOWER
+    assert core.propose(b"x") is None
+
+
+def test_replica_that_hears_a_leader_grants_no_vote():
+    core = make_core("a", "a", "b", "c")
+    core.step("b", Append(2, 1, 1, (), 1, 0), LATER)
+    core.take(LATER)
+    core.step("c", Vote(3, 9, 2), LATER + 0.1)
+    assert core.term == 2
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -10,7 +10,7 @@
 from harness.explorer.replica import Variant
 from harness.explorer.schedule import run_seed
 from harness.explorer.world import World
-from persimmonhall.raft.core import Core, Role
+from persimmonhall.raft.core import Core
 from persimmonhall.raft.leader import Leader
 from persimmonhall.raft.log import encode_replicas
 from persimmonhall.raft.messages import (
@@ -20,6 +20,7 @@
     Member,
     ReplicaSet,
 )
+from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
 
 SEEDS = 150
