--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control
 
 all: test
 
@@ -51,7 +51,10 @@
 bench-hakepuu: install
 	$(BIN)/python -m harness.bench_deployment hakepuu
 
-.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control
 
 bench-claims: install
 	$(BIN)/python -m harness.claims
+
+bench-control: install
+	$(BIN)/python -m harness.bench_control
