Check admission by tables, on the loop and with real processes

The estimate of a service time ages only after twice that time without a sample: an end 0.25 s after the last sample aged a 1 s estimate to 0.84 s, seen by the test of cancelled slots.

--- a/persimmonhall/admission/service_times.py
+++ b/persimmonhall/admission/service_times.py
@@ -7,6 +7,7 @@
 MAX_KINDS = 64
 OTHER_KIND = RequestKind("other")
 GAIN = 0.2
+AGE_AFTER_SERVICES = 2.0
 AGE_HALF_LIFE_S = 1.0
 
 
@@ -24,7 +25,8 @@
         return self.seconds * self._kept(now)
 
     def _kept(self, now: float) -> float:
-        return 0.5 ** (max(0.0, now - self.at) / AGE_HALF_LIFE_S)
+        overdue = now - self.at - AGE_AFTER_SERVICES * self.seconds
+        return 0.5 ** (max(0.0, overdue) / AGE_HALF_LIFE_S)
 
 
 class ServiceTimes:
--- /dev/null
+++ b/persimmonhall/admission/tests/test_admission.py
@@ -0,0 +1,61 @@
+"""Check the admission core on the event loop."""
+
+import trio
+from returns.result import Failure, Success
+
+from persimmonhall.admission.admission import Admission, Asked
+from persimmonhall.admission.messages import Outcome, RequestKind
+from persimmonhall.document.schema import Worth
+from persimmonhall.errors import ErrorKind
+from persimmonhall.ids import RootId
+
+
+def ask(deadline_s: float, worth: Worth = Worth.CRITICAL) -> Asked:
+    deadline = trio.current_time() + deadline_s
+    return Asked(RootId("root-1"), worth, 0, RequestKind("GET /a"), deadline)
+
+
+async def known_admission() -> Admission:
+    """Open one slot whose requests take a second."""
+    admission = Admission()
+    admission.announce(1, cold=True)
+    admitted = (await admission.admit(ask(100.0))).unwrap()
+    await trio.sleep(1.0)
+    admission.finish(admitted, Outcome.DONE)
+    return admission
+
+
+async def test_a_queued_request_is_refused_before_its_deadline(nursery, autojump_clock):
+    admission = await known_admission()
+    nursery.start_soon(admission.keep_time)
+    assert isinstance(await admission.admit(ask(100.0)), Success)
+    begin = trio.current_time()
+    result = await admission.admit(ask(4.0))
+    assert isinstance(result, Failure)
+    assert result.failure().kind is ErrorKind.OVERLOADED
+    assert trio.current_time() - begin == 3.0
+    assert sum(admission.counters.refused.values()) == 1
+
+
+async def test_a_slot_freed_late_by_a_cancel_goes_to_the_queue(nursery, autojump_clock):
+    admission = await known_admission()
+    nursery.start_soon(admission.keep_time)
+    running = (await admission.admit(ask(100.0))).unwrap()
+    begin = trio.current_time()
+    nursery.start_soon(admission.admit, ask(100.0))
+    await trio.testing.wait_all_tasks_blocked()
+    admission.finish(running, Outcome.CANCELLED)
+    assert admission.core.queued == 1
+    while admission.core.queued:
+        await trio.sleep(0.01)
+    assert 0.99 <= trio.current_time() - begin <= 1.02
+
+
+async def test_a_caller_that_goes_while_waiting_leaves_nothing(autojump_clock):
+    admission = await known_admission()
+    running = (await admission.admit(ask(100.0))).unwrap()
+    with trio.move_on_after(0.5):
+        await admission.admit(ask(100.0))
+    assert admission.core.queued == 0
+    admission.finish(running, Outcome.DONE)
+    assert admission.core.in_flight == 0
--- /dev/null
+++ b/persimmonhall/admission/tests/test_limiter.py
@@ -0,0 +1,77 @@
+"""Check how the limit follows announced slots, latency, refusals and failures."""
+
+import pytest
+
+from persimmonhall.admission.limiter import ConcurrencyLimiter, Sample
+from persimmonhall.admission.messages import Outcome, RequestKind
+from persimmonhall.admission.service_times import ServiceTimes
+
+KIND = RequestKind("GET /segments")
+
+
+def feed(limiter, begin: float, count: int, seconds=0.1, outcome=Outcome.DONE):
+    """Run full rounds of requests, each started at the limit."""
+    now = begin
+    for _ in range(count):
+        started, now = now, now + seconds
+        for _ in range(limiter.limit):
+            sample = Sample(KIND, outcome, started, seconds, limiter.limit)
+            limiter.observe(sample, now)
+    return now
+
+
+def test_a_cold_server_starts_low_and_doubles_each_round():
+    limiter = ConcurrencyLimiter(1)
+    limiter.start_cold(40, 0.0)
+    limits = [limiter.limit]
+    now = 0.0
+    while limiter.limit < 40:
+        now = feed(limiter, now, 1)
+        limits.append(limiter.limit)
+    assert limits == [4, 8, 16, 32, 40]
+
+
+def test_announced_slots_cap_the_limit_at_once():
+    limiter = ConcurrencyLimiter(40)
+    limiter.set_slots(10)
+    assert limiter.limit == 10
+    limiter.set_slots(20)
+    assert limiter.limit == 20
+
+
+@pytest.mark.parametrize("outcome", [Outcome.SHED, Outcome.FAILED])
+def test_limit_falls_to_one_and_is_back_within_two_seconds(outcome):
+    limiter = ConcurrencyLimiter(60)
+    now = feed(limiter, 0.0, 5)
+    now = feed(limiter, now, 200, seconds=0.01, outcome=outcome)
+    assert limiter.limit == 1
+    end = now
+    while limiter.limit < 60:
+        now = feed(limiter, now, 1)
+    assert now - end <= 2.0
+
+
+def test_requests_started_before_a_cut_do_not_cut_again():
+    limiter = ConcurrencyLimiter(10)
+    for _ in range(50):
+        limiter.observe(Sample(KIND, Outcome.SHED, 0.0, 0.1, 10), 0.1)
+    assert limiter.limit == 8
+
+
+def test_idle_requests_do_not_raise_the_limit():
+    limiter = ConcurrencyLimiter(10)
+    limiter.observe(Sample(KIND, Outcome.SHED, 0.0, 0.1, 5), 0.1)
+    assert limiter.limit == 4
+    for number in range(100):
+        started = 1.0 + number * 0.1
+        limiter.observe(Sample(KIND, Outcome.DONE, started, 0.1, 1), started + 0.1)
+    assert limiter.limit == 4
+
+
+def test_an_estimate_without_samples_ages_after_a_grace():
+    times = ServiceTimes()
+    times.record(KIND, 2.0, 0.0)
+    assert times.expected(KIND, 4.0) == 2.0
+    assert times.expected(KIND, 6.0) == 0.5
+    times.record(KIND, 0.1, 20.0)
+    assert times.expected(KIND, 20.0) == pytest.approx(0.1, abs=0.01)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,242 @@
+"""Check admission at a gate with real processes."""
+
+import statistics
+from dataclasses import dataclass
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+from returns.result import Success
+
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from tests.portal import open_portal
+
+scenarios("features/admission.feature")
+
+ENTRY = "suva-cue-1"
+GATE = "nadi-cue-1"
+SERVICE_MS = 100.0
+CALM_PER_SECOND = 10
+CALM_REQUESTS = 10
+WARNINGS = ("POST", "/publish/warnings")
+SEGMENTS = ("POST", "/publish/segment")
+READS = ("GET", "/segments/7")
+ARCHIVE = ("GET", "/archive/7")
+CYCLE = (
+    ARCHIVE,
+    SEGMENTS,
+    READS,
+    ARCHIVE,
+    WARNINGS,
+    ARCHIVE,
+    READS,
+    SEGMENTS,
+    ARCHIVE,
+    READS,
+)
+WORTHS = {"critical": WARNINGS, "customer": SEGMENTS, "internal": ARCHIVE}
+DOCUMENT = """\
+service = "cue"
+team = "operators"
+critical_per_second = 3
+
+[[requests]]
+path = "/publish/warnings"
+method = "POST"
+worth = "critical"
+
+[[requests]]
+path = "/publish/*"
+method = "POST"
+worth = "customer"
+
+[[requests]]
+path = "/segments/*"
+worth = "standard"
+
+[[requests]]
+path = "/archive/*"
+worth = "internal"
+"""
+
+
+@dataclass(frozen=True)
+class Sent:
+    """Hold one request of a caller and its answer; seconds until the answer."""
+
+    request: tuple[str, str]
+    answer: HttpAnswer | None
+    seconds: float
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the answer is a whole one of the backend server."""
+        return self.answer is not None and self.answer.status == 200
+
+
+async def _start(system: System) -> None:
+    await system.start_control()
+    await system.start_node(ENTRY, "suva")
+    await system.start_node(GATE, "nadi")
+    await system.start_backend(GATE, "cue", slots=2, service_ms=SERVICE_MS)
+    await system.put_document("cue", DOCUMENT)
+    await system.wait_for_document("cue", 1)
+    await system.wait_for_members("cue", 1)
+
+
+@pytest.fixture(scope="module")
+def running():
+    with open_portal(open_system) as (portal, system):
+        portal.run(_start, system)
+        yield portal, system
+
+
+@pytest.fixture
+def context() -> dict:
+    return {}
+
+
+async def _send(system: System, request: tuple[str, str], entry: str = ENTRY) -> Sent:
+    begin = trio.current_time()
+    headers = ((b"persimmonhall-service", b"cue"),)
+    result = await system.send(entry, HttpRequest(*request, headers))
+    answer = result.unwrap() if isinstance(result, Success) else None
+    return Sent(request, answer, trio.current_time() - begin)
+
+
+async def _offer(
+    system: System, per_second: float, count: int, burst: int = 1, cycle=CYCLE
+) -> list[Sent]:
+    """Send requests in even bursts, whatever comes back."""
+    sent: list[Sent] = []
+
+    async def send(request: tuple[str, str]) -> None:
+        sent.append(await _send(system, request))
+
+    begin = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            await trio.sleep_until(begin + number // burst * burst / per_second)
+            nursery.start_soon(send, cycle[number % len(cycle)])
+    return sent
+
+
+def _whole_percent(sent: list[Sent], request: tuple[str, str]) -> float:
+    own = [s for s in sent if s.request == request]
+    return 100 * sum(s.is_whole for s in own) / len(own)
+
+
+@given("a node without and a node with a backend server of 2 slots and 100 ms")
+def _(running):
+    _, system = running
+    assert set(system.nodes) == {ENTRY, GATE}
+
+
+@when(
+    parsers.parse(
+        "callers send {rate:d} requests a second for {seconds:d} seconds "
+        "in bursts of {burst:d}"
+    )
+)
+def _(running, context, rate, seconds, burst):
+    portal, system = running
+    portal.run(_offer, system, CALM_PER_SECOND, CALM_REQUESTS)
+    context["sent"] = portal.run(_offer, system, rate, rate * seconds, burst)
+
+
+@then(
+    parsers.parse("at least {percent:d} percent of the {worth} requests are whole"),
+)
+def _(context, percent, worth):
+    assert _whole_percent(context["sent"], WORTHS[worth]) >= percent
+
+
+@then(parsers.parse("at most {percent:d} percent of the {worth} requests are whole"))
+def _(context, percent, worth):
+    assert _whole_percent(context["sent"], WORTHS[worth]) <= percent
+
+
+@then("refusals say not run and when to come back")
+def _(context):
+    refused = [s.answer for s in context["sent"] if not s.is_whole]
+    assert {a.status for a in refused} == {503}
+    assert {a.header(b"persimmonhall-ran") for a in refused} == {"no"}
+    assert all(1 <= int(a.header(b"retry-after")) <= 8 for a in refused)
+
+
+@then(parsers.parse("half of the internal refusals take less than {most:d} ms"))
+def _(context, most):
+    own = [s for s in context["sent"] if s.request == ARCHIVE and not s.is_whole]
+    assert statistics.median(s.seconds for s in own) * 1000 < most
+
+
+@then(parsers.parse("goodput is whole again after {seconds:d} seconds"))
+def _(running, seconds):
+    portal, system = running
+    portal.run(_offer, system, CALM_PER_SECOND, CALM_PER_SECOND * seconds)
+    sent = portal.run(_offer, system, CALM_PER_SECOND, CALM_REQUESTS)
+    assert [s for s in sent if not s.is_whole] == []
+
+
+async def _hang_up(system: System, entry: str) -> None:
+    before = await system.counts(GATE)
+
+    async def works() -> bool:
+        return (await system.counts(GATE))["started"] > before["started"]
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_send, system, READS, entry)
+        await system.wait_until(works, "the request starts")
+        nursery.cancel_scope.cancel()
+
+
+@when(
+    parsers.parse(
+        "a caller hangs up on {entry} once the backend server works on its request"
+    )
+)
+def _(running, context, entry):
+    portal, system = running
+    portal.run(lambda: system.behave(GATE, service_ms=5000.0))
+    context["before"] = portal.run(system.counts, GATE)
+    portal.run(_hang_up, system, entry)
+    portal.run(lambda: system.behave(GATE, service_ms=SERVICE_MS))
+
+
+@then("the backend server counts one cancelled request")
+def _(running, context):
+    portal, system = running
+    expected = context["before"]["cancelled"] + 1
+
+    async def counted() -> bool:
+        return (await system.counts(GATE))["cancelled"] == expected
+
+    portal.run(system.wait_until, counted, "one cancelled request")
+
+
+@when(
+    parsers.parse(
+        "the backend server takes {slow:d} ms for {seconds:d} seconds of "
+        "{rate:d} requests a second"
+    )
+)
+def _(running, slow, seconds, rate):
+    portal, system = running
+    portal.run(lambda: system.behave(GATE, service_ms=float(slow)))
+    portal.run(_offer, system, rate, rate * seconds)
+    portal.run(lambda: system.behave(GATE, service_ms=SERVICE_MS))
+
+
+@when(parsers.parse("callers send {count:d} critical requests at once"))
+def _(running, count):
+    portal, system = running
+    portal.run(_offer, system, 1e6, count, 1, (WARNINGS,))
+
+
+@then(parsers.parse("the log of {node} has a line of a demoted worth"))
+def _(running, node):
+    _, system = running
+    log = (system.folder / f"{node}.log").read_text()
+    assert "worth demoted service=cue" in log
+    assert "worth=customer" in log
