--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency micro
+.PHONY: all install format lint test demo latency bench-policy micro
 
 all: test
 
@@ -31,5 +31,8 @@
 latency: install
 	$(BIN)/python -m harness.latency
 
+bench-policy: install
+	$(BIN)/python -m harness.bench_policy
+
 micro: install
 	$(BIN)/python -m harness.micro
