--- a/persimmonhall/admission/admission.py
+++ b/persimmonhall/admission/admission.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 import trio
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.admission.core import AdmissionCore
@@ -21,6 +22,8 @@
 from persimmonhall.errors import Refusal
 from persimmonhall.ids import RootId, TicketId
 
+REFUSAL_LOG_INTERVAL_S = 1.0
+
 
 @dataclass(frozen=True)
 class Asked:
@@ -59,6 +62,7 @@
         self._ids = itertools.count(1)
         self._waiters: dict[TicketId, _Waiter] = {}
         self._timer = trio.CancelScope()
+        self._logged_limit = self._core.limit
 
     @property
     def core(self) -> AdmissionCore:
@@ -80,6 +84,7 @@
     def announce(self, slots: int, *, cold: bool) -> None:
         """Take in the slots of the backend server."""
         self._deliver(self._core.announce(slots, trio.current_time(), cold=cold))
+        self._log_limit()
 
     async def admit(self, asked: Asked) -> Result[Admitted, Refusal]:
         """Wait until a request may start or is refused."""
@@ -118,10 +123,36 @@
         elif outcome is not Outcome.NOT_RUN:
             record_seconds(self._counters.service_us, now - admitted.started)
         self._deliver(self._core.finish(admitted.ticket.id, outcome, now))
+        self._log_limit()
 
     def count_refusal(self, refusal: Refusal, worth: Worth) -> None:
         """Count a refusal, also one that was made before the queue."""
-        self._counters.refused[Refused(refusal.kind, worth)] += 1
+        refused = Refused(refusal.kind, worth)
+        self._counters.refused[refused] += 1
+        logging.log_every_n_seconds(
+            logging.INFO,
+            "admission refused error=%s worth=%s refused=%d queued=%d limit=%d",
+            REFUSAL_LOG_INTERVAL_S,
+            refusal.kind.value,
+            worth.value,
+            self._counters.refused[refused],
+            self._core.queued,
+            self._core.limit,
+        )
+
+    def _log_limit(self) -> None:
+        limit = self._core.limit
+        if limit == self._logged_limit:
+            return
+        logging.info(
+            "limit before=%d now=%d in_flight=%d queued=%d service_ms=%.1f",
+            self._logged_limit,
+            limit,
+            self._core.in_flight,
+            self._core.queued,
+            self._core.service_s * 1000,
+        )
+        self._logged_limit = limit
 
     def _withdraw(self, ticket: Ticket, waiter: _Waiter) -> None:
         now = trio.current_time()
