Hand back at once what waits for a backend server that takes no more

Tests of the gate with a held client failed first: a leaving node or backend server left the queue waiting, and a call started just before its backend server was dropped ended the node with an AttributeError, since the address and the client were read only when sending. Both are now read once, and a missing one is a refusal that did not run and is no sample for the limit.

--- a/persimmonhall/admission/admission.py
+++ b/persimmonhall/admission/admission.py
@@ -86,6 +86,10 @@
         self._deliver(self._core.announce(slots, trio.current_time(), cold=cold))
         self._log_limit()
 
+    def refuse_all(self, refusal: Refusal) -> None:
+        """Refuse whatever waits."""
+        self._deliver(self._core.refuse_all(refusal))
+
     async def admit(self, asked: Asked) -> Result[Admitted, Refusal]:
         """Wait until a request may start or is refused."""
         ticket = Ticket(
--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -16,7 +16,7 @@
 from persimmonhall.admission.service_times import ServiceTimes
 from persimmonhall.admission.waiting import Waiting, WaitingLine
 from persimmonhall.document.schema import Worth
-from persimmonhall.errors import ErrorKind, Ran, refuse
+from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import TicketId
 
 DEFAULT_SLOTS = 16
@@ -131,6 +131,13 @@
         self._line.remove(ticket)
         return self._start_waiting(now)
 
+    def refuse_all(self, refusal: Refusal) -> list[Verdict]:
+        """Refuse whatever waits, since nothing will start any more."""
+        verdicts: list[Verdict] = []
+        while len(self._line):
+            verdicts.append(Refuse(self._line.pop_best().ticket.id, refusal))
+        return verdicts
+
     def tick(self, now: float) -> list[Verdict]:
         """Refuse what waited too long and free the slots of cancelled requests."""
         verdicts = self._start_waiting(now)
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -26,7 +26,7 @@
     refused,
 )
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
-from persimmonhall.http.client import PooledClient
+from persimmonhall.http.client import HttpClient, PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.ids import ServiceName
 
@@ -47,13 +47,15 @@
         self,
         critical_share: CriticalShare = _unbounded,
         self_limit: SelfLimit | None = None,
+        make_client: Callable[[int], HttpClient] = PooledClient,
     ):
         self._admission = Admission()
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
         self._backend: Backend | None = None
-        self._client: PooledClient | None = None
+        self._client: HttpClient | None = None
+        self._make_client = make_client
         self._connect_failed = False
         self._leaving = False
         self._calls = 0
@@ -83,15 +85,17 @@
     def set_backend(self, backend: Backend | None) -> None:
         """Take in an announcement, or its absence."""
         if backend is None or self._backend is None or self._client is None:
-            self._client = PooledClient(backend.connections) if backend else None
+            self._client = self._make_client(backend.connections) if backend else None
         if backend is not None:
             self._admission.announce(backend.slots, cold=self._is_cold(backend))
             self._connect_failed = False
         self._backend = backend
+        self._hand_back()
 
     def leave(self) -> None:
-        """Refuse new calls from now on."""
+        """Refuse new calls, and those that wait, from now on."""
         self._leaving = True
+        self._hand_back()
 
     async def wait_idle(self, timeout_s: float) -> None:
         """Wait until no call is in flight, at most the timeout."""
@@ -113,6 +117,19 @@
             self._changed.set()
             self._changed = trio.Event()
 
+    def _hand_back(self) -> None:
+        """Refuse at once what waits for a backend server that takes no more."""
+        refusal = self._closed()
+        if refusal is not None:
+            self._admission.refuse_all(refusal)
+
+    def _closed(self) -> Refusal | None:
+        if self._backend is None:
+            return refuse(ErrorKind.NO_SERVER, "no backend server here")
+        if self._leaving or self._backend.state is BackendState.LEAVING:
+            return refuse(ErrorKind.LEAVING, "the backend server is leaving")
+        return None
+
     def _is_cold(self, backend: Backend) -> bool:
         known = self._backend
         is_new = known is None or known.address != backend.address
@@ -163,12 +180,10 @@
 
     def _refusal_before_queue(self, call: Call) -> Refusal | None:
         backend = self._backend
-        if backend is None or backend.service != call.service:
+        if backend is not None and backend.service != call.service:
             detail = f"no backend server of {call.service} here"
             return refuse(ErrorKind.NO_SERVER, detail)
-        if self._leaving or backend.state is BackendState.LEAVING:
-            return refuse(ErrorKind.LEAVING, "the backend server is leaving")
-        return self._self_limit.refusal(call.worth, call.root)
+        return self._closed() or self._self_limit.refusal(call.worth, call.root)
 
     async def _run_admitted(self, call: Call, admitted: Admitted) -> Reply:
         outcome = Outcome.CANCELLED
@@ -205,9 +220,11 @@
             (CHAIN_HEADER, chain.child(remaining_ms).encode()),
         )
         request = HttpRequest(call.method, call.target, headers, call.body)
-        return await self._client.send(
-            self._backend.address, request, call.max_answer_bytes
-        )
+        backend, client = self._backend, self._client
+        if backend is None or client is None:
+            detail = "the backend server went away before the first byte"
+            return Failure(refuse(ErrorKind.NO_SERVER, detail))
+        return await client.send(backend.address, request, call.max_answer_bytes)
 
 
 def _remaining_ms() -> int:
@@ -219,5 +236,7 @@
     match result:
         case Success(answer):
             return Outcome.SHED if answer.status == SHED_STATUS else Outcome.DONE
+        case Failure(refusal) if refusal.kind is ErrorKind.NO_SERVER:
+            return Outcome.NOT_RUN
         case _:
             return Outcome.FAILED
--- /dev/null
+++ b/persimmonhall/call/tests/test_gate.py
@@ -0,0 +1,120 @@
+"""Check the gate with a backend server that answers when told."""
+
+import pytest
+import trio
+from returns.result import Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.call.backend import Backend, BackendState
+from persimmonhall.call.chain import CHAIN_HEADER, parse_chain
+from persimmonhall.call.gate import Gate
+from persimmonhall.call.messages import Answered, Refused
+from persimmonhall.document.schema import Worth
+from persimmonhall.errors import ErrorKind, Ran
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.ids import ServiceName
+from tests.builders import make_call
+
+BACKEND = Backend(ServiceName("cue"), Address("127.0.0.1", 9), 1, 10)
+
+
+class HeldClient:
+    """Hold every request until the event is set."""
+
+    def __init__(self):
+        self.release = trio.Event()
+        self.requests: list[HttpRequest] = []
+
+    async def send(self, address, request, max_answer_bytes) -> Result:
+        """Answer once released."""
+        self.requests.append(request)
+        await self.release.wait()
+        return Success(HttpAnswer(200, ()))
+
+
+class Calls:
+    """Run calls at a gate with one slot and keep the replies."""
+
+    def __init__(self, nursery: trio.Nursery, **options):
+        self.client = HeldClient()
+        self.replies: dict[str, Answered | Refused] = {}
+        self.gate = Gate(make_client=lambda connections: self.client, **options)
+        self._nursery = nursery
+        self.gate.set_backend(BACKEND)
+
+    async def start(self, name: str, **changes) -> None:
+        """Start a call and wait until it runs or waits."""
+        call = make_call(remaining_ms=5000, **changes)
+
+        async def run() -> None:
+            self.replies[name] = await self.gate.run(call)
+
+        self._nursery.start_soon(run)
+        await trio.testing.wait_all_tasks_blocked()
+
+
+ENDINGS = {
+    "the node leaves": (lambda gate: gate.leave(), ErrorKind.LEAVING),
+    "the backend server leaves": (
+        lambda gate: gate.set_backend(
+            Backend(BACKEND.service, BACKEND.address, 1, 10, state=BackendState.LEAVING)
+        ),
+        ErrorKind.LEAVING,
+    ),
+    "the backend server is gone": (
+        lambda gate: gate.set_backend(None),
+        ErrorKind.NO_SERVER,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", ENDINGS)
+async def test_what_waits_is_handed_back_and_what_runs_finishes(
+    name, nursery, autojump_clock
+):
+    end, kind = ENDINGS[name]
+    calls = Calls(nursery)
+    await calls.start("running")
+    await calls.start("waiting")
+    end(calls.gate)
+    await trio.testing.wait_all_tasks_blocked()
+    refused = calls.replies["waiting"]
+    assert (refused.kind, refused.ran) == (kind, Ran.NO)
+    calls.client.release.set()
+    await trio.testing.wait_all_tasks_blocked()
+    assert calls.replies["running"].status == 200
+
+
+async def test_backend_server_gone_before_the_first_byte_means_not_run(
+    nursery, autojump_clock
+):
+    calls = Calls(nursery)
+    await calls.start("running")
+    await calls.start("waiting")
+    calls.client.release.set()
+    calls.gate.set_backend(None)
+    await trio.testing.wait_all_tasks_blocked()
+    refused = calls.replies["waiting"]
+    assert (refused.kind, refused.ran) == (ErrorKind.NO_SERVER, Ran.NO)
+    assert calls.gate.load.in_flight == 0
+
+
+async def test_demoted_worth_goes_down_the_chain(nursery, autojump_clock):
+    calls = Calls(nursery, critical_share=lambda service: 0.01)
+    calls.client.release.set()
+    for number in range(6):
+        await calls.start(f"call {number}", worth=Worth.CRITICAL)
+    chains = [
+        parse_chain(r.header(CHAIN_HEADER)).unwrap() for r in calls.client.requests
+    ]
+    assert [c.worth for c in chains] == [Worth.CRITICAL] * 5 + [Worth.CUSTOMER]
+    assert calls.gate.counters.demoted == 1
+
+
+async def test_load_tells_the_service_time(nursery, autojump_clock):
+    calls = Calls(nursery)
+    await calls.start("running")
+    await trio.sleep(0.25)
+    calls.client.release.set()
+    await trio.testing.wait_all_tasks_blocked()
+    assert calls.replies["running"].load.latency_us == 250_000
