--- a/persimmonhall/admission/limiter.py
+++ b/persimmonhall/admission/limiter.py
@@ -9,6 +9,7 @@
 WINDOW_S = 0.1
 FEWEST_SAMPLES = 4
 MOST_SAMPLES = 32
+FEWEST_AFTER_CUT = 2
 CALM_SLOWDOWN = 1.25
 TOLERATED_SLOWDOWN = 2.5
 MAX_SLOWDOWN = 20.0
@@ -178,6 +179,9 @@
 
     def _is_full(self, window: _Window, now: float) -> bool:
         needed = min(MOST_SAMPLES, max(FEWEST_SAMPLES, 2 * self.limit))
+        if self._cut is not None:
+            # What a cut helps is asked soon, for a needless one loses goodput.
+            needed = max(FEWEST_AFTER_CUT, self.limit)
         return window.samples >= needed and now - window.opened >= WINDOW_S
 
     def _judge(self, window: _Window, now: float) -> None:
