--- a/persimmonhall/http/hangup.py
+++ b/persimmonhall/http/hangup.py
@@ -27,10 +27,11 @@
 
     async def run(self) -> None:
         """Call back until cancelled."""
-        try:
-            while True:
-                await trio.lowlevel.wait_readable(self._epoll.fileno())
-                for fd, _ in self._epoll.poll(0):
-                    self._callbacks[fd]()
-        finally:
-            self._epoll.close()
+        while True:
+            await trio.lowlevel.wait_readable(self._epoll.fileno())
+            for fd, _ in self._epoll.poll(0):
+                self._callbacks[fd]()
+
+    def close(self) -> None:
+        """Release the descriptor, after every connection was removed."""
+        self._epoll.close()
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -1,5 +1,7 @@
 """Check the HTTP/1.1 server."""
 
+from functools import partial
+
 import trio
 
 from persimmonhall.address import Address
@@ -44,3 +46,31 @@
         with trio.fail_after(5):
             await ended.wait()
     assert answers[0].unwrap().body == b"whole"
+
+
+async def test_fault_of_one_request_leaves_the_server_running():
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        if request.target == "/fault":
+            raise KeyError(request.target)
+        return HttpAnswer(200, (), b"whole")
+
+    def write_refusal(refusal):
+        return HttpAnswer(500, (), refusal.kind.value.encode())
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(
+            partial(serve_http, write_refusal=write_refusal),
+            handler,
+            ANY_PORT,
+            trio.Event(),
+        )
+        client = PooledClient(1)
+        answers = [
+            (await client.send(address, HttpRequest("GET", target, ()), LIMIT)).unwrap()
+            for target in ("/fault", "/whole")
+        ]
+        nursery.cancel_scope.cancel()
+    assert [(a.status, a.body) for a in answers] == [
+        (500, b"internal"),
+        (200, b"whole"),
+    ]
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -281,7 +281,10 @@
                     frame.exchange,
                     reply,
                 )
-            except ValueError as error:
+            except Exception as error:
+                # A fault met by one exchange must not end the process.
+                if not isinstance(error, ValueError):
+                    logging.exception("exchange failed channel=%s", frame.channel.name)
                 raise FrameError(str(error)) from error
             finally:
                 del self._scopes[frame.exchange]
