--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency bench-policy micro
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control
 
 all: test
 
@@ -31,8 +31,30 @@
 latency: install
 	$(BIN)/python -m harness.latency
 
+SEEDS ?= 300
+SEED_START ?= 0
+
+# SEEDS=N runs N seeds from SEED_START on; SEED=N replays one.
+explore: install
+	$(BIN)/python -m harness.explorer --seeds $(SEEDS) --start $(SEED_START) \
+		$(if $(SEED),--seed $(SEED))
+
 bench-policy: install
 	$(BIN)/python -m harness.bench_policy
 
 micro: install
 	$(BIN)/python -m harness.micro
+
+bench-vanua: install
+	$(BIN)/python -m harness.bench_deployment vanua
+
+bench-hakepuu: install
+	$(BIN)/python -m harness.bench_deployment hakepuu
+
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control
+
+bench-claims: install
+	$(BIN)/python -m harness.claims
+
+bench-control: install
+	$(BIN)/python -m harness.bench_control
--- a/persimmonhall/control/machine.py
+++ b/persimmonhall/control/machine.py
@@ -1,9 +1,18 @@
 """Apply the commands of the log to the replicated state."""
 
 from persimmonhall.control.messages import Command, CommandReply, NoOp, NoReply
+from persimmonhall.control.snapshot import Part, read_parts, write_parts
 from persimmonhall.document.messages import PutDocument
 from persimmonhall.document.table import DocumentTable
 from persimmonhall.ids import LogIndex
+from persimmonhall.once.claims import ClaimTable
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ElapseTime,
+    FinishKey,
+    LoseClaims,
+    ReleaseKey,
+)
 
 
 class StateMachine:
@@ -11,6 +20,11 @@
 
     def __init__(self):
         self._documents = DocumentTable()
+        self._claims = ClaimTable()
+        self._parts: dict[str, Part] = {
+            "documents": self._documents,
+            "claims": self._claims,
+        }
         self._index = LogIndex(0)
 
     @property
@@ -18,6 +32,11 @@
         """Return the documents."""
         return self._documents
 
+    @property
+    def claims(self) -> ClaimTable:
+        """Return the claims."""
+        return self._claims
+
     @property
     def index(self) -> LogIndex:
         """Return the index of the last command applied."""
@@ -29,5 +48,28 @@
         match command:
             case PutDocument():
                 return self._documents.put(command, index)
+            case ClaimKey():
+                return self._claims.claim(command)
+            case FinishKey():
+                self._claims.finish(command)
+            case ReleaseKey():
+                self._claims.release(command)
+            case ElapseTime():
+                self._claims.elapse(command)
+            case LoseClaims():
+                self._claims.lose(command)
             case NoOp():
-                return NoReply()
+                pass
+        return NoReply()
+
+    def skip(self, index: LogIndex) -> None:
+        """Pass over an entry that holds no command."""
+        self._index = index
+
+    def state(self) -> bytes:
+        """Write all state for a snapshot."""
+        return write_parts(self._index, self._parts)
+
+    def restore(self, data: bytes) -> None:
+        """Take over the state of a snapshot."""
+        self._index = read_parts(data, self._parts)
--- a/persimmonhall/control/messages.capnp
+++ b/persimmonhall/control/messages.capnp
@@ -1,5 +1,7 @@
 @0xb5a1f0c3d7e94a21;
 
+using Once = import "/once/messages.capnp";
+
 struct HeldDocument {
   service @0 :Text;
   revision @1 :UInt64;
@@ -17,6 +19,7 @@
   text @3 :Text;
   author @4 :Text;
   team @5 :Text;
+  atMs @6 :UInt64;
 }
 
 struct PutReply {
@@ -33,6 +36,11 @@
   union {
     putDocument @0 :PutDocument;
     noOp @1 :NoOp;
+    claimKey @2 :Once.ClaimKey;
+    finishKey @3 :Once.FinishKey;
+    releaseKey @4 :Once.ReleaseKey;
+    elapseTime @5 :Once.ElapseTime;
+    loseClaims @6 :Once.LoseClaims;
   }
 }
 
@@ -40,6 +48,7 @@
   union {
     putReply @0 :PutReply;
     noReply @1 :NoReply;
+    claimReply @2 :Once.ClaimReply;
   }
 }
 
@@ -50,6 +59,7 @@
 struct Documents {
   index @0 :UInt64;
   items @1 :List(HeldDocument);
+  current @2 :Bool;
 }
 
 struct Submit {
--- a/persimmonhall/errors.py
+++ b/persimmonhall/errors.py
@@ -31,6 +31,7 @@
     OVERLOADED = "overloaded"
     NODE_OVERLOADED = "nodeOverloaded"
     LEAVING = "leaving"
+    RETRY_LIMIT = "retryLimit"
     DEADLINE_EXCEEDED = "deadlineExceeded"
     CANCELLED = "cancelled"
     CONNECT_FAILED = "connectFailed"
@@ -41,6 +42,7 @@
     KEY_RUNNING = "keyRunning"
     KEY_MISMATCH = "keyMismatch"
     OUTCOME_UNKNOWN = "outcomeUnknown"
+    ANSWER_NOT_KEPT = "answerNotKept"
     QUARANTINED = "quarantined"
     INVALID_DOCUMENT = "invalidDocument"
     REVISION_CONFLICT = "revisionConflict"
@@ -72,6 +74,7 @@
     ErrorKind.OVERLOADED: ErrorAnswer(503, "Service overloaded", Ran.NO, 2.0),
     ErrorKind.NODE_OVERLOADED: ErrorAnswer(503, "Node overloaded", Ran.NO, 2.0),
     ErrorKind.LEAVING: ErrorAnswer(503, "Server is leaving", Ran.NO, 1.0),
+    ErrorKind.RETRY_LIMIT: ErrorAnswer(503, "Retry limit reached", Ran.NO, 2.0),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
         504, "Deadline exceeded", Ran.UNKNOWN, 2.0
     ),
@@ -84,6 +87,7 @@
     ErrorKind.KEY_RUNNING: ErrorAnswer(409, "Request is running", Ran.YES, 1.0),
     ErrorKind.KEY_MISMATCH: ErrorAnswer(422, "Key used for another request", Ran.NO),
     ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(409, "Outcome unknown", Ran.UNKNOWN),
+    ErrorKind.ANSWER_NOT_KEPT: ErrorAnswer(409, "Answer is not kept", Ran.YES),
     ErrorKind.QUARANTINED: ErrorAnswer(503, "Request is quarantined", Ran.NO, 60.0),
     ErrorKind.INVALID_DOCUMENT: ErrorAnswer(422, "Invalid document", Ran.NO),
     ErrorKind.REVISION_CONFLICT: ErrorAnswer(409, "Revision conflict", Ran.NO),
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -7,11 +7,13 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.call.entry import Entry
+from persimmonhall.call.plan import Listener
 from persimmonhall.document.in_force import DocumentsInForce
 from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.membership.announce import BackendWatch, parse_announcement
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.api import QUARANTINE_PATH, QuarantineApi
 
 OWN_PREFIX = "/-/"
 JSON_TYPE = (b"content-type", b"application/json")
@@ -26,6 +28,7 @@
         watch: BackendWatch,
         table: MemberTable,
         documents: DocumentsInForce,
+        quarantine: QuarantineApi,
         drain: Callable[[], None],
         rng: random.Random,
     ):
@@ -33,13 +36,14 @@
         self._watch = watch
         self._table = table
         self._documents = documents
+        self._quarantine = quarantine
         self._drain = drain
         self._rng = rng
 
     async def handle(self, request: HttpRequest) -> HttpAnswer:
         """Answer one request of this machine."""
         if not request.target.startswith(OWN_PREFIX):
-            return await self._entry.handle(request)
+            return await self._entry.handle(request, Listener.LOCAL)
         match self._route(request):
             case Success(answer):
                 return answer
@@ -47,7 +51,10 @@
                 return problem_answer(refusal, self._rng)
 
     def _route(self, request: HttpRequest) -> Result[HttpAnswer, Refusal]:
-        match (request.method, request.target.removeprefix(OWN_PREFIX)):
+        path = request.target.removeprefix(OWN_PREFIX)
+        if path.startswith(QUARANTINE_PATH):
+            return self._quarantine.handle(request.method, path)
+        match (request.method, path):
             case ("POST", "announce"):
                 return parse_announcement(request.body).map(self._announce)
             case ("GET", "status"):
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -15,6 +15,7 @@
 from persimmonhall.call.entry import Entry
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gates import Gates
+from persimmonhall.call.retries import Retries
 from persimmonhall.control.client import ControlClient
 from persimmonhall.document.follow import DocumentFollower
 from persimmonhall.document.in_force import DocumentsInForce
@@ -28,13 +29,18 @@
 from persimmonhall.membership.leave import Leaving
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.api import QuarantineApi
+from persimmonhall.once.service import open_once
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
+from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool, serve_links
 
+SETTLE_S = 5.0
+
 
 @dataclass(frozen=True)
 class NodeAddresses:
@@ -64,6 +70,8 @@
     links = LinkPool(nursery)
     documents = DocumentsInForce()
     table = MemberTable(_own_member(settings))
+    control = ControlClient(links, settings.peers.control)
+    once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
     self_limit = SelfLimit()
 
     def critical_share(service: ServiceName) -> float:
@@ -71,24 +79,26 @@
         rate = document.critical_per_second if document is not None else 0.0
         return server_share(rate, len(table.servers_of(service)))
 
-    gate = Gate(critical_share, self_limit)
+    gate = Gate(critical_share, self_limit, once.runner)
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
+    tokens = Tokens(own.name, RetryLedger(), table, links)
+    gates = Gates(own.name, gate, links)
+    retries = Retries(tokens)
     entry = Entry(
-        own.name,
-        documents,
-        router,
-        RetryLedger(),
-        Gates(own.name, gate, links),
-        rng,
-        self_limit,
+        own.name, documents, router, retries, gates, once.quarantine, rng, self_limit
     )
-    control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
-    local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
-
-    handlers = {Channel.CALL: gate.handle, Channel.MEMBERSHIP: gossiper.handle}
+    quarantine_api = QuarantineApi(once.quarantine)
+    local_api = LocalApi(entry, watch, table, documents, quarantine_api, stop.set, rng)
+
+    handlers = {
+        Channel.CALL: gate.handle,
+        Channel.LEDGER: tokens.handle,
+        Channel.MEMBERSHIP: gossiper.handle,
+        Channel.ONCE: once.spreader.handle,
+    }
     frames = await nursery.start(serve_links, handlers, own.frames)
     gossiper.set_frames(frames)
     limits = ServerLimits(
@@ -122,6 +132,7 @@
             )
             nursery.start_soon(gossiper.run)
             nursery.start_soon(watch.run)
+            nursery.start_soon(once.spreader.run)
             nursery.start_soon(gate.keep_time)
             nursery.start_soon(probe_lag, self_limit)
             nursery.start_soon(DocumentFollower(documents, control).run)
@@ -131,6 +142,7 @@
             logging.info("leaving node=%s", own.name)
             await leaving.finish_calls(serving.cancel_scope)
         await leaving.finish_local(local_serving.cancel_scope)
+    await once.settler.wait_idle(SETTLE_S)
     logging.info("left node=%s", own.name)
 
 
--- /dev/null
+++ b/persimmonhall/raft/records.py
@@ -0,0 +1,82 @@
+"""Frame records with a checksum and tell a torn tail from damage."""
+
+import struct
+from dataclasses import dataclass
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+MAGIC = b"PHR1"
+BODY = struct.Struct("<IQI")
+CHECKSUM = struct.Struct("<Q")
+HEADER_BYTES = len(MAGIC) + BODY.size + CHECKSUM.size
+
+
+@dataclass(frozen=True)
+class _Record:
+    payload: bytes
+    batch: int
+    position: int
+
+
+@dataclass(frozen=True)
+class Found:
+    """Hold the records that were read and where they end."""
+
+    payloads: tuple[bytes, ...]
+    end: int
+    batch: int
+
+
+def frame_batch(payloads: tuple[bytes, ...], batch: int) -> bytes:
+    """Write the records of a batch that is synced at once."""
+    return b"".join(
+        _frame(payload, batch, position) for position, payload in enumerate(payloads)
+    )
+
+
+def read_records(data: bytes) -> Result[Found, int]:
+    """Read records up to a torn tail, or return the offset of damage.
+
+    A batch is written only after the one before it was synced. So if the start of
+    a later batch follows a bad record, that record was synced and is damaged.
+    """
+    payloads: list[bytes] = []
+    offset = batch = 0
+    while (record := _record_at(data, offset)) is not None:
+        payloads.append(record.payload)
+        batch = record.batch
+        offset += HEADER_BYTES + len(record.payload)
+    if _synced_batches_follow(data, offset, batch):
+        return Failure(offset)
+    return Success(Found(tuple(payloads), offset, batch))
+
+
+def _frame(payload: bytes, batch: int, position: int) -> bytes:
+    body = BODY.pack(len(payload), batch, position) + payload
+    checksum = CHECKSUM.pack(xxhash.xxh64_intdigest(body))
+    return MAGIC + checksum + body
+
+
+def _record_at(data: bytes, offset: int) -> _Record | None:
+    start = offset + len(MAGIC) + CHECKSUM.size
+    if data[offset : offset + len(MAGIC)] != MAGIC or start + BODY.size > len(data):
+        return None
+    length, batch, position = BODY.unpack_from(data, start)
+    body = data[start : start + BODY.size + length]
+    (checksum,) = CHECKSUM.unpack_from(data, offset + len(MAGIC))
+    if len(body) < BODY.size + length or xxhash.xxh64_intdigest(body) != checksum:
+        return None
+    return _Record(body[BODY.size :], batch, position)
+
+
+def _synced_batches_follow(data: bytes, offset: int, batch: int) -> bool:
+    offset = data.find(MAGIC, offset + 1)
+    while offset >= 0:
+        record = _record_at(data, offset)
+        if record is not None:
+            starts_next = record.batch == batch + 1 and record.position == 0
+            if starts_next or record.batch > batch + 1:
+                return True
+        offset = data.find(MAGIC, offset + 1)
+    return False
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -61,6 +61,9 @@
     admin: Address
     frames: Address
     data_folder: str
+    peers: tuple[Address, ...] = ()
+    advertise: Address | None = None
+    snapshot_entries: int = bounded(5000, least=100, most=100_000)
     seed: int = 0
 
 
