--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -63,11 +63,8 @@
         self,
         critical_share: CriticalShare = _unbounded,
         self_limit: SelfLimit | None = None,
-<<<<<<< HEAD
-        make_client: Callable[[int], HttpClient] = PooledClient,
-=======
         runner: Runner | None = None,
->>>>>>> main
+        make_client: Callable[[int], HttpClient] = PooledClient,
     ):
         self._runner = runner or DirectRunner()
         self._admission = Admission()
@@ -204,15 +201,11 @@
         if backend is not None and backend.service != call.service:
             detail = f"no backend server of {call.service} here"
             return refuse(ErrorKind.NO_SERVER, detail)
-<<<<<<< HEAD
-        return self._closed() or self._self_limit.refusal(call.worth, call.root)
-=======
-        if self._leaving or backend.state is BackendState.LEAVING:
-            return refuse(ErrorKind.LEAVING, "the backend server is leaving")
-        return self._self_limit.refusal(call.worth, call.root) or self._runner.refusal(
-            call
+        return (
+            self._closed()
+            or self._self_limit.refusal(call.worth, call.root)
+            or self._runner.refusal(call)
         )
->>>>>>> main
 
     async def _run_admitted(self, call: Call, admitted: Admitted) -> Reply:
         outcome = Outcome.CANCELLED
@@ -248,7 +241,8 @@
         return await self._runner.run(call, address, partial(self._send, call))
 
     async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
-        if self._backend is None:
+        backend, client = self._backend, self._client
+        if backend is None or client is None:
             return Failure(_backend_gone())
         remaining_ms = max(0, _remaining_ms())
         chain = Chain(call.root, call.entry, call.depth, call.worth, remaining_ms)
@@ -257,10 +251,6 @@
             (CHAIN_HEADER, chain.child(remaining_ms).encode()),
         )
         request = HttpRequest(call.method, call.target, headers, call.body)
-        backend, client = self._backend, self._client
-        if backend is None or client is None:
-            detail = "the backend server went away before the first byte"
-            return Failure(refuse(ErrorKind.NO_SERVER, detail))
         return await client.send(backend.address, request, call.max_answer_bytes)
 
 
@@ -279,11 +269,7 @@
             return Outcome.NOT_RUN
         case Success(answer):
             return Outcome.SHED if answer.status == SHED_STATUS else Outcome.DONE
-<<<<<<< HEAD
-        case Failure(refusal) if refusal.kind is ErrorKind.NO_SERVER:
-=======
         case Failure(refusal) if refusal.kind in NOT_SENT:
->>>>>>> main
             return Outcome.NOT_RUN
         case _:
             return Outcome.FAILED
