--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -241,7 +241,8 @@
         return await self._runner.run(call, address, partial(self._send, call))
 
     async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
-        if self._backend is None:
+        backend, client = self._backend, self._client
+        if backend is None or client is None:
             return Failure(_backend_gone())
         remaining_ms = max(0, _remaining_ms())
         chain = Chain(call.root, call.entry, call.depth, call.worth, remaining_ms)
@@ -250,10 +251,6 @@
             (CHAIN_HEADER, chain.child(remaining_ms).encode()),
         )
         request = HttpRequest(call.method, call.target, headers, call.body)
-        backend, client = self._backend, self._client
-        if backend is None or client is None:
-            detail = "the backend server went away before the first byte"
-            return Failure(refuse(ErrorKind.NO_SERVER, detail))
         return await client.send(backend.address, request, call.max_answer_bytes)
 
 
