--- a/harness/micro_routing.py
+++ b/harness/micro_routing.py
@@ -7,7 +7,7 @@
 from harness.micro_row import Row
 from persimmonhall.call.messages import Load
 from persimmonhall.ids import NodeName, RootId, ServiceName, ZoneName
-from persimmonhall.membership.messages import Gossip, Member, MemberState
+from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.routing.budget import RetryBudget
 from persimmonhall.routing.failures import FailedCalls, make_key
@@ -47,7 +47,8 @@
 def _make_table(nodes: int, services: int) -> MemberTable:
     members = [_make_member(number, services) for number in range(nodes)]
     table = MemberTable(members[0])
-    table.merge(Gossip(tuple(members[1:])), 0.0)
+    for member in members[1:]:
+        table.put(member)
     return table
 
 
--- a/persimmonhall/routing/rules.py
+++ b/persimmonhall/routing/rules.py
@@ -8,7 +8,7 @@
 TURNED_AWAY = frozenset({ErrorKind.LEAVING, ErrorKind.NO_SERVER})
 FAILED_BEFORE_RUN = frozenset({ErrorKind.CONNECT_FAILED, ErrorKind.CONNECTION_LOST})
 FAILED_IN_RUN = frozenset({ErrorKind.CONNECTION_LOST, ErrorKind.ANSWER_CUT})
-SERVER_ERROR = 500
+FIRST_ERROR_STATUS = 400
 
 
 class Ruling(Enum):
@@ -34,4 +34,4 @@
 
 def has_failed(reply: Reply) -> bool:
     """Tell whether its caller is likely to send the request again."""
-    return not isinstance(reply, Answered) or reply.status >= SERVER_ERROR
+    return not isinstance(reply, Answered) or reply.status >= FIRST_ERROR_STATUS
