Cut dead work at the next hop

A backend server copied the remaining time as it was when its run began, and went on calling after its caller had gone. The gate now records each run: calls made for it get no more time than the run has left, and calls of a run that was given up are refused at once, "not run". A run that ended whole keeps its header's time, since backend servers may call on after their answer.

--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from persimmonhall.admission.self_limit import SelfLimit
+from persimmonhall.call.executions import Executions
 from persimmonhall.call.gates import NO_LOAD, Gates
 from persimmonhall.call.messages import Answered, Refused, Reply, pair_up, refused
 from persimmonhall.call.plan import Listener, Plan, make_call, make_plan
@@ -38,6 +39,7 @@
         gates: Gates,
         rng: random.Random,
         self_limit: SelfLimit,
+        executions: Executions,
     ):
         self._node = node
         self._documents = documents
@@ -46,6 +48,7 @@
         self._gates = gates
         self._rng = rng
         self._self_limit = self_limit
+        self._executions = executions
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -64,7 +67,13 @@
         refusal = self._self_limit.refusal(plan.chain.worth, plan.chain.root)
         if refusal is not None:
             return refused(refusal, NO_LOAD)
-        deadline = trio.current_time() + plan.budget_ms / 1000
+        now = trio.current_time()
+        plan = plan.within(self._executions.left_ms(plan.chain.execution, now))
+        if plan.budget_ms <= 0:
+            detail = "nobody waits for this call any more"
+            kind = ErrorKind.DEADLINE_EXCEEDED
+            return refused(refuse(kind, detail, ran=Ran.NO), NO_LOAD)
+        deadline = now + plan.budget_ms / 1000
         self._retries.open(plan, deadline)
         attempts = _Attempts()
         reply: Reply | None = None
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -14,6 +14,7 @@
 from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.backend import Backend, BackendState
 from persimmonhall.call.chain import CHAIN_HEADER, Chain
+from persimmonhall.call.executions import Executions
 from persimmonhall.call.messages import (
     REPLIES,
     Answered,
@@ -52,6 +53,7 @@
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
+        self.executions = Executions()
         self._backend: Backend | None = None
         self._client: PooledClient | None = None
         self._connect_failed = False
@@ -200,14 +202,14 @@
     async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
         remaining_ms = max(0, _remaining_ms())
         chain = Chain(call.root, call.entry, call.depth, call.worth, remaining_ms)
-        headers = (
-            *pair_up(call.headers),
-            (CHAIN_HEADER, chain.child(remaining_ms).encode()),
-        )
+        child = chain.child(remaining_ms)
+        headers = (*pair_up(call.headers), (CHAIN_HEADER, child.encode()))
         request = HttpRequest(call.method, call.target, headers, call.body)
-        return await self._client.send(
-            self._backend.address, request, call.max_answer_bytes
-        )
+        deadline = trio.current_effective_deadline()
+        with self.executions.running(child.execution, deadline):
+            return await self._client.send(
+                self._backend.address, request, call.max_answer_bytes
+            )
 
 
 def _remaining_ms() -> int:
--- a/persimmonhall/call/plan.py
+++ b/persimmonhall/call/plan.py
@@ -47,6 +47,12 @@
         """Tell whether the request may try a server that was ejected."""
         return self.rule.idempotent and self.chain.worth is not Worth.CRITICAL
 
+    def within(self, left_ms: int | None) -> "Plan":
+        """Return the plan with no more time than is left, if that is known."""
+        if left_ms is None or left_ms >= self.chain.remaining_ms:
+            return self
+        return replace(self, chain=replace(self.chain, remaining_ms=left_ms))
+
 
 def make_plan(
     request: HttpRequest,
--- a/persimmonhall/call/tests/hops.py
+++ b/persimmonhall/call/tests/hops.py
@@ -12,6 +12,7 @@
 from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.chain import CHAIN_HEADER, Chain
 from persimmonhall.call.entry import Entry
+from persimmonhall.call.executions import Executions
 from persimmonhall.call.gates import NO_LOAD
 from persimmonhall.call.messages import Answered, Call, Reply, refused
 from persimmonhall.call.plan import Listener
@@ -77,6 +78,7 @@
         self._failed_call_status = failed_call_status
         self._fault_of = fault_of
         self.links_are_cut = False
+        self.executions = Executions()
         self.runs: Counter[tuple[RootId, str]] = Counter()
         self.calls: list[Call] = []
         self._documents = DocumentsInForce()
@@ -115,6 +117,7 @@
             self,
             rng,
             SelfLimit(),
+            self.executions,
         )
 
     def _make_retries(self, tokens: Tokens) -> Retries:
--- a/persimmonhall/call/tests/test_backend_answers.py
+++ b/persimmonhall/call/tests/test_backend_answers.py
@@ -1,5 +1,6 @@
 """Check a gate against a backend server that cuts, stalls or lies."""
 
+import re
 from contextlib import asynccontextmanager
 
 import pytest
@@ -81,6 +82,19 @@
     assert (reply.kind, reply.ran) == (ErrorKind.DEADLINE_EXCEEDED, Ran.UNKNOWN)
 
 
+async def test_run_cut_off_at_its_deadline_is_given_up():
+    heads = []
+
+    async def script(stream):
+        heads.append(await stream.receive_some())
+        await trio.sleep_forever()
+
+    async with _open_gate(script) as gate:
+        await gate.run(make_call(remaining_ms=REMAINING_MS))
+    [execution] = re.findall(rb"execution=([0-9a-f]+)", heads[0])
+    assert gate.executions.left_ms(execution.decode(), trio.current_time()) == 0
+
+
 @pytest.mark.parametrize("received", [0, 1, 100_000])
 async def test_crash_inside_the_request_may_have_run(received):
     async def script(stream):
--- a/persimmonhall/call/tests/test_ran.py
+++ b/persimmonhall/call/tests/test_ran.py
@@ -90,6 +90,35 @@
     assert trio.current_time() - start == pytest.approx(0.05, abs=0.001)
 
 
+OWN_RUN = b"root=a;entry=x;depth=1;worth=internal;remaining=9000;execution=e"
+
+
+async def test_call_of_a_run_gets_no_more_time_than_the_run_has(autojump_clock):
+    model = _Scripted(1)
+    model.script = [DONE]
+    with model.executions.running("e", trio.current_time() + 0.2):
+        await trio.sleep(0.05)
+        await model.send(chain=OWN_RUN)
+    assert model.calls[0].remaining_ms == pytest.approx(150, abs=2)
+
+
+async def test_call_of_a_run_given_up_is_not_made(autojump_clock):
+    model = _Scripted(1)
+    with trio.move_on_after(0.1), model.executions.running("e", 1e9):
+        await trio.sleep_forever()
+    answer = await model.send(chain=OWN_RUN)
+    assert (answer.status, answer.header(b"persimmonhall-ran")) == (504, "no")
+    assert model.calls == []
+
+
+async def test_call_of_a_run_that_ended_whole_is_made(autojump_clock):
+    model = _Scripted(1)
+    model.script = [DONE]
+    with model.executions.running("e", 1e9):
+        pass
+    assert (await model.send(chain=OWN_RUN)).status == 200
+
+
 async def test_caller_that_goes_away_counts_as_a_failure(autojump_clock):
     model = HopModel(1, retries=0)
     chain = b"root=a;entry=x;depth=0;worth=internal;remaining=9000;execution=e"
--- a/persimmonhall/membership/table.py
+++ b/persimmonhall/membership/table.py
@@ -79,4 +79,4 @@
 
 def _is_served_alike(old: Member, new: Member) -> bool:
     """Tell whether a newer record changes nothing for routing."""
-    return replace(old, incarnation=new.incarnation, version=new.version) == new
+    return replace(old, version=new.version) == new
--- a/persimmonhall/membership/tests/test_table.py
+++ b/persimmonhall/membership/tests/test_table.py
@@ -26,3 +26,15 @@
     table.set_own(replace(own, state=MemberState.LEAVING))
     table.remove(peer.node)
     assert (_names(table, CUE), _names(table, REELS)) == ([], [])
+
+
+def test_list_of_servers_stays_the_same_until_one_changes():
+    """Hand out one tuple while records only grow newer."""
+    peer = make_member(2)
+    table = MemberTable(make_member(1))
+    table.put(peer)
+    listed = table.servers_of(CUE)
+    table.put(replace(peer, version=2))
+    assert table.servers_of(CUE) is listed
+    table.put(replace(peer, slots=9, version=3))
+    assert table.servers_of(CUE) is not listed
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -80,7 +80,16 @@
     tokens = Tokens(own.name, RetryLedger(), table, links)
     gates = Gates(own.name, gate, links)
     retries = Retries(tokens)
-    entry = Entry(own.name, documents, router, retries, gates, rng, self_limit)
+    entry = Entry(
+        own.name,
+        documents,
+        router,
+        retries,
+        gates,
+        rng,
+        self_limit,
+        gate.executions,
+    )
     control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
     local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
