--- a/persimmonhall/membership/table.py
+++ b/persimmonhall/membership/table.py
@@ -1,7 +1,5 @@
 """Know the members of the system."""
 
-from dataclasses import replace
-
 from persimmonhall.ids import NodeName, ServiceName
 from persimmonhall.membership.messages import Member, MemberState
 
@@ -14,7 +12,7 @@
         self._members: dict[NodeName, Member] = {}
         self._servers: dict[ServiceName, dict[NodeName, Member]] = {}
         self._listed: dict[ServiceName, tuple[Member, ...]] = {}
-        self._index(own)
+        self._replace(None, own)
 
     @property
     def own(self) -> Member:
@@ -23,19 +21,17 @@
 
     def set_own(self, own: Member) -> None:
         """Replace this node's own record."""
-        self._reindex(self._own, own)
+        self._replace(self._own, own)
         self._own = own
 
     def put(self, member: Member) -> None:
         """Replace the record of another node."""
-        self._reindex(self._members.get(member.node), member)
+        self._replace(self._members.get(member.node), member)
         self._members[member.node] = member
 
     def remove(self, node: NodeName) -> None:
         """Forget the record of another node."""
-        known = self._members.pop(node, None)
-        if known is not None:
-            self._unindex(known)
+        self._replace(self._members.pop(node, None), None)
 
     def get(self, node: NodeName) -> Member | None:
         """Return the record of a node."""
@@ -57,17 +53,15 @@
             self._listed[service] = listed
         return listed or ()
 
-    def _reindex(self, old: Member | None, new: Member) -> None:
-        if old is not None and _is_served_alike(old, new):
+    def _replace(self, old: Member | None, new: Member | None) -> None:
+        """Keep the index; a mere new version of a record leaves it alone."""
+        if _served(old) == _served(new):
             return
         if old is not None:
             self._unindex(old)
-        self._index(new)
-
-    def _index(self, member: Member) -> None:
-        if member.state is MemberState.READY:
-            self._servers.setdefault(member.service, {})[member.node] = member
-            self._listed.pop(member.service, None)
+        if new is not None and new.state is MemberState.READY:
+            self._servers.setdefault(new.service, {})[new.node] = new
+            self._listed.pop(new.service, None)
 
     def _unindex(self, member: Member) -> None:
         servers = self._servers.get(member.service, {})
@@ -77,6 +71,8 @@
             self._servers.pop(member.service, None)
 
 
-def _is_served_alike(old: Member, new: Member) -> bool:
-    """Tell whether a newer record changes nothing for routing."""
-    return replace(old, version=new.version) == new
+def _served(member: Member | None) -> tuple | None:
+    """Return what routing needs to know of a record."""
+    if member is None or member.state is not MemberState.READY:
+        return None
+    return (member.service, member.frames, member.zone, member.slots, member.node)
