--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency bench-policy micro explore
+.PHONY: all install format lint test demo latency bench-policy micro explore bench-routing
 
 all: test
 
@@ -44,3 +44,6 @@
 
 micro: install
 	$(BIN)/python -m harness.micro
+
+bench-routing: install
+	$(BIN)/python -m harness.routing_faults
