--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -17,6 +17,7 @@
 from persimmonhall.errors import ErrorKind, Ran, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.ids import NodeName
+from persimmonhall.once.quarantine import NoQuarantine, SuspectRouting
 from persimmonhall.routing.outcomes import outcome_of
 from persimmonhall.routing.router import Choice, Observation, Router
 from persimmonhall.routing.rules import Ruling, rule_on
@@ -40,12 +41,14 @@
         rng: random.Random,
         self_limit: SelfLimit,
         executions: Executions,
+        quarantine: SuspectRouting | None = None,
     ):
         self._node = node
         self._documents = documents
         self._router = router
         self._retries = retries
         self._gates = gates
+        self._quarantine = quarantine or NoQuarantine()
         self._rng = rng
         self._self_limit = self_limit
         self._executions = executions
@@ -58,6 +61,9 @@
             case Failure(refusal):
                 return problem_answer(refusal, self._rng)
             case Success(plan):
+                refusal = self._quarantine.refusal(plan.fingerprint)
+                if refusal is not None:
+                    return problem_answer(refusal, self._rng)
                 reply = await self._run(request, plan)
         if isinstance(reply, Answered):
             return _pass_on(reply)
@@ -105,10 +111,14 @@
                     return attempts.final
 
     def _choose(self, plan: Plan, attempts: "_Attempts") -> Choice | None:
-        choice = self._router.choose(
+        now = trio.current_time()
+        owner = self._quarantine.choose(plan.service, plan.fingerprint, attempts.tried)
+        if owner is not None:
+            self._router.start(plan.service, owner, now)
+        choice = owner or self._router.choose(
             plan.service,
             attempts.tried,
-            trio.current_time(),
+            now,
             may_probe=plan.may_probe and not attempts.tried,
         )
         if choice is not None and logging.level_info():
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from persimmonhall.cli.definition import add_settings, make_parser
+from persimmonhall.cli.quarantine import add_quarantine
 
 DESCRIPTION = "Check and change documents and look at a running system."
 
@@ -12,7 +13,10 @@
   persimmonhall --settings operator.toml document list
   persimmonhall --settings operator.toml document put cue.toml --revision 3
   persimmonhall --settings operator.toml document get cue
-  persimmonhall --settings operator.toml status --json"""
+  persimmonhall --settings operator.toml document history cue
+  persimmonhall --settings operator.toml replica list
+  persimmonhall --settings operator.toml status --json
+  persimmonhall quarantine list --node 127.0.0.1:7100"""
 
 
 def operator_parser() -> argparse.ArgumentParser:
@@ -25,6 +29,8 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    add_quarantine(commands)
+    _add_replica(commands)
     return parser
 
 
@@ -48,4 +54,14 @@
     )
     get = actions.add_parser("get", help="print a document")
     get.add_argument("service", metavar="SERVICE")
+    history = actions.add_parser("history", help="show who changed a document")
+    history.add_argument("service", metavar="SERVICE")
     actions.add_parser("list", help="list the documents and their revisions")
+
+
+def _add_replica(commands: argparse._SubParsersAction) -> None:
+    replica = commands.add_parser("replica", help="list or remove control VMs")
+    actions = replica.add_subparsers(dest="action", required=True, metavar="ACTION")
+    actions.add_parser("list", help="list the replica set")
+    remove = actions.add_parser("remove", help="remove a control VM that was stopped")
+    remove.add_argument("name", metavar="NAME")
--- /dev/null
+++ b/persimmonhall/once/log_clock.py
@@ -0,0 +1,30 @@
+"""Advance the clock of the log, so that claims expire on every replica alike."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+from returns.result import Result, Success
+
+from persimmonhall.control.messages import COMMANDS
+from persimmonhall.once.messages import ElapseTime
+
+TICK_S = 60.0
+
+
+async def run_log_clock(submit: Callable[[bytes], Awaitable[Result]]) -> None:
+    """Submit the time since the last accepted tick, until cancelled.
+
+    Only a leader may accept it: a tick after a failed one counts nothing, so that
+    the ticks of several replicas never count the same time.
+    """
+    last: float | None = None
+    while True:
+        now = trio.current_time()
+        elapsed_s = now - last if last is not None else 0.0
+        command = ElapseTime(int(elapsed_s * 1000))
+        match await submit(COMMANDS.encode(command)):
+            case Success():
+                last = now
+            case _:
+                last = None
+        await trio.sleep(TICK_S)
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -47,6 +47,7 @@
     SPILL = "spill"
     PROBE = "probe"
     ALL_EJECTED = "all-ejected"
+    SUSPECT_OWNER = "suspect-owner"
 
 
 @dataclass(frozen=True)
@@ -93,6 +94,12 @@
             pool.views[choice.member.node].start(now)
         return choice
 
+    def start(self, service: ServiceName, choice: Choice, now: float) -> None:
+        """Count a call whose server was chosen elsewhere as outstanding."""
+        view = self._pool(service, now).views.get(choice.member.node)
+        if view is not None:
+            view.start(now)
+
     def observe(
         self, service: ServiceName, node: NodeName, seen: Observation, now: float
     ) -> None:
