--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control
+.PHONY: all install format lint test demo latency explore bench-policy micro bench-vanua bench-hakepuu bench-claims bench-control bench-routing
 
 all: test
 
@@ -58,3 +58,6 @@
 
 bench-control: install
 	$(BIN)/python -m harness.bench_control
+
+bench-routing: install
+	$(BIN)/python -m harness.routing_faults
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -15,6 +15,7 @@
 from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.backend import Backend, BackendState
 from persimmonhall.call.chain import CHAIN_HEADER, Chain
+from persimmonhall.call.executions import Executions
 from persimmonhall.call.messages import (
     REPLIES,
     Answered,
@@ -71,6 +72,7 @@
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
+        self.executions = Executions()
         self._backend: Backend | None = None
         self._client: HttpClient | None = None
         self._make_client = make_client
@@ -246,12 +248,12 @@
             return Failure(_backend_gone())
         remaining_ms = max(0, _remaining_ms())
         chain = Chain(call.root, call.entry, call.depth, call.worth, remaining_ms)
-        headers = (
-            *pair_up(call.headers),
-            (CHAIN_HEADER, chain.child(remaining_ms).encode()),
-        )
+        child = chain.child(remaining_ms)
+        headers = (*pair_up(call.headers), (CHAIN_HEADER, child.encode()))
         request = HttpRequest(call.method, call.target, headers, call.body)
-        return await client.send(backend.address, request, call.max_answer_bytes)
+        deadline = trio.current_effective_deadline()
+        with self.executions.running(child.execution, deadline):
+            return await client.send(backend.address, request, call.max_answer_bytes)
 
 
 def _backend_gone() -> Refusal:
