Let the explorer find three more broken rules

Change: one sync in twenty takes up to a second longer, and a thawed replica is read from at once. All three are kept as tests.

--- a/harness/explorer/world.py
+++ b/harness/explorer/world.py
@@ -26,6 +26,7 @@
 RESEND_S = 0.7
 FREEZE_STEP_S = 0.05
 MAX_STEPS = 50_000
+SLOW_SYNC_SHARE = 0.05
 CLUSTER = "explorer"
 
 
@@ -117,6 +118,8 @@
             self._send(replica, outgoing.to, outgoing.message)
         if writes:
             delay = replica.sync_s * (0.5 + self.rng.random())
+            if self.rng.random() < SLOW_SYNC_SHARE:
+                delay += self.rng.random()
             self.at(self.now + delay, self._sync, replica, replica.core)
         self._schedule_tick(replica)
 
@@ -190,6 +193,9 @@
 
     def _thaw(self, replica: SimReplica) -> None:
         replica.frozen = False
+        if replica.up:
+            replica.read(next(self._numbers))
+            self.after_input(replica)
 
     def _sync(self, replica: SimReplica, core: object) -> None:
         if not replica.up or replica.core is not core:
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -1,6 +1,7 @@
 """Check the replication core under seeded faults, and that a broken rule is found."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -20,11 +21,12 @@
     Member,
     ReplicaSet,
 )
+from persimmonhall.raft.outbox import ReadReady
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
 
 SEEDS = 150
-SEEDS_OF_BROKEN_RULE = range(50, 60)
+SEEDS_OF_BROKEN_RULE = 60
 SEED_OF_SNAPSHOT_STORM = 1249
 CUT_S = 30.0
 
@@ -42,6 +44,42 @@
     leader_class = EagerLeader
 
 
+class HastyLeader(Leader):
+    """Count the own log before it is synced."""
+
+    def _match(self, voter):
+        if voter == self._state.id:
+            return self._state.log.last_index
+        return super()._match(voter)
+
+
+class HastyCore(Core):
+    """Lead hastily."""
+
+    leader_class = HastyLeader
+
+
+class TrustingLeader(Leader):
+    """Serve reads without asking whether it still leads."""
+
+    def _serve_reads(self):
+        for number, index in self._reads.take(self._reads.round):
+            self._state.reads.append(ReadReady(number, index))
+
+
+class TrustingCore(Core):
+    """Lead without a doubt."""
+
+    leader_class = TrustingLeader
+
+
+class GullibleCore(Core):
+    """Vote for replicas whose log is behind."""
+
+    def _on_vote(self, sender, vote, now):
+        super()._on_vote(sender, replace(vote, last_term=1 << 40), now)
+
+
 class CoreWithoutPreVote(Core):
     """Stand for election without asking first."""
 
@@ -72,15 +110,25 @@
 
 
 @pytest.mark.parametrize(
-    ("broken", "found"),
+    ("broken", "first_seed", "found"),
     [
-        (Variant(disk=ForgetfulDisk), "applied another entry"),
-        (Variant(new_id_after_disk_loss=False), "applied another entry"),
+        (Variant(disk=ForgetfulDisk), 0, "applied another entry"),
+        (Variant(new_id_after_disk_loss=False), 0, "applied another entry"),
+        (Variant(core=HastyCore), 250, "applied another entry"),
+        (Variant(core=TrustingCore), 0, "served a read"),
+        (Variant(core=GullibleCore), 0, "applied another entry"),
+    ],
+    ids=[
+        "no sync before a promise",
+        "vote after disk loss",
+        "own entries counted before the sync",
+        "read without a round of heartbeats",
+        "vote for a log that is behind",
     ],
-    ids=["no sync before a promise", "vote after disk loss"],
 )
-def test_broken_rule_is_found(broken, found):
-    violations = (run_seed(seed, broken).violation for seed in SEEDS_OF_BROKEN_RULE)
+def test_broken_rule_is_found(broken, first_seed, found):
+    seeds = range(first_seed, first_seed + SEEDS_OF_BROKEN_RULE)
+    violations = (run_seed(seed, broken).violation for seed in seeds)
     assert any(found in violation for violation in violations)
 
 
