Refuse a replica set change that would leave no answering majority

Cause: with two of five disks lost, a leader appended its own removal; the set of four had two voters left, the other two held the shorter log, and no vote could be won by anyone. Ruled out: letting the removed leader stand alone (done too, as Raft asks until the removal is committed) does not end it, as its set has no majority. Change: a change needs a majority of its voters heard from in this term; time given to peers after an election does not count as heard.

--- a/persimmonhall/control/serve_peers.py
+++ b/persimmonhall/control/serve_peers.py
@@ -96,7 +96,8 @@
             refusal = refuse(ErrorKind.NOT_FOUND, f"no replica {name}")
             return Declined(refusal.kind, refusal.detail, refusal.ran)
         if not self._core.remove(found[0].id, trio.current_time()):
-            refusal = refuse(ErrorKind.NOT_LEADER, "another change is under way")
+            detail = "another change is under way, or no majority would be left"
+            refusal = refuse(ErrorKind.NOT_LEADER, detail)
             return Declined(refusal.kind, refusal.detail, refusal.ran)
         self._replica.driver.wake()
         return Received(self._core.replicas.cluster)
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -172,7 +172,12 @@
         return self._state.take()
 
     def _is_voter(self) -> bool:
-        return self.id in self.replicas.voters
+        state = self._state
+        if self.id in state.replicas.voters:
+            return True
+        # Until its removal is committed, the longest log may be this replica's.
+        unsettled = state.log.replicas_index > state.commit
+        return unsettled and self.id in state.log.replicas_at(state.commit).voters
 
     def _hears_leader(self, now: float) -> bool:
         return self._leader is not None or now < self._heard_at + ELECTION_S
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -145,6 +145,7 @@
         progress = self._progress.get(peer)
         if progress is not None:
             progress.active_at = now
+            progress.heard = True
             progress.round = max(progress.round, number)
         return progress
 
@@ -165,10 +166,22 @@
         settled = state.log.replicas_index <= state.commit
         if not settled or state.commit < self._own_term_from:
             return False
+        if not self._would_have_quorum(replicas, now):
+            return False
         self._append(EntryKind.REPLICAS, encode_replicas(replicas))
         self._follow_members(now)
         return True
 
+    def _would_have_quorum(self, replicas: ReplicaSet, now: float) -> bool:
+        answering = [v for v in replicas.voters if self._answers(v, now)]
+        return len(answering) >= replicas.quorum
+
+    def _answers(self, peer: ReplicaId, now: float) -> bool:
+        """Tell whether a peer was heard from, and not just given time to answer."""
+        progress = self._progress.get(peer)
+        heard = peer == self._state.id or (progress is not None and progress.heard)
+        return heard and self._is_active(peer, now)
+
     def _follow_members(self, now: float) -> None:
         state = self._state
         peers = [m.id for m in state.replicas.members if m.id != state.id]
--- a/persimmonhall/raft/progress.py
+++ b/persimmonhall/raft/progress.py
@@ -11,6 +11,7 @@
 
     next: LogIndex
     active_at: float
+    heard: bool = False
     match: LogIndex = LogIndex(0)
     round: int = 0
     probing: bool = True
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -28,6 +28,7 @@
 SEEDS = 150
 SEEDS_OF_BROKEN_RULE = 60
 SEED_OF_SNAPSHOT_STORM = 1249
+SEED_OF_LOST_MAJORITY = 20145
 CUT_S = 30.0
 
 
@@ -100,6 +101,10 @@
     assert run_seed(SEED_OF_SNAPSHOT_STORM).violation == ""
 
 
+def test_removing_a_voter_leaves_a_majority_that_answers():
+    assert run_seed(SEED_OF_LOST_MAJORITY).violation == ""
+
+
 def test_failing_seed_is_printed_with_its_replay(capsys, monkeypatch):
     broken = Variant(disk=ForgetfulDisk)
     monkeypatch.setattr(
