Let a leader whose removal is not committed stand again after a restart

Cause: it judged its vote by the commit index, which a restart forgets, so the replica with the longest log never stood and the others could not win. Change: until the newest replica set is known to be committed, the one before it counts too, as in published Raft.

--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -177,7 +177,7 @@
             return True
         # Until its removal is committed, the longest log may be this replica's.
         unsettled = state.log.replicas_index > state.commit
-        return unsettled and self.id in state.log.replicas_at(state.commit).voters
+        return unsettled and self.id in state.log.previous_replicas.voters
 
     def _hears_leader(self, now: float) -> bool:
         return self._leader is not None or now < self._heard_at + ELECTION_S
--- a/persimmonhall/raft/log.py
+++ b/persimmonhall/raft/log.py
@@ -59,6 +59,11 @@
         """Return the index of the newest replica set."""
         return self._sets[-1][0]
 
+    @property
+    def previous_replicas(self) -> ReplicaSet:
+        """Return the replica set before the newest one, or the newest if alone."""
+        return self._sets[-2:][0][1]
+
     def term_at(self, index: LogIndex) -> Term | None:
         """Return the term of an entry, or None if it is not held."""
         if index == self._start:
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -29,6 +29,7 @@
 SEEDS_OF_BROKEN_RULE = 60
 SEED_OF_SNAPSHOT_STORM = 1249
 SEED_OF_LOST_MAJORITY = 20145
+SEED_OF_REMOVED_LEADER = 20990
 CUT_S = 30.0
 
 
@@ -105,6 +106,10 @@
     assert run_seed(SEED_OF_LOST_MAJORITY).violation == ""
 
 
+def test_leader_whose_removal_is_not_committed_stands_again():
+    assert run_seed(SEED_OF_REMOVED_LEADER).violation == ""
+
+
 def test_failing_seed_is_printed_with_its_replay(capsys, monkeypatch):
     broken = Variant(disk=ForgetfulDisk)
     monkeypatch.setattr(
