--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -16,20 +16,20 @@
 from persimmonhall.admission.service_times import ServiceTimes
 from persimmonhall.admission.waiting import Waiting, WaitingLine
 from persimmonhall.document.schema import Worth
-from persimmonhall.errors import ErrorKind, Ran, refuse
+from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import TicketId
 
 DEFAULT_SLOTS = 16
 MAX_QUEUED = 2000
 BURST_WAIT_SHARE = {
     Worth.CRITICAL: 0.8,
-    Worth.CUSTOMER: 0.7,
+    Worth.CUSTOMER: 0.8,
     Worth.STANDARD: 0.5,
     Worth.INTERNAL: 0.4,
 }
 OVERLOAD_WAIT_SHARE = {
     Worth.CRITICAL: 0.8,
-    Worth.CUSTOMER: 0.7,
+    Worth.CUSTOMER: 0.8,
     Worth.STANDARD: 0.15,
     Worth.INTERNAL: 0.05,
 }
@@ -131,6 +131,13 @@
         self._line.remove(ticket)
         return self._start_waiting(now)
 
+    def refuse_all(self, refusal: Refusal) -> list[Verdict]:
+        """Refuse whatever waits, since nothing will start any more."""
+        verdicts: list[Verdict] = []
+        while len(self._line):
+            verdicts.append(Refuse(self._line.pop_best().ticket.id, refusal))
+        return verdicts
+
     def tick(self, now: float) -> list[Verdict]:
         """Refuse what waited too long and free the slots of cancelled requests."""
         verdicts = self._start_waiting(now)
--- a/persimmonhall/http/server.py
+++ b/persimmonhall/http/server.py
@@ -181,9 +181,18 @@
         with trio.CancelScope() as self._request_scope:
             if self._gone:
                 return None
-            return await self._handler(request)
+            return await self._answer(request)
         return None
 
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        try:
+            return await self._handler(request)
+        except Exception:
+            # A fault met by one request must not end the process.
+            logging.exception("request failed target=%s", request.target)
+            detail = "the request met a fault of the system"
+            return self._write_refusal(refuse(ErrorKind.INTERNAL, detail))
+
     async def _refuse(self, refusal: Refusal) -> None:
         logging.info("request refused error=%s %s", refusal.kind.value, refusal.detail)
         if self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -242,20 +251,23 @@
         finally:
             connections.discard(connection)
 
-    async with trio.open_nursery() as watching:
-        watching.start_soon(hangups.run)
-        async with trio.open_nursery() as nursery:
-
-            def take(stream: trio.SocketStream) -> None:
-                nursery.start_soon(serve, DirectStream(stream))
-
-            async with trio.open_nursery() as accepting:
-                accepting.start_soon(accept_each, listener, take)
-                task_status.started(Address(*listener.socket.getsockname()[:2]))
-                await stop.wait()
-                accepting.cancel_scope.cancel()
-            for stream in accept_rest(listener):
-                take(stream)
-            for connection in tuple(connections):
-                connection.stop_if_idle()
-        watching.cancel_scope.cancel()
+    try:
+        async with trio.open_nursery() as watching:
+            watching.start_soon(hangups.run)
+            async with trio.open_nursery() as nursery:
+
+                def take(stream: trio.SocketStream) -> None:
+                    nursery.start_soon(serve, DirectStream(stream))
+
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(accept_each, listener, take)
+                    task_status.started(Address(*listener.socket.getsockname()[:2]))
+                    await stop.wait()
+                    accepting.cancel_scope.cancel()
+                for stream in accept_rest(listener):
+                    take(stream)
+                for connection in tuple(connections):
+                    connection.stop_if_idle()
+            watching.cancel_scope.cancel()
+    finally:
+        hangups.close()
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -10,6 +10,7 @@
 from returns.result import Success
 
 from harness.system import System, open_system
+from persimmonhall.errors import ErrorKind
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from tests.portal import open_portal
 
@@ -47,6 +48,19 @@
     system: System
     key: str
     answers: list[str] = field(default_factory=list)
+    overloaded: int = 0
+
+    async def send_admitted(self, node: str) -> None:
+        """Send the key until the gate has room for it; count the refusals."""
+
+        async def admitted() -> bool:
+            if await self.send(node) != ErrorKind.OVERLOADED.value:
+                return True
+            self.overloaded += 1
+            self.answers.remove(ErrorKind.OVERLOADED.value)
+            return False
+
+        await self.system.wait_until(admitted, f"room: {self.answers[-3:]}")
 
     async def send(self, node: str, body: bytes = b"warning") -> str:
         """Send the key to a node and return the status or kind of problem."""
@@ -72,7 +86,9 @@
     async def resend(self) -> None:
         """Send the key to every node, several times."""
         for _ in range(RESENDS):
-            await self.send_everywhere()
+            async with trio.open_nursery() as nursery:
+                for node in NODES:
+                    nursery.start_soon(self.send_admitted, node)
 
     async def settle(self) -> None:
         """Send the key until no node calls it running or refuses it."""
