Bring documents from neighbours and count where they are in force

Cause: every node asked control twice a second, 2,000 asks a second at 1,000 nodes, and a node restarted without control served nothing.

Change: datagrams carry the log index of the sender's newest document. A node that learns of a higher one tells three members and pulls from a node of its own zone if one knows, else from the one it heard of. Control is polled by all nodes together ten times a second, whatever their number. The index is that of documents, not of the log, so that claims cause no gossip.

`persimmonhall document status` pings every member when asked; nothing is counted otherwise, so a change costs no node more with more nodes. `persimmonhall drain` asks a node to leave.

Member tests with real processes: kill, freeze and return of nodes and servers, an address reused, a restart without control, a change counted on all nodes."

--- /dev/null
+++ b/persimmonhall/cli/node_client.py
@@ -0,0 +1,37 @@
+"""Ask a node on its loopback listener."""
+
+import json
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.client import PooledClient
+from persimmonhall.http.messages import HttpRequest
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+async def drain(node: Address) -> Result[object, Refusal]:
+    """Let a node leave gracefully."""
+    return await _send(node, "POST", "/-/drain")
+
+
+async def document_status(node: Address) -> Result[object, Refusal]:
+    """Return on how many nodes each revision is in force."""
+    return await _send(node, "GET", "/-/documents")
+
+
+async def _send(node: Address, method: str, target: str) -> Result[object, Refusal]:
+    client = PooledClient(1)
+    answer = await client.send(node, HttpRequest(method, target, ()), MAX_ANSWER_BYTES)
+    await client.aclose()
+    return answer.bind(_read)
+
+
+def _read(answer) -> Result[object, Refusal]:
+    body = json.loads(answer.body) if answer.body else {}
+    if answer.status < 400:
+        return Success(body)
+    detail = body.get("detail", f"status {answer.status}")
+    return Failure(refuse(ErrorKind.INTERNAL, detail))
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -9,6 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from persimmonhall.cli.node_client import document_status, drain
 from persimmonhall.cli.operator_definition import operator_parser
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
@@ -30,6 +31,8 @@
     options = operator_parser().parse_args(arguments)
     if options.command == "check":
         return _check(options.file)
+    if getattr(options, "node", None) is not None:
+        return _finish(trio.run(_run_at_node, options), options)
     if options.settings is None:
         return fail(PROGRAM, "give --settings FILE", ExitStatus.USAGE)
     match load_settings(OperatorSettings, options.settings):
@@ -37,7 +40,11 @@
             return fail(PROGRAM, reason, ExitStatus.USAGE)
         case Success(settings):
             client = AdminClient(settings.operator.control, settings.operator.token)
-    match trio.run(_run, options, client):
+    return _finish(trio.run(_run, options, client), options)
+
+
+def _finish(result: Result, options: argparse.Namespace) -> ExitStatus:
+    match result:
         case Failure(refusal):
             status = STATUSES.get(refusal.kind, ExitStatus.REFUSED)
             return fail(PROGRAM, f"{refusal.kind.value}: {refusal.detail}", status)
@@ -60,6 +67,14 @@
     return ExitStatus.SUCCESS
 
 
+async def _run_at_node(options: argparse.Namespace) -> Result[object, Refusal]:
+    match (options.command, getattr(options, "action", None)):
+        case ("drain", _):
+            return await drain(options.node)
+        case ("document", "status"):
+            return await document_status(options.node)
+
+
 async def _run(
     options: argparse.Namespace, client: AdminClient
 ) -> Result[object, Refusal]:
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -3,6 +3,9 @@
 import argparse
 from pathlib import Path
 
+from returns.result import Failure, Success
+
+from persimmonhall.address import Address, parse_address
 from persimmonhall.cli.definition import add_settings, make_parser
 
 DESCRIPTION = "Check and change documents and look at a running system."
@@ -12,7 +15,9 @@
   persimmonhall --settings operator.toml document list
   persimmonhall --settings operator.toml document put cue.toml --revision 3
   persimmonhall --settings operator.toml document get cue
-  persimmonhall --settings operator.toml status --json"""
+  persimmonhall --settings operator.toml status --json
+  persimmonhall document status --node 127.0.0.1:8081
+  persimmonhall drain --node 127.0.0.1:8081"""
 
 
 def operator_parser() -> argparse.ArgumentParser:
@@ -25,6 +30,8 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    leave = commands.add_parser("drain", help="let a node leave gracefully")
+    _add_node(leave)
     return parser
 
 
@@ -49,3 +56,25 @@
     get = actions.add_parser("get", help="print a document")
     get.add_argument("service", metavar="SERVICE")
     actions.add_parser("list", help="list the documents and their revisions")
+    status = actions.add_parser(
+        "status", help="show on how many nodes each revision is in force"
+    )
+    _add_node(status)
+
+
+def _add_node(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--node",
+        type=_address,
+        required=True,
+        metavar="IP:PORT",
+        help="loopback address of the node on this machine",
+    )
+
+
+def _address(text: str) -> Address:
+    match parse_address(text):
+        case Success(address):
+            return address
+        case Failure(reason):
+            raise argparse.ArgumentTypeError(reason)
--- a/persimmonhall/document/in_force.py
+++ b/persimmonhall/document/in_force.py
@@ -23,11 +23,12 @@
 
     def __init__(self):
         self._documents: dict[ServiceName, InForce] = {}
+        self._newest: dict[ServiceName, HeldDocument] = {}
         self._index = LogIndex(0)
 
     @property
     def index(self) -> LogIndex:
-        """Return the log index up to which changes were applied."""
+        """Return the log index of the newest document; all before it are held."""
         return self._index
 
     @property
@@ -35,11 +36,20 @@
         """Return the revision in force of every service."""
         return {name: entry.held.revision for name, entry in self._documents.items()}
 
+    def apply_all(self, items: tuple[HeldDocument, ...]) -> None:
+        """Apply all documents that were accepted after the own index."""
+        for held in items:
+            self.apply(held)
+        for held in items:
+            self._index = max(self._index, held.index)
+
     def apply(self, held: HeldDocument) -> bool:
         """Put a revision in force unless an equal or newer one is."""
-        current = self._documents.get(held.service)
-        if current is not None and current.held.revision >= held.revision:
+        newest = self._newest.get(held.service)
+        if newest is not None and newest.revision >= held.revision:
             return False
+        # Neighbours get it also where this program is too old to read it.
+        self._newest[held.service] = held
         match parse_document(held.text):
             case Success(document):
                 self._documents[held.service] = InForce(document, held)
@@ -58,15 +68,16 @@
         )
         return True
 
-    def advance(self, index: LogIndex) -> None:
-        """Record that every change up to an index was applied."""
-        self._index = max(self._index, index)
-
     def get(self, service: ServiceName) -> Document | None:
         """Return the document in force of a service."""
         entry = self._documents.get(service)
         return entry.document if entry is not None else None
 
-    def all_held(self) -> tuple[HeldDocument, ...]:
-        """Return every revision in force."""
-        return tuple(entry.held for entry in self._documents.values())
+    def index_of(self, service: ServiceName) -> LogIndex:
+        """Return the log index of the newest revision of a service, or 0."""
+        newest = self._newest.get(service)
+        return newest.index if newest is not None else LogIndex(0)
+
+    def after(self, index: LogIndex) -> tuple[HeldDocument, ...]:
+        """Return the newest documents that were accepted after an index."""
+        return tuple(held for held in self._newest.values() if held.index > index)
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -11,6 +11,7 @@
 from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.membership.announce import BackendWatch, parse_announcement
+from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.table import MemberTable
 
 OWN_PREFIX = "/-/"
@@ -24,6 +25,7 @@
         self,
         entry: Entry,
         watch: BackendWatch,
+        gossiper: Gossiper,
         table: MemberTable,
         documents: DocumentsInForce,
         drain: Callable[[], None],
@@ -31,6 +33,7 @@
     ):
         self._entry = entry
         self._watch = watch
+        self._gossiper = gossiper
         self._table = table
         self._documents = documents
         self._drain = drain
@@ -40,6 +43,8 @@
         """Answer one request of this machine."""
         if not request.target.startswith(OWN_PREFIX):
             return await self._entry.handle(request)
+        if (request.method, request.target) == ("GET", "/-/documents"):
+            return _json_answer(await self._survey())
         match self._route(request):
             case Success(answer):
                 return answer
@@ -76,4 +81,28 @@
             "members": members,
             "documents": self._documents.revisions,
         }
-        return HttpAnswer(200, (JSON_TYPE,), json.dumps(body, indent=1).encode())
+        return _json_answer(body)
+
+    async def _survey(self) -> dict:
+        """Ask all members how far their documents reach; count each revision."""
+        seen = await self._gossiper.survey()
+        reached = [self._documents.index, *seen.values()]
+        services = [
+            {
+                "service": service,
+                "revision": revision,
+                "nodes": sum(
+                    index >= self._documents.index_of(service) for index in reached
+                ),
+            }
+            for service, revision in self._documents.revisions.items()
+        ]
+        return {
+            "members": self._gossiper.members,
+            "answered": len(reached),
+            "documents": services,
+        }
+
+
+def _json_answer(body: dict) -> HttpAnswer:
+    return HttpAnswer(200, (JSON_TYPE,), json.dumps(body, indent=1).encode())
--- a/persimmonhall/membership/announce.py
+++ b/persimmonhall/membership/announce.py
@@ -1,6 +1,7 @@
 """Take announcements of the own backend server on the loopback listener."""
 
 import json
+import re
 
 import trio
 from absl import logging
@@ -13,6 +14,7 @@
 from persimmonhall.ids import ServiceName
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.messages import MemberState
+from persimmonhall.settings import NAME_PATTERN
 
 SILENCE_S = 6.0
 CHECK_INTERVAL_S = 0.5
@@ -27,13 +29,15 @@
     try:
         fields = json.loads(body)
         backend = Backend(
-            service=ServiceName(_text(fields, "service")),
+            service=_service(fields, "service"),
             address=_address(fields, "address"),
             slots=_count(fields, "slots"),
             connections=_count(fields, "connections"),
-            state=BackendState(fields.get("state", "ready")),
+            state=_state(fields, "state"),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except KeyError as error:
+        return Failure(refuse(ErrorKind.BAD_REQUEST, f"announcement: no key {error}"))
+    except (ValueError, TypeError, AttributeError) as error:
         return Failure(refuse(ErrorKind.BAD_REQUEST, f"announcement: {error}"))
     return Success(backend)
 
@@ -45,6 +49,21 @@
     return value
 
 
+def _service(fields: dict, key: str) -> ServiceName:
+    value = _text(fields, key)
+    if re.fullmatch(NAME_PATTERN, value) is None:
+        raise ValueError(f"{key} must match {NAME_PATTERN}")
+    return ServiceName(value)
+
+
+def _state(fields: dict, key: str) -> BackendState:
+    value = fields.get(key, BackendState.READY.value)
+    states = [state.value for state in BackendState]
+    if value not in states:
+        raise ValueError(f"{key} must be one of {', '.join(states)}")
+    return BackendState(value)
+
+
 def _address(fields: dict, key: str) -> Address:
     match parse_address(_text(fields, key)):
         case Success(address):
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -86,9 +86,14 @@
     )
     control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
-    local_api = LocalApi(entry, watch, table, documents, stop.set, rng)
-
-    handlers = {Channel.CALL: gate.handle, Channel.MEMBERSHIP: gossiper.handle}
+    local_api = LocalApi(entry, watch, gossiper, table, documents, stop.set, rng)
+
+    follower = DocumentFollower(documents, control, gossiper, table, links, rng)
+    handlers = {
+        Channel.CALL: gate.handle,
+        Channel.MEMBERSHIP: gossiper.handle,
+        Channel.DOCUMENT: follower.handle,
+    }
     frames = await nursery.start(serve_links, handlers, own.frames)
     gossiper.set_frames(frames)
     limits = ServerLimits(
@@ -124,7 +129,7 @@
             nursery.start_soon(watch.run)
             nursery.start_soon(gate.keep_time)
             nursery.start_soon(probe_lag, self_limit)
-            nursery.start_soon(DocumentFollower(documents, control).run)
+            nursery.start_soon(follower.run)
             nursery.start_soon(wait_for_stop_signal, stop)
             on_ready(NodeAddresses(callers, local, frames))
             await stop.wait()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,188 @@
+"""Check membership and documents in force with real processes that fail."""
+
+import json
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from harness.system import System, open_system
+from persimmonhall.cli.node_client import document_status
+from persimmonhall.http.messages import HttpRequest
+from tests.builders import CUE_DOCUMENT
+from tests.portal import open_portal
+
+scenarios("features/membership.feature")
+
+VICTIM = "suva-cue-2"
+NODES = ("suva-cue-1", VICTIM, "nadi-cue-1")
+OTHERS = ("suva-cue-1", "nadi-cue-1")
+DOCUMENT = CUE_DOCUMENT.replace("publishing", "operators")
+CALLS = 10
+ANNOUNCEMENT = {
+    "service": "cue",
+    "address": "127.0.0.1:9",
+    "slots": 4,
+    "connections": 4,
+    "state": "ready",
+}
+
+
+async def _start(system: System) -> None:
+    await system.start_control()
+    for node in NODES:
+        await system.start_node(node, node.partition("-")[0])
+        await system.start_backend(node, "cue")
+    await system.put_document("cue", DOCUMENT)
+    await system.wait_for_document("cue", 1)
+    await system.wait_for_members("cue", 3)
+
+
+@pytest.fixture
+def running():
+    with open_portal(open_system) as (portal, system):
+        portal.run(_start, system)
+        yield portal, system
+
+
+@pytest.fixture
+def context() -> dict:
+    return {}
+
+
+@given("three nodes in two zones, each with a server of cue")
+def _(running):
+    _, system = running
+    assert tuple(system.nodes) == NODES
+
+
+async def _fail(system: System, kind: str, what: str) -> None:
+    processes = system.nodes if kind == "node" else system.backends
+    match what:
+        case "killed":
+            processes[VICTIM].kill()
+            await processes[VICTIM].process.wait()
+        case "frozen":
+            processes[VICTIM].freeze()
+        case "thawed":
+            processes[VICTIM].thaw()
+        case "restarted" if kind == "node":
+            await system.restart_node(VICTIM)
+        case "restarted":
+            await system.restart_backend(VICTIM)
+
+
+@when(parsers.parse("the {kind:w} of suva-cue-2 is {what:w}"))
+def _(running, kind, what):
+    portal, system = running
+    portal.run(_fail, system, kind, what)
+
+
+async def _count_servers(system: System, node: str) -> int:
+    members = (await system.status(node))["members"]
+    return sum((m["service"], m["state"]) == ("cue", "ready") for m in members)
+
+
+@then(
+    parsers.parse("within {seconds:d} s the other nodes know {count:d} servers of cue")
+)
+def _(running, seconds, count):
+    portal, system = running
+
+    async def wait() -> None:
+        with trio.fail_after(seconds):
+            for node in OTHERS:
+                while await _count_servers(system, node) != count:
+                    await trio.sleep(0.1)
+
+    portal.run(wait)
+
+
+async def _call(system: System, node: str) -> None:
+    request = HttpRequest("GET", "/segments/7", ((b"host", b"cue"),))
+    answer = (await system.send(node, request)).unwrap()
+    assert (answer.status, len(answer.body)) == (200, 200), answer.body
+
+
+@then("callers of the other nodes get whole answers")
+def _(running):
+    portal, system = running
+    for node in OTHERS:
+        for _ in range(CALLS):
+            portal.run(_call, system, node)
+
+
+@when("a node of reels starts at its address")
+def _(running):
+    portal, system = running
+    old = system.nodes.pop(VICTIM)
+    system.backends.pop(VICTIM).kill()
+
+    async def start() -> None:
+        frames = str(old.addresses["frames"])
+        await system.start_node("suva-reels-1", "suva", frames=frames)
+        await system.start_backend("suva-reels-1", "reels")
+
+    portal.run(start)
+    portal.run(system.wait_for_members, "reels", 1)
+
+
+@then("the server of reels ran no request of cue")
+def _(running):
+    portal, system = running
+    assert portal.run(system.counts, "suva-reels-1")["started"] == 0
+
+
+@when("control is stopped")
+def _(running):
+    portal, system = running
+    assert portal.run(system.control["control-1"].terminate) == 0
+
+
+@then("within 12 s suva-cue-2 has the documents of its neighbours")
+def _(running):
+    portal, system = running
+    portal.run(system.wait_for_document, "cue", 1)
+
+
+@then("a caller of suva-cue-2 gets a whole answer")
+def _(running):
+    portal, system = running
+    portal.run(_call, system, VICTIM)
+
+
+@when("the document of cue changes")
+def _(running):
+    portal, system = running
+    portal.run(system.put_document, "cue", DOCUMENT + "# changed\n", 1)
+
+
+@then("within 5 s document status counts the change on 3 of 3 nodes")
+def _(running):
+    portal, system = running
+    wanted = [{"service": "cue", "revision": 2, "nodes": 3}]
+
+    async def wait() -> None:
+        address = system.nodes[VICTIM].addresses["local"]
+        with trio.fail_after(5.0):
+            while True:
+                status = (await document_status(address)).unwrap()
+                if status["documents"] == wanted and status["answered"] == 3:
+                    return
+                await trio.sleep(0.05)
+
+    portal.run(wait)
+
+
+@when(parsers.parse("the server of suva-cue-2 announces {key} as {value}"))
+def _(running, context, key, value):
+    portal, system = running
+    body = json.dumps({**ANNOUNCEMENT, key: json.loads(value)}).encode()
+    request = HttpRequest("POST", "/-/announce", (), body)
+    context["answer"] = portal.run(system.send, VICTIM, request, "local").unwrap()
+
+
+@then(parsers.parse("the announcement is refused and names {key}"))
+def _(context, key):
+    problem = json.loads(context["answer"].body)
+    assert (context["answer"].status, key in problem["detail"]) == (400, True), problem
