Measure the cost of membership and spread less after a synchronisation

What a synchronisation brings is no longer spread again: a joining node repeated every record it had just learned. It compares again soon instead, until nothing differs.

--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,6 @@
 
 micro: install
 	$(BIN)/python -m harness.micro
+
+membership-cost: install
+	$(BIN)/python -m harness.membership_cost
--- a/harness/membership_network.py
+++ b/harness/membership_network.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
@@ -16,6 +17,7 @@
     Health,
     Member,
     MemberState,
+    News,
 )
 from persimmonhall.membership.sync import compare, digests_of, news_in
 from persimmonhall.membership.table import MemberTable
@@ -43,6 +45,7 @@
     frozen: bool = False
     sent_bytes: int = 0
     received_bytes: int = 0
+    core_s: float = 0.0
 
 
 class SimulatedNetwork:
@@ -85,6 +88,12 @@
         self._schedule_tick(name)
         return name
 
+    def acquaint(self) -> None:
+        """Let every node know every other, as long after they started."""
+        news = tuple(News(node.member) for node in self.nodes.values())
+        for node in self.nodes.values():
+            node.core.take_synchronised(news, self.now)
+
     def kill(self, name: NodeName) -> None:
         """End a node at once."""
         del self.nodes[name]
@@ -148,7 +157,7 @@
             return
         if node.core.next_tick() > self.now:
             return
-        self._do(node, node.core.tick(self.now))
+        self._do(node, self._timed(node, lambda: node.core.tick(self.now)))
 
     def _do(self, node: SimulatedNode, effects: list[Effect]) -> None:
         for effect in effects:
@@ -186,7 +195,13 @@
         if node is None or node.frozen:
             return
         node.received_bytes += size
-        self._do(node, node.core.receive(datagram, self.now))
+        self._do(node, self._timed(node, lambda: node.core.receive(datagram, self.now)))
+
+    def _timed(self, node: SimulatedNode, act) -> list[Effect]:
+        begin = time.perf_counter()
+        effects = act()
+        node.core_s += time.perf_counter() - begin
+        return effects
 
     def _synchronise(self, node: SimulatedNode, address: Address) -> None:
         peer = self.nodes.get(self._addresses.get(address))
@@ -196,5 +211,5 @@
             return
         differences = compare(digests_of(node.core.news), peer.core.news)
         own = news_in(node.core.news, differences.buckets)
-        self._do(node, node.core.take_news(differences.news, self.now))
-        self._do(peer, peer.core.take_news(own, self.now))
+        self._do(node, node.core.take_synchronised(differences.news, self.now))
+        self._do(peer, peer.core.take_synchronised(own, self.now))
--- a/persimmonhall/local_api.py
+++ b/persimmonhall/local_api.py
@@ -80,6 +80,7 @@
             "node": self._table.own.node,
             "members": members,
             "documents": self._documents.revisions,
+            "datagram_bytes": self._gossiper.datagram_bytes,
         }
         return _json_answer(body)
 
--- a/persimmonhall/membership/core.py
+++ b/persimmonhall/membership/core.py
@@ -33,6 +33,7 @@
 SPREAD_PEERS = 3
 RETRY_INTERVAL_S = 4.0
 SYNC_INTERVAL_S = 30.0
+SOON_S = 1.0
 TOMBSTONE_S = 2 * 3600.0
 STALL_S = 1.0
 FORWARD_S = 2.0
@@ -125,6 +126,14 @@
         """Keep what is newer than what is held."""
         return self._view.take_news(news, now)
 
+    def take_synchronised(self, news: tuple[News, ...], now: float) -> list[Effect]:
+        """Keep what a synchronisation brought; others synchronise themselves."""
+        effects = self._view.take_news(news, now, spread=False)
+        if effects:
+            # There may be more to learn from another node.
+            self._next_sync = min(self._next_sync, now + self._soon())
+        return effects
+
     def tick(self, now: float) -> list[Effect]:
         """Do what is due."""
         self._allow_for_stall(now)
@@ -203,6 +212,9 @@
             effects.append(Send(self._rng.choice(missing), ping))
         return effects
 
+    def _soon(self) -> float:
+        return SOON_S * (0.5 + self._rng.random())
+
     def _forget_old(self, now: float) -> None:
         self._view.peers.forget_gone(now - TOMBSTONE_S)
         for sequence in [n for n, f in self._forwards.items() if f.expires < now]:
@@ -236,7 +248,7 @@
         known = self._view.known(sender.node)
         if known is None or known.health.is_gone:
             # Both sides may have missed much: compare all soon.
-            self._next_sync = min(self._next_sync, now + self._rng.random())
+            self._next_sync = min(self._next_sync, now + self._soon())
         seen = DocumentsSeen(sender.node, address_of(sender.frames), datagram.documents)
         return [seen, *self.take_news((News(sender), *datagram.news), now)]
 
--- a/persimmonhall/membership/datagrams.py
+++ b/persimmonhall/membership/datagrams.py
@@ -24,12 +24,15 @@
 
     def __init__(self, socket: trio.socket.SocketType):
         self._socket = socket
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     async def send(self, address: Address, datagram: Datagram) -> None:
         """Send one datagram; a failure counts as its loss."""
         try:
             data = DATAGRAMS.encode(datagram)
             await self._socket.sendto(data, (address.host, address.port))
+            self.sent_bytes += len(data)
         except OSError as error:
             logging.log_every_n_seconds(
                 logging.WARNING,
@@ -43,7 +46,8 @@
         """Return the next datagram that is well formed."""
         while True:
             try:
-                data, source = await self._socket.recvfrom(RECEIVE_BYTES)
+                data, _ = await self._socket.recvfrom(RECEIVE_BYTES)
+                self.received_bytes += len(data)
                 return decode_datagram(data)
             except (ValueError, OSError) as error:
                 logging.log_every_n_seconds(
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -61,6 +61,7 @@
         self._due: list[Effect] = []
         self._woken = trio.Event()
         self._leaving = False
+        self._socket: DatagramSocket | None = None
         self._listeners: list[DocumentsListener] = []
 
     @property
@@ -68,6 +69,13 @@
         """Return the number of members, this node included."""
         return len(self._table.peers()) + 1
 
+    @property
+    def datagram_bytes(self) -> int:
+        """Return the bytes of all datagrams sent and received."""
+        if self._socket is None:
+            return 0
+        return self._socket.sent_bytes + self._socket.received_bytes
+
     def listen(self, listener: DocumentsListener) -> None:
         """Call a function for each sight of how far a node's documents reach."""
         self._listeners.append(listener)
@@ -108,13 +116,14 @@
                 return encode_differences(compare(digests, self._core.news))
             case PushNews(news):
                 check_addresses(news)
-                self._due += self._core.take_news(news, trio.current_time())
+                self._due += self._core.take_synchronised(news, trio.current_time())
                 self._woken.set()
         return encode_differences(Differences((), ()))
 
     async def run(self) -> None:
         """Probe and gossip until cancelled."""
         socket = await open_datagrams(address_of(self._table.own.frames))
+        self._socket = socket
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, socket, nursery)
             while True:
@@ -192,7 +201,7 @@
         match await self._ask(address, ask):
             case Success(Differences(buckets, news)) if buckets:
                 own = news_in(self._core.news, buckets)
-                self._due += self._core.take_news(news, trio.current_time())
+                self._due += self._core.take_synchronised(news, trio.current_time())
                 self._woken.set()
                 await self._ask(address, PushNews(own))
 
--- a/persimmonhall/membership/news.py
+++ b/persimmonhall/membership/news.py
@@ -10,7 +10,7 @@
 HEAD_BYTES = 160
 RECORD_BYTES = 128
 WORD_BYTES = 8
-RETRANSMIT_FACTOR = 4
+RETRANSMIT_FACTOR = 3
 
 
 def wire_bytes(member: Member) -> int:
@@ -42,7 +42,7 @@
 
     def take(self, budget_bytes: int, members: int) -> tuple[News, ...]:
         """Return the least sent news that fit and count them as sent."""
-        limit = RETRANSMIT_FACTOR * math.ceil(math.log10(members + 1))
+        limit = RETRANSMIT_FACTOR * math.ceil(math.log(members + 1))
         taken = []
         for item in sorted(self._items.values(), key=lambda item: item.sent):
             if item.size > budget_bytes:
--- a/persimmonhall/membership/view.py
+++ b/persimmonhall/membership/view.py
@@ -67,11 +67,13 @@
         end = now + self._suspicion_s()
         self._suspects = dict.fromkeys(self._suspects, end)
 
-    def take_news(self, news: tuple[News, ...], now: float) -> list[Effect]:
-        """Keep what is newer than what is held."""
+    def take_news(
+        self, news: tuple[News, ...], now: float, *, spread: bool = True
+    ) -> list[Effect]:
+        """Keep what is newer than what is held and spread it, if so asked."""
         effects: list[Effect] = []
         for item in news:
-            effects += self._take(item, now)
+            effects += self._take(item, now, spread)
         return effects
 
     def bury_suspects(self, now: float) -> list[Effect]:
@@ -82,24 +84,25 @@
             effects += self._hold(News(member, Health.DEAD), now)
         return effects
 
-    def _take(self, news: News, now: float) -> list[Effect]:
+    def _take(self, news: News, now: float, spread: bool) -> list[Effect]:
         if news.member.node == self.own.node:
             self._refute(news)
             return []
         known = self.known(news.member.node)
         if known is None:
-            return self._hold(news, now)
+            return self._hold(news, now, spread)
         if news.health is Health.DEAD and _is_alive(known):
             # The member may still refute what others hold of it.
             news = replace(news, health=Health.SUSPECT)
-        return self._hold(news, now) if news.rank > known.rank else []
+        return self._hold(news, now, spread) if news.rank > known.rank else []
 
-    def _hold(self, news: News, now: float) -> list[Effect]:
+    def _hold(self, news: News, now: float, spread: bool = True) -> list[Effect]:
         node = news.member.node
         known = self.known(node)
         self.peers.put(news, now)
-        self.queue.add(news)
         self._suspects.pop(node, None)
+        if spread or news.health is Health.SUSPECT:
+            self.queue.add(news)
         if news.health is Health.SUSPECT:
             self._suspects[node] = now + self._suspicion_s()
         changed = known is None or known.health is not news.health
