Cut a zone off with real processes and heal it

Nodes may advertise an address other than the one they bind, and connect to peers from the IP number of their frames address: that is what a VM with several addresses needs, and what lets the relay of the test tell zones.

The test drops silently between two zones, restarts a node without disk in the cut-off zone, changes a document on the other side and heals.

--- a/harness/system.py
+++ b/harness/system.py
@@ -60,8 +60,19 @@
             name, "persimmonhall.cli.control", settings
         )
 
-    async def start_node(self, name: str, zone: str, *options: str, **more) -> Running:
-        """Start a node that knows control and the first node."""
+    async def start_node(
+        self,
+        name: str,
+        zone: str,
+        *options: str,
+        control: tuple[Address, ...] = (),
+        seeds: tuple[Address, ...] = (),
+        **more,
+    ) -> Running:
+        """Start a node that knows control and the first node, unless told others."""
+        nodes = list(self.nodes.values())
+        control = control or [c.addresses["frames"] for c in self.control.values()]
+        seeds = seeds or [node.addresses["frames"] for node in nodes[:1]]
         settings = {
             "node": {
                 "name": name,
@@ -73,10 +84,8 @@
                 **more,
             },
             "peers": {
-                "control": [str(c.addresses["frames"]) for c in self.control.values()],
-                "seeds": [
-                    str(n.addresses["frames"]) for n in list(self.nodes.values())[:1]
-                ],
+                "control": [str(address) for address in control],
+                "seeds": [str(address) for address in seeds],
             },
         }
         self.nodes[name] = await self._processes.start(
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -61,6 +61,7 @@
         self._due: list[Effect] = []
         self._woken = trio.Event()
         self._leaving = False
+        self._bound = address_of(table.own.frames)
         self._socket: DatagramSocket | None = None
         self._listeners: list[DocumentsListener] = []
 
@@ -89,9 +90,10 @@
             self._core.change_own(changed)
             self._woken.set()
 
-    def set_frames(self, address: Address) -> None:
-        """Change the address that peers reach this node at."""
-        self._table.set_own(replace(self._table.own, frames=str(address)))
+    def set_frames(self, bound: Address, advertised: Address) -> None:
+        """Set the address to bind and the one that peers reach this node at."""
+        self._bound = bound
+        self._table.set_own(replace(self._table.own, frames=str(advertised)))
 
     def set_documents(self, documents: LogIndex) -> None:
         """Tell peers how far the documents of this node reach."""
@@ -122,7 +124,7 @@
 
     async def run(self) -> None:
         """Probe and gossip until cancelled."""
-        socket = await open_datagrams(address_of(self._table.own.frames))
+        socket = await open_datagrams(self._bound)
         self._socket = socket
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, socket, nursery)
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -61,7 +61,7 @@
 ) -> None:
     own = settings.node
     rng = random.Random(own.seed or None)
-    links = LinkPool(nursery)
+    links = LinkPool(nursery, own.frames.host)
     documents = DocumentsInForce()
     table = MemberTable(_own_member(settings))
     self_limit = SelfLimit()
@@ -95,7 +95,7 @@
         Channel.DOCUMENT: follower.handle,
     }
     frames = await nursery.start(serve_links, handlers, own.frames)
-    gossiper.set_frames(frames)
+    gossiper.set_frames(frames, own.advertised or frames)
     limits = ServerLimits(
         max_header_bytes=settings.limits.max_header_bytes,
         max_body_bytes=settings.limits.max_body_bytes,
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -21,7 +21,8 @@
     callers: Address
     local: Address
     frames: Address
-    region: str = "default"
+    advertised: Address | None = None
+    region: str = bounded("default", pattern=NAME_PATTERN)
     seed: int = 0
     drain_seconds: float = bounded(30.0, least=0.0, most=600.0)
 
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -105,8 +105,9 @@
 class Link:
     """Ask a peer over one connection and match replies by exchange."""
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, local_host: str | None = None):
         self._address = address
+        self._local_host = local_host
         self._exchanges: dict[int, _Exchange] = {}
         self._ids = itertools.count(1)
         self._writer: _Writer | None = None
@@ -142,7 +143,9 @@
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await trio.open_tcp_stream(
-                    self._address.host, self._address.port
+                    self._address.host,
+                    self._address.port,
+                    local_address=self._local_host,
                 )
                 await stream.send_all(PREAMBLE)
                 return DirectStream(stream)
@@ -189,8 +192,9 @@
 class LinkPool:
     """Keep one link to each peer and open it anew when it has ended."""
 
-    def __init__(self, nursery: trio.Nursery):
+    def __init__(self, nursery: trio.Nursery, local_host: str | None = None):
         self._nursery = nursery
+        self._local_host = local_host
         self._links: dict[Address, Link] = {}
 
     async def ask(
@@ -199,7 +203,7 @@
         """Send one message to a peer and return its reply."""
         link = self._links.get(address)
         if link is None or link.closed:
-            link = self._links[address] = Link(address)
+            link = self._links[address] = Link(address, self._local_host)
             self._nursery.start_soon(link.run)
         return await link.ask(channel, payload)
 
--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,91 @@
+"""Relay TCP and UDP between zones and drop silently what is cut."""
+
+from dataclasses import dataclass, field
+
+import trio
+
+from persimmonhall.address import Address
+from persimmonhall.ids import ZoneName
+
+RECEIVE_BYTES = 64 * 1024
+BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+
+
+@dataclass
+class Cuts:
+    """Hold which zone cannot send to which; zones are told by IP number."""
+
+    zones: dict[str, ZoneName]
+    _cut: set[tuple[ZoneName, ZoneName]] = field(default_factory=set)
+    _changed: trio.Event = field(default_factory=trio.Event)
+
+    def cut(self, sender: ZoneName, receiver: ZoneName) -> None:
+        """Drop what one zone sends to another."""
+        self._cut.add((sender, receiver))
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cut.clear()
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def is_cut(self, host: str, receiver: ZoneName) -> bool:
+        """Tell whether an IP number cannot send to a zone."""
+        return (self.zones.get(host), receiver) in self._cut
+
+    async def wait_open(self, sender: ZoneName | None, receiver: ZoneName) -> None:
+        """Wait until one zone can send to another."""
+        while (sender, receiver) in self._cut:
+            await self._changed.wait()
+
+
+class Relay:
+    """Stand in front of one process; the address outlives its restarts."""
+
+    def __init__(self, cuts: Cuts, zone: ZoneName):
+        self._cuts = cuts
+        self._zone = zone
+        self.address = Address("127.0.0.1", 0)
+        self.target: Address | None = None
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Relay until cancelled."""
+        [listener] = await trio.open_tcp_listeners(0, host=self.address.host)
+        self.address = Address(*listener.socket.getsockname())
+        socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await socket.bind((self.address.host, self.address.port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._relay_datagrams, socket)
+            task_status.started(self)
+            await trio.serve_listeners(self._relay_stream, [listener])
+
+    async def _relay_datagrams(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            data, (host, _) = await socket.recvfrom(RECEIVE_BYTES)
+            if self.target is not None and not self._cuts.is_cut(host, self._zone):
+                await socket.sendto(data, (self.target.host, self.target.port))
+
+    async def _relay_stream(self, stream: trio.SocketStream) -> None:
+        host = stream.socket.getpeername()[0]
+        zone = self._cuts.zones.get(host)
+        if self.target is None:
+            return
+        try:
+            async with (
+                stream,
+                await trio.open_tcp_stream(
+                    self.target.host, self.target.port
+                ) as onward,
+                trio.open_nursery() as nursery,
+            ):
+                scope = nursery.cancel_scope
+                nursery.start_soon(self._pump, stream, onward, zone, self._zone, scope)
+                await self._pump(onward, stream, self._zone, zone, scope)
+        except* BROKEN:
+            pass
+
+    async def _pump(self, source, sink, sender, receiver, scope) -> None:
+        while data := await source.receive_some(RECEIVE_BYTES):
+            await self._cuts.wait_open(sender, receiver)
+            await sink.send_all(data)
+        scope.cancel()
--- /dev/null
+++ b/tests/test_zone_cut.py
@@ -0,0 +1,170 @@
+"""Check a zone cut with real processes behind relays."""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import pytest
+import trio
+from pytest_bdd import given, parsers, scenarios, then, when
+
+from harness.system import System, open_system
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.ids import ZoneName
+from tests.builders import CUE_DOCUMENT
+from tests.portal import open_portal
+from tests.relay import Cuts, Relay
+
+scenarios("features/zone_cut.feature")
+
+SUVA = ZoneName("suva")
+NADI = ZoneName("nadi")
+HOSTS = {SUVA: "127.0.1.1", NADI: "127.0.2.1"}
+NODES = {"nadi-cue-1": NADI, "nadi-cue-2": NADI, "suva-cue-1": SUVA, "suva-cue-2": SUVA}
+DOCUMENT = CUE_DOCUMENT.replace("publishing", "operators")
+CALLS = 5
+
+
+@dataclass
+class Cluster:
+    """Hold a system whose processes speak through relays."""
+
+    system: System
+    cuts: Cuts
+    relays: dict[str, Relay]
+
+
+@asynccontextmanager
+async def open_cluster():
+    """Start control in nadi and two nodes in each zone."""
+    cuts = Cuts({host: zone for zone, host in HOSTS.items()})
+    async with open_system() as system, trio.open_nursery() as nursery:
+        names = {"control-1": NADI, **NODES}
+        relays = {
+            name: await nursery.start(Relay(cuts, zone).run)
+            for name, zone in names.items()
+        }
+        await system.start_control()
+        relays["control-1"].target = system.control["control-1"].addresses["frames"]
+        for node, zone in NODES.items():
+            await system.start_node(
+                node,
+                zone,
+                control=(relays["control-1"].address,),
+                seeds=(relays["nadi-cue-1"].address, relays["suva-cue-1"].address),
+                frames=f"{HOSTS[zone]}:0",
+                advertised=str(relays[node].address),
+            )
+            relays[node].target = system.nodes[node].addresses["frames"]
+            await system.start_backend(node, "cue")
+        await system.put_document("cue", DOCUMENT)
+        await system.wait_for_document("cue", 1)
+        await system.wait_for_members("cue", len(NODES))
+        yield Cluster(system, cuts, relays)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.fixture
+def running():
+    with open_portal(open_cluster) as (portal, cluster):
+        yield portal, cluster
+
+
+@given("two zones with two servers of cue each and control in nadi")
+def _(running):
+    _, cluster = running
+    assert set(cluster.system.nodes) == set(NODES)
+
+
+@when("suva is cut off")
+def _(running):
+    _, cluster = running
+    cluster.cuts.cut(SUVA, NADI)
+    cluster.cuts.cut(NADI, SUVA)
+
+
+async def _heal(cluster: Cluster) -> None:
+    cluster.cuts.heal()
+
+
+@when("the cut heals")
+def _(running):
+    portal, cluster = running
+    portal.run(_heal, cluster)
+
+
+async def _wait(seconds: float, condition) -> None:
+    with trio.fail_after(seconds):
+        while not await condition():
+            await trio.sleep(0.1)
+
+
+@then(
+    parsers.parse(
+        "within {seconds:d} s the nodes of each zone know {count:d} servers of cue"
+    )
+)
+def _(running, seconds, count):
+    portal, cluster = running
+
+    async def known() -> bool:
+        for node in NODES:
+            members = (await cluster.system.status(node))["members"]
+            ready = [
+                m for m in members if (m["service"], m["state"]) == ("cue", "ready")
+            ]
+            if len(ready) != count:
+                return False
+        return True
+
+    portal.run(_wait, seconds, known)
+
+
+@then("callers of every node get whole answers")
+def _(running):
+    portal, cluster = running
+    request = HttpRequest("GET", "/segments/7", ((b"host", b"cue"),))
+    for node in list(NODES) * CALLS:
+        answer = portal.run(cluster.system.send, node, request).unwrap()
+        assert (answer.status, len(answer.body)) == (200, 200), answer.body
+
+
+async def _restart(cluster: Cluster, node: str) -> None:
+    cluster.system.nodes[node].kill()
+    await cluster.system.nodes[node].process.wait()
+    await cluster.system.restart_node(node)
+
+    async def has_server() -> bool:
+        members = (await cluster.system.status("suva-cue-1"))["members"]
+        return sum(m["state"] == "ready" for m in members) == 2
+
+    await _wait(10.0, has_server)
+
+
+@when("suva-cue-2 is killed and restarted")
+def _(running):
+    portal, cluster = running
+    portal.run(_restart, cluster, "suva-cue-2")
+
+
+@when("the document of cue changes in nadi")
+def _(running):
+    portal, cluster = running
+    portal.run(cluster.system.put_document, "cue", DOCUMENT + "# changed\n", 1)
+
+
+@then(parsers.parse("within {seconds:d} s {node} has revision {revision:d} of cue"))
+def _(running, seconds, node, revision):
+    portal, cluster = running
+
+    async def has_revision() -> bool:
+        documents = (await cluster.system.status(node))["documents"]
+        return documents.get("cue") == revision
+
+    portal.run(_wait, seconds, has_revision)
+
+
+@then("suva-cue-1 has revision 1 of cue")
+def _(running):
+    portal, cluster = running
+    status = portal.run(cluster.system.status, "suva-cue-1")
+    assert status["documents"] == {"cue": 1}
