Use a new connection to a peer that was held dead

A connection that a silent cut stopped may wait minutes for its next retransmission after the heal, while probes already pass. When a member is held dead its connection takes no new exchange; those on it go on to their own deadlines, so that a wrong verdict cuts off nothing.

--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -28,6 +28,7 @@
     SYNC_ASKS,
     CompareDigests,
     Differences,
+    Health,
     MemberState,
     PushNews,
     decode_differences,
@@ -179,6 +180,8 @@
                     nursery.start_soon(self._synchronise, address)
                 case HealthChanged(news):
                     member = news.member
+                    if news.health is Health.DEAD:
+                        self._links.retire(address_of(member.frames))
                     logging.info(
                         "member node=%s health=%s zone=%s service=%s order=%s",
                         member.node,
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -113,12 +113,19 @@
         self._writer: _Writer | None = None
         self._closed: str | None = None
         self._ready = trio.Event()
+        self._scope = trio.CancelScope()
+        self._retired = False
 
     @property
     def closed(self) -> bool:
         """Tell whether the connection has ended."""
         return self._closed is not None
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether the connection is open."""
+        return self._ready.is_set() and not self.closed
+
     async def run(self) -> None:
         """Connect and read replies until the connection ends."""
         stream = await self._connect()
@@ -128,17 +135,27 @@
         self._writer = _Writer(stream)
         reason = "closed"
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._writer.run)
-                self._ready.set()
-                await self._read(FrameReader(stream))
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                await self._serve(stream)
         except* ENDINGS as group:
             reason = str(group.exceptions[0]) or "broken"
         finally:
             self._close(f"the connection to {self._address} ended: {reason}")
             await stream.aclose()
 
+    def retire(self) -> None:
+        """Close the connection as soon as no exchange waits on it."""
+        self._retired = True
+        if not self._exchanges:
+            self._scope.cancel()
+
+    async def _serve(self, stream: DirectStream) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._writer.run)
+            self._ready.set()
+            await self._read(FrameReader(stream))
+            nursery.cancel_scope.cancel()
+
     async def _connect(self) -> DirectStream | None:
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
@@ -186,6 +203,8 @@
             raise
         finally:
             del self._exchanges[number]
+            if self._retired:
+                self.retire()
         return exchange.reply
 
 
@@ -207,6 +226,14 @@
             self._nursery.start_soon(link.run)
         return await link.ask(channel, payload)
 
+    def retire(self, address: Address) -> None:
+        """Use a new connection to a peer from now on."""
+        # One that a cut made silent may stay so for minutes after the heal.
+        link = self._links.get(address)
+        if link is not None and link.connected:
+            del self._links[address]
+            link.retire()
+
 
 class _LinkServer:
     """Answer the exchanges of one incoming connection."""
--- a/persimmonhall/wire/tests/test_link.py
+++ b/persimmonhall/wire/tests/test_link.py
@@ -84,3 +84,37 @@
                 asking.cancel_scope.cancel()
             await cancelled.wait()
         nursery.cancel_scope.cancel()
+
+
+async def test_retired_connection_ends_after_its_exchanges_and_a_new_one_is_used():
+    ended: list[int] = []
+    accepted = 0
+
+    async def hold(stream: trio.SocketStream) -> None:
+        nonlocal accepted
+        accepted += 1
+        number = accepted
+        while await stream.receive_some():
+            pass
+        ended.append(number)
+
+    async def wait_until(condition) -> None:
+        with trio.fail_after(TIMEOUT_S):
+            while not condition():
+                await trio.sleep(0.01)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=ANY_PORT.host)
+        nursery.start_soon(trio.serve_listeners, hold, listeners)
+        address = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+        links = LinkPool(nursery)
+        async with trio.open_nursery() as asking:
+            asking.start_soon(links.ask, address, Channel.CALL, b"")
+            await wait_until(lambda: accepted == 1)
+            links.retire(address)
+            nursery.start_soon(links.ask, address, Channel.CALL, b"")
+            await wait_until(lambda: accepted == 2)
+            assert ended == []
+            asking.cancel_scope.cancel()
+        await wait_until(lambda: ended == [1])
+        nursery.cancel_scope.cancel()
