--- a/harness/standin.py
+++ b/harness/standin.py
@@ -6,6 +6,7 @@
 import random
 import sys
 from dataclasses import dataclass, field
+from enum import Enum
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
 
@@ -24,7 +25,15 @@
 CHAIN_HEADER = b"persimmonhall-chain"
 RAN_HEADER = b"persimmonhall-ran"
 CONTROL_PREFIX = "/-/"
-REFUSED_CALL_STATUS = 424
+REFUSED_CALL_HEADER = b"standin-refused-call"
+
+
+class Onward(Enum):
+    """Tell how the calls of a backend server to others ended."""
+
+    WHOLE = "whole"
+    REFUSED = "refused"
+    FAILED = "failed"
 
 
 @dataclass(frozen=True)
@@ -40,6 +49,7 @@
     answer_bytes: int = 200
     queue_when_full: bool = True
     calls: tuple[str, ...] = ()
+    resends: int = 0
     run_log: str = ""
 
 
@@ -101,13 +111,17 @@
             if "crash" in request.target:
                 os._exit(1)
             await trio.sleep(self._behaviour.service_ms / 1000)
-            status = await self._call_onward(request)
+            onward = await self._call_onward(request)
             counts.finished += 1
         except trio.Cancelled:
             counts.cancelled += 1
             raise
         finally:
             counts.running -= 1
+        if onward is not Onward.WHOLE:
+            headers = ((REFUSED_CALL_HEADER, onward.value.encode()),)
+            return HttpAnswer(502, headers, self._body(request))
+        status = 200
         if self._behaviour.fail_status and self._rng.random() < (
             self._behaviour.fail_share
         ):
@@ -127,7 +141,7 @@
             self._run_log.write(f"{key} {request.method} {request.target}\n")
             self._run_log.flush()
 
-    async def _call_onward(self, request: HttpRequest) -> int:
+    async def _call_onward(self, request: HttpRequest) -> Onward:
         chain = request.header(CHAIN_HEADER) or ""
         for call in self._settings.calls:
             service, _, path = call.partition("/")
@@ -136,16 +150,24 @@
                 (CHAIN_HEADER, chain.encode()),
             )
             onward = HttpRequest("GET", "/" + path, headers)
+            outcome = await self._send_with_resends(onward)
+            if outcome is not Onward.WHOLE:
+                return outcome
+        return Onward.WHOLE
+
+    async def _send_with_resends(self, onward: HttpRequest) -> Onward:
+        outcome = Onward.FAILED
+        for _ in range(self._settings.resends + 1):
             match await self._client.send(
                 self._settings.node, onward, MAX_ANSWER_BYTES
             ):
                 case Success(answer) if answer.status < 400:
-                    continue
+                    return Onward.WHOLE
                 case Success(answer) if answer.header(RAN_HEADER) == "no":
-                    return REFUSED_CALL_STATUS
+                    outcome = Onward.REFUSED
                 case _:
-                    return 502
-        return 200
+                    outcome = Onward.FAILED
+        return outcome
 
     def _body(self, request: HttpRequest) -> bytes:
         query = parse_qs(urlsplit(request.target).query)
--- a/persimmonhall/control/client.py
+++ b/persimmonhall/control/client.py
@@ -1,7 +1,9 @@
 """Speak to the control VMs from a node."""
 
+import itertools
 from collections.abc import Callable
 
+import trio
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
@@ -22,6 +24,8 @@
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
 
+FETCH_TIMEOUT_S = 1.0
+
 
 class ControlClient:
     """Try the control VMs one after the other, the last that answered first."""
@@ -29,10 +33,18 @@
     def __init__(self, links: LinkPool, addresses: tuple[Address, ...]):
         self._links = links
         self._addresses = list(addresses)
+        self._turns = itertools.cycle(addresses)
 
     async def fetch_documents(self, after: LogIndex) -> Result[Documents, Refusal]:
-        """Return the documents accepted after an index."""
-        return await self._ask(FetchDocuments(after), lambda reply: reply)
+        """Return the documents accepted after an index, as one control VM knows."""
+        # Each in turn: one may be cut off silently, or from the others only.
+        address = next(self._turns)
+        payload = ASKS.encode(FetchDocuments(after))
+        with trio.move_on_after(FETCH_TIMEOUT_S):
+            answer = await self._links.ask(address, Channel.CONTROL, payload)
+            return answer.map(REPLIES.decode).lash(_fetch_failed).bind(_documents)
+        self._links.retire(address)
+        return _fetch_failed(f"{address} did not reply in time")
 
     async def submit(self, command: Command) -> Result[CommandReply, Refusal]:
         """Append a command to the log and return its reply."""
@@ -62,3 +74,13 @@
     def _prefer(self, address: Address) -> None:
         self._addresses.remove(address)
         self._addresses.insert(0, address)
+
+
+def _fetch_failed(error: object) -> Result[Documents, Refusal]:
+    return Failure(refuse(ErrorKind.NO_QUORUM, str(error)))
+
+
+def _documents(reply: Documents | Declined) -> Result[Documents, Refusal]:
+    if isinstance(reply, Declined):
+        return Failure(refuse(reply.kind, reply.detail, ran=reply.ran))
+    return Success(reply)
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -15,6 +15,7 @@
 from persimmonhall.call.entry import Entry
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gates import Gates
+from persimmonhall.call.retries import Retries
 from persimmonhall.control.client import ControlClient
 from persimmonhall.document.follow import DocumentFollower
 from persimmonhall.document.in_force import DocumentsInForce
@@ -30,6 +31,7 @@
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
+from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
@@ -75,15 +77,10 @@
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
-    entry = Entry(
-        own.name,
-        documents,
-        router,
-        RetryLedger(),
-        Gates(own.name, gate, links),
-        rng,
-        self_limit,
-    )
+    tokens = Tokens(own.name, RetryLedger(), table, links)
+    gates = Gates(own.name, gate, links)
+    retries = Retries(tokens)
+    entry = Entry(own.name, documents, router, retries, gates, rng, self_limit)
     control = ControlClient(links, settings.peers.control)
     stop = trio.Event()
     local_api = LocalApi(entry, watch, gossiper, table, documents, stop.set, rng)
@@ -91,11 +88,12 @@
     follower = DocumentFollower(documents, control, gossiper, table, links, rng)
     handlers = {
         Channel.CALL: gate.handle,
+        Channel.LEDGER: tokens.handle,
         Channel.MEMBERSHIP: gossiper.handle,
         Channel.DOCUMENT: follower.handle,
     }
     frames = await nursery.start(serve_links, handlers, own.frames)
-    gossiper.set_frames(frames, own.advertised or frames)
+    gossiper.set_frames(frames, own.advertise or frames)
     limits = ServerLimits(
         max_header_bytes=settings.limits.max_header_bytes,
         max_body_bytes=settings.limits.max_body_bytes,
--- /dev/null
+++ b/persimmonhall/raft/storage.py
@@ -0,0 +1,239 @@
+"""Keep the log, the vote and the newest snapshot of a replica on disk."""
+
+import errno
+import os
+from dataclasses import dataclass
+from pathlib import Path
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.ids import ReplicaId, Term
+from persimmonhall.raft.files import (
+    FileSystem,
+    OsFiles,
+    replace_file,
+    sync_folder,
+    write_all,
+)
+from persimmonhall.raft.messages import NO_VOTE, RECORDS, Entry, HardState, Snapshot
+from persimmonhall.raft.outbox import Persist
+from persimmonhall.raft.records import frame_batch, read_records
+from persimmonhall.raft.state import Stored
+
+LOG_FILE = "log"
+SNAPSHOT_FILE = "snapshot"
+DISK_ID_FILE = "disk-id"
+FIRST_BATCH = 1
+END_MARKER = b""
+NO_SPACE = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
+
+
+class NoSpaceError(Exception):
+    """Signal that the disk is full; nothing was lost and a retry is safe."""
+
+
+class DiskFailedError(Exception):
+    """Signal that the disk can't be trusted any more."""
+
+
+@dataclass(frozen=True)
+class Opened:
+    """Hold an open storage and what it read back."""
+
+    storage: "Storage"
+    disk_id: ReplicaId
+    stored: Stored
+
+
+class Storage:
+    """Append batches of records to the log file and sync each batch."""
+
+    def __init__(self, folder: Path, files: FileSystem, end: int, batch: int):
+        self._folder = folder
+        self._files = files
+        self._end = end
+        self._batch = batch
+        self._written = 0
+        self._descriptor = _open_log(folder)
+
+    def write(self, persists: tuple[Persist, ...]) -> None:
+        """Write and sync; raise NoSpaceError on a full disk, after which to retry."""
+        try:
+            for group in _grouped(persists):
+                self._write_group(group)
+        except OSError as error:
+            if error.errno in NO_SPACE:
+                raise NoSpaceError(f"{self._folder}: {error}") from error
+            raise DiskFailedError(f"{self._folder}: {error}") from error
+
+    def close(self) -> None:
+        """Close the log file."""
+        os.close(self._descriptor)
+
+    def _write_group(self, group: tuple[Persist, ...]) -> None:
+        if group[-1].sequence <= self._written:
+            return
+        if group[0].snapshot is not None:
+            self._write_snapshot(group[0])
+        else:
+            self._append(group)
+        self._written = group[-1].sequence
+
+    def _append(self, persists: tuple[Persist, ...]) -> None:
+        payloads = [RECORDS.encode(persists[-1].state)]
+        for persist in persists:
+            payloads += [RECORDS.encode(entry) for entry in persist.entries]
+        data = frame_batch(tuple(payloads), self._batch + 1)
+        try:
+            write_all(self._files, self._descriptor, data)
+        except OSError:
+            os.ftruncate(self._descriptor, self._end)
+            os.lseek(self._descriptor, self._end, os.SEEK_SET)
+            raise
+        self._sync()
+        self._end += len(data)
+        self._batch += 1
+
+    def _sync(self) -> None:
+        try:
+            self._files.sync(self._descriptor)
+        except OSError as error:
+            # The system may have dropped the unwritten pages: a retry proves nothing.
+            raise DiskFailedError(f"{self._folder}: sync failed: {error}") from error
+
+    def _write_snapshot(self, persist: Persist) -> None:
+        snapshot = frame_batch((RECORDS.encode(persist.snapshot),), FIRST_BATCH)
+        replace_file(self._files, self._folder / SNAPSHOT_FILE, snapshot)
+        log = _whole_log(persist.state, persist.entries)
+        replace_file(self._files, self._folder / LOG_FILE, log)
+        os.close(self._descriptor)
+        self._descriptor = _open_log(self._folder)
+        self._end = len(log)
+        self._batch = FIRST_BATCH + 1
+
+
+def open_storage(
+    folder: Path, new_id: ReplicaId, first: Stored, files: FileSystem | None = None
+) -> Result[Opened, str]:
+    """Open a data folder; an empty one gets a new disk id and a first state."""
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        if not (folder / DISK_ID_FILE).exists():
+            if (folder / LOG_FILE).exists() or (folder / SNAPSHOT_FILE).exists():
+                return Failure(f"{folder / DISK_ID_FILE}: missing beside a log")
+            _create(folder, new_id, first)
+        return _read(folder, files or OsFiles())
+    except OSError as error:
+        return Failure(f"{folder}: storage cannot be opened: {error}")
+
+
+def is_empty(folder: Path) -> bool:
+    """Tell whether a data folder holds no replica yet."""
+    return not (folder / DISK_ID_FILE).exists()
+
+
+def _create(folder: Path, new_id: ReplicaId, first: Stored) -> None:
+    log = _whole_log(first.state, first.entries)
+    files = OsFiles()
+    replace_file(files, folder / LOG_FILE, log)
+    # The disk id comes last: without it the folder counts as empty.
+    disk_id = frame_batch((new_id.encode(),), FIRST_BATCH)
+    replace_file(files, folder / DISK_ID_FILE, disk_id)
+    sync_folder(folder.parent)
+
+
+def _read(folder: Path, files: FileSystem) -> Result[Opened, str]:
+    match _read_single(folder / DISK_ID_FILE):
+        case Failure() as failure:
+            return failure
+        case Success(payload):
+            disk_id = ReplicaId(payload.decode())
+    snapshot = None
+    if (folder / SNAPSHOT_FILE).exists():
+        match _read_single(folder / SNAPSHOT_FILE):
+            case Failure() as failure:
+                return failure
+            case Success(payload):
+                snapshot = RECORDS.decode(payload)
+    path = folder / LOG_FILE
+    match read_records(path.read_bytes()):
+        case Failure(offset):
+            return Failure(f"{path}: damaged record at offset {offset}")
+        case Success(found):
+            pass
+    state, entries = _replay(found.payloads)
+    start = snapshot.index if snapshot is not None else 0
+    if entries and entries[0].index > start + 1:
+        return Failure(f"{folder / SNAPSHOT_FILE}: missing or older than the log")
+    _cut_tail(path, found.end)
+    storage = Storage(folder, files, found.end, found.batch)
+    stored = Stored(state, snapshot, _after_snapshot(snapshot, entries))
+    return Success(Opened(storage, disk_id, stored))
+
+
+def _read_single(path: Path) -> Result[bytes, str]:
+    match read_records(path.read_bytes()):
+        case Success(found) if len(found.payloads) == 1:
+            return Success(found.payloads[0])
+    return Failure(f"{path}: damaged record at offset 0")
+
+
+def _replay(payloads: tuple[bytes, ...]) -> tuple[HardState, list[Entry]]:
+    state = HardState(Term(0), NO_VOTE)
+    entries: list[Entry] = []
+    for payload in payloads:
+        if payload == END_MARKER:
+            continue
+        record = RECORDS.decode(payload)
+        if isinstance(record, HardState):
+            state = record
+            continue
+        if entries:
+            del entries[record.index - entries[0].index :]
+        entries.append(record)
+    return state, entries
+
+
+def _after_snapshot(
+    snapshot: Snapshot | None, entries: list[Entry]
+) -> tuple[Entry, ...]:
+    """Return the entries that follow a snapshot written just before a crash."""
+    if snapshot is None:
+        return tuple(entries)
+    if not entries or entries[0].index == snapshot.index + 1:
+        return tuple(entries)
+    known = [e.term for e in entries if e.index == snapshot.index]
+    if known != [snapshot.term]:
+        return ()
+    return tuple(e for e in entries if e.index > snapshot.index)
+
+
+def _whole_log(state: HardState, entries: tuple[Entry, ...]) -> bytes:
+    payloads = (RECORDS.encode(state), *(RECORDS.encode(entry) for entry in entries))
+    # The second batch marks the first as synced, so damage to it is told apart.
+    marker = frame_batch((END_MARKER,), FIRST_BATCH + 1)
+    return frame_batch(payloads, FIRST_BATCH) + marker
+
+
+def _open_log(folder: Path) -> int:
+    descriptor = os.open(folder / LOG_FILE, os.O_RDWR)
+    os.lseek(descriptor, 0, os.SEEK_END)
+    return descriptor
+
+
+def _cut_tail(path: Path, end: int) -> None:
+    with path.open("r+b") as file:
+        file.truncate(end)
+        os.fsync(file.fileno())
+
+
+def _grouped(persists: tuple[Persist, ...]) -> list[tuple[Persist, ...]]:
+    """Put neighbours without a snapshot together, so that one sync does for all."""
+    groups: list[tuple[Persist, ...]] = []
+    for persist in persists:
+        plain = persist.snapshot is None
+        if plain and groups and groups[-1][0].snapshot is None:
+            groups[-1] = (*groups[-1], persist)
+        else:
+            groups.append((persist,))
+    return groups
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -21,7 +21,7 @@
     callers: Address
     local: Address
     frames: Address
-    advertised: Address | None = None
+    advertise: Address | None = None
     region: str = bounded("default", pattern=NAME_PATTERN)
     seed: int = 0
     drain_seconds: float = bounded(30.0, least=0.0, most=600.0)
@@ -62,6 +62,8 @@
     admin: Address
     frames: Address
     data_folder: str
+    peers: tuple[Address, ...] = ()
+    advertise: Address | None = None
     seed: int = 0
 
 
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -126,8 +126,16 @@
         """Tell whether the connection is open."""
         return self._ready.is_set() and not self.closed
 
+    def drop(self) -> None:
+        """End the connection, as a peer that is cut off silently never does."""
+        self._scope.cancel()
+
     async def run(self) -> None:
         """Connect and read replies until the connection ends."""
+        with self._scope:
+            await self._run()
+
+    async def _run(self) -> None:
         stream = await self._connect()
         if stream is None:
             self._close(f"{self._address} does not accept a connection")
@@ -135,8 +143,7 @@
         self._writer = _Writer(stream)
         reason = "closed"
         try:
-            with self._scope:
-                await self._serve(stream)
+            await self._serve(stream)
         except* ENDINGS as group:
             reason = str(group.exceptions[0]) or "broken"
         finally:
@@ -234,6 +241,12 @@
             del self._links[address]
             link.retire()
 
+    def reset(self, address: Address) -> None:
+        """Drop the link to a peer that no longer replies."""
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.drop()
+
 
 class _LinkServer:
     """Answer the exchanges of one incoming connection."""
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -18,6 +18,7 @@
     ZoneName,
 )
 from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
 
 CUE_DOCUMENT = """\
 service = "cue"
@@ -108,3 +109,9 @@
         state=MemberState.READY,
     )
     return replace(member, **changes)
+
+
+def merge_members(table: MemberTable, members: list[Member]) -> None:
+    """Put members into a table."""
+    for member in members:
+        table.put(member)
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -1,91 +1,93 @@
-"""Relay TCP and UDP between zones and drop silently what is cut."""
-
-from dataclasses import dataclass, field
+"""Relay frame connections and drop bytes silently when told to."""
 
 import trio
 
-from persimmonhall.address import Address
-from persimmonhall.ids import ZoneName
+from persimmonhall.address import Address, parse_address
+from persimmonhall.control.replica_messages import PEER_ASKS, Packet
+from persimmonhall.wire.frames import HEADER, PREAMBLE
 
 RECEIVE_BYTES = 64 * 1024
-BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
-@dataclass
-class Cuts:
-    """Hold which zone cannot send to which; zones are told by IP number."""
+class Relay:
+    """Stand in front of one control VM's frame address."""
+
+    def __init__(self, target: str):
+        self._target: Address = parse_address(target).unwrap()
+        self._all_cut = False
+        self._cut_sources: set[str] = set()
+        self.address = ""
 
-    zones: dict[str, ZoneName]
-    _cut: set[tuple[ZoneName, ZoneName]] = field(default_factory=set)
-    _changed: trio.Event = field(default_factory=trio.Event)
+    def cut_all(self) -> None:
+        """Drop whatever comes in, and the replies to it."""
+        self._all_cut = True
 
-    def cut(self, sender: ZoneName, receiver: ZoneName) -> None:
-        """Drop what one zone sends to another."""
-        self._cut.add((sender, receiver))
+    def cut_source(self, name: str) -> None:
+        """Drop what comes from one control VM."""
+        self._cut_sources.add(name)
 
     def heal(self) -> None:
-        """End all cuts."""
-        self._cut.clear()
-        self._changed.set()
-        self._changed = trio.Event()
+        """Relay again."""
+        self._all_cut = False
+        self._cut_sources.clear()
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Accept connections until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, incoming: trio.SocketStream) -> None:
+        connection = _Connection(self, incoming)
+        try:
+            outgoing = await trio.open_tcp_stream(self._target.host, self._target.port)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(connection.pump, incoming, outgoing, True)
+                nursery.start_soon(connection.pump, outgoing, incoming, False)
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            await trio.aclose_forcefully(incoming)
 
-    def is_cut(self, host: str, receiver: ZoneName) -> bool:
-        """Tell whether an IP number cannot send to a zone."""
-        return (self.zones.get(host), receiver) in self._cut
+    def drops(self, source: str | None) -> bool:
+        """Tell whether bytes of a source are dropped."""
+        if self._all_cut:
+            return True
+        return bool(self._cut_sources) and (
+            source is None or source in self._cut_sources
+        )
 
-    async def wait_open(self, sender: ZoneName | None, receiver: ZoneName) -> None:
-        """Wait until one zone can send to another."""
-        while (sender, receiver) in self._cut:
-            await self._changed.wait()
 
+class _Connection:
+    """Relay one connection; once it lost bytes it stays silent."""
 
-class Relay:
-    """Stand in front of one process; the address outlives its restarts."""
-
-    def __init__(self, cuts: Cuts, zone: ZoneName):
-        self._cuts = cuts
-        self._zone = zone
-        self.address = Address("127.0.0.1", 0)
-        self.target: Address | None = None
-
-    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Relay until cancelled."""
-        [listener] = await trio.open_tcp_listeners(0, host=self.address.host)
-        self.address = Address(*listener.socket.getsockname())
-        socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await socket.bind((self.address.host, self.address.port))
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._relay_datagrams, socket)
-            task_status.started(self)
-            await trio.serve_listeners(self._relay_stream, [listener])
-
-    async def _relay_datagrams(self, socket: trio.socket.SocketType) -> None:
-        while True:
-            data, (host, _) = await socket.recvfrom(RECEIVE_BYTES)
-            if self.target is not None and not self._cuts.is_cut(host, self._zone):
-                await socket.sendto(data, (self.target.host, self.target.port))
-
-    async def _relay_stream(self, stream: trio.SocketStream) -> None:
-        host = stream.socket.getpeername()[0]
-        zone = self._cuts.zones.get(host)
-        if self.target is None:
-            return
-        try:
-            async with (
-                stream,
-                await trio.open_tcp_stream(
-                    self.target.host, self.target.port
-                ) as onward,
-                trio.open_nursery() as nursery,
-            ):
-                scope = nursery.cancel_scope
-                nursery.start_soon(self._pump, stream, onward, zone, self._zone, scope)
-                await self._pump(onward, stream, self._zone, zone, scope)
-        except* BROKEN:
-            pass
+    def __init__(self, relay: Relay, incoming: trio.SocketStream):
+        self._relay = relay
+        self._source: str | None = None
+        self._head = b""
+        self._silent = False
 
-    async def _pump(self, source, sink, sender, receiver, scope) -> None:
+    async def pump(self, source, target, from_peer: bool) -> None:
+        """Copy one direction."""
         while data := await source.receive_some(RECEIVE_BYTES):
-            await self._cuts.wait_open(sender, receiver)
-            await sink.send_all(data)
-        scope.cancel()
+            if from_peer and self._source is None:
+                self._head += data
+                self._source = _source_of(self._head)
+            self._silent = self._silent or self._relay.drops(self._source)
+            if not self._silent:
+                await target.send_all(data)
+        raise trio.BrokenResourceError
+
+
+def _source_of(head: bytes) -> str | None:
+    """Return the name of the control VM that sent the first packet, if known."""
+    start = len(PREAMBLE) + HEADER.size
+    if len(head) < start:
+        return None
+    length = HEADER.unpack_from(head, len(PREAMBLE))[0]
+    if len(head) < start + length:
+        return None
+    ask = PEER_ASKS.decode(head[start : start + length])
+    return ask.sender.partition("#")[0] if isinstance(ask, Packet) else None
--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -12,7 +12,7 @@
 from persimmonhall.ids import ZoneName
 from tests.builders import CUE_DOCUMENT
 from tests.portal import open_portal
-from tests.relay import Cuts, Relay
+from tests.zone_relay import Cuts, ZoneRelay
 
 scenarios("features/zone_cut.feature")
 
@@ -30,7 +30,7 @@
 
     system: System
     cuts: Cuts
-    relays: dict[str, Relay]
+    relays: dict[str, ZoneRelay]
 
 
 @asynccontextmanager
@@ -40,7 +40,7 @@
     async with open_system() as system, trio.open_nursery() as nursery:
         names = {"control-1": NADI, **NODES}
         relays = {
-            name: await nursery.start(Relay(cuts, zone).run)
+            name: await nursery.start(ZoneRelay(cuts, zone).run)
             for name, zone in names.items()
         }
         await system.start_control()
@@ -52,7 +52,7 @@
                 control=(relays["control-1"].address,),
                 seeds=(relays["nadi-cue-1"].address, relays["suva-cue-1"].address),
                 frames=f"{HOSTS[zone]}:0",
-                advertised=str(relays[node].address),
+                advertise=str(relays[node].address),
             )
             relays[node].target = system.nodes[node].addresses["frames"]
             await system.start_backend(node, "cue")
