--- a/persimmonhall/call/plan.py
+++ b/persimmonhall/call/plan.py
@@ -11,11 +11,13 @@
 from persimmonhall.document.schema import RequestRule, Worth
 from persimmonhall.errors import ErrorKind, Refusal, refuse
 from persimmonhall.http.messages import HttpRequest, end_to_end
-from persimmonhall.ids import IdempotencyKey, NodeName, ServiceName
+from persimmonhall.ids import Fingerprint, IdempotencyKey, NodeName, ServiceName
+from persimmonhall.once.fingerprint import fingerprint_of
+from persimmonhall.once.keys import KEY_HEADER, key_of
 from persimmonhall.routing.failures import CallKey, make_key
 
 SERVICE_HEADER = b"persimmonhall-service"
-KEY_HEADER = b"idempotency-key"
+NO_KEY = IdempotencyKey("")
 OWN_HEADERS = frozenset({CHAIN_HEADER, SERVICE_HEADER})
 
 
@@ -36,6 +38,8 @@
     is_root: bool
     tokens: int
     key: CallKey
+    fingerprint: Fingerprint = Fingerprint(0)
+    idempotency_key: IdempotencyKey = NO_KEY
 
     @property
     def budget_ms(self) -> int:
@@ -66,10 +70,11 @@
         return Failure(refuse(ErrorKind.UNKNOWN_REQUEST, detail))
     header = request.header(CHAIN_HEADER)
     if header is None:
-        return Success(_plan_root(request, listener, node, service, rule))
+        return _identify(request, _plan_root(request, listener, node, service, rule))
     match parse_chain(header):
         case Success(chain):
-            return Success(_plan_nested(request, listener, service, rule, chain))
+            plan = _plan_nested(request, listener, service, rule, chain)
+            return _identify(request, plan)
         case Failure(reason):
             return Failure(refuse(ErrorKind.BAD_REQUEST, reason))
 
@@ -102,6 +107,18 @@
     return Plan(service, rule, chain, is_root=False, tokens=0, key=key)
 
 
+def _identify(request: HttpRequest, plan: Plan) -> Result[Plan, Refusal]:
+    """Add what tells the request from others, and its key if it needs one."""
+    fingerprint = fingerprint_of(
+        plan.service, request.method, request.target, request.body
+    )
+    plan = replace(plan, fingerprint=fingerprint)
+    if plan.rule.idempotent:
+        return Success(plan)
+    key = key_of(request, plan.chain.root, fingerprint)
+    return key.map(lambda found: replace(plan, idempotency_key=found))
+
+
 def _key_of(request: HttpRequest, scope: str, service: ServiceName) -> CallKey:
     named = request.header(KEY_HEADER)
     content = named.encode() if named else request.body
@@ -134,6 +151,6 @@
         worth=plan.chain.worth,
         remaining_ms=remaining_ms,
         idempotent=plan.rule.idempotent,
-        key=IdempotencyKey(request.header(KEY_HEADER) or ""),
+        key=plan.idempotency_key,
         max_answer_bytes=plan.rule.max_answer_bytes,
     )
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -11,6 +11,8 @@
 
 from persimmonhall.cli.node_client import document_status, drain
 from persimmonhall.cli.operator_definition import operator_parser
+from persimmonhall.cli.operator_status import gather_status, status_table
+from persimmonhall.cli.quarantine import run_quarantine
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.document.schema import parse_document
@@ -21,6 +23,7 @@
 PROGRAM = "persimmonhall"
 STATUSES = {
     ErrorKind.NO_QUORUM: ExitStatus.UNREACHABLE,
+    ErrorKind.CONNECT_FAILED: ExitStatus.UNREACHABLE,
     ErrorKind.REVISION_CONFLICT: ExitStatus.CONFLICT,
     ErrorKind.INVALID_DOCUMENT: ExitStatus.USAGE,
 }
@@ -31,8 +34,10 @@
     options = operator_parser().parse_args(arguments)
     if options.command == "check":
         return _check(options.file)
+    if options.command == "quarantine":
+        return _report(trio.run(run_quarantine, options), options)
     if getattr(options, "node", None) is not None:
-        return _finish(trio.run(_run_at_node, options), options)
+        return _report(trio.run(_run_at_node, options), options)
     if options.settings is None:
         return fail(PROGRAM, "give --settings FILE", ExitStatus.USAGE)
     match load_settings(OperatorSettings, options.settings):
@@ -40,16 +45,16 @@
             return fail(PROGRAM, reason, ExitStatus.USAGE)
         case Success(settings):
             client = AdminClient(settings.operator.control, settings.operator.token)
-    return _finish(trio.run(_run, options, client), options)
+    return _report(trio.run(_run, options, client), options)
 
 
-def _finish(result: Result, options: argparse.Namespace) -> ExitStatus:
+def _report(result: Result[object, Refusal], options: argparse.Namespace) -> ExitStatus:
     match result:
         case Failure(refusal):
             status = STATUSES.get(refusal.kind, ExitStatus.REFUSED)
             return fail(PROGRAM, f"{refusal.kind.value}: {refusal.detail}", status)
         case Success(body):
-            _print(body, as_json=options.json)
+            _print(body, options)
     return ExitStatus.SUCCESS
 
 
@@ -80,11 +85,17 @@
 ) -> Result[object, Refusal]:
     match (options.command, getattr(options, "action", None)):
         case ("status", _):
-            return await client.get("/status")
+            return await gather_status(client)
         case ("document", "list"):
             return await client.get("/documents")
         case ("document", "get"):
             return await client.get(f"/documents/{options.service}")
+        case ("document", "history"):
+            return await client.get(f"/documents/{options.service}/history")
+        case ("replica", "list"):
+            return await client.get("/replicas")
+        case ("replica", "remove"):
+            return await client.delete(f"/replicas/{options.name}")
         case ("document", "put"):
             return await _put(options, client)
 
@@ -92,7 +103,11 @@
 async def _put(
     options: argparse.Namespace, client: AdminClient
 ) -> Result[object, Refusal]:
-    text = options.file.read_text(encoding="utf-8")
+    try:
+        text = options.file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        detail = f"{options.file}: cannot be read: {error}"
+        return Failure(refuse(ErrorKind.INVALID_DOCUMENT, detail))
     match parse_document(text):
         case Failure(problems):
             detail = f"{options.file}: {problems[0]}"
@@ -102,9 +117,11 @@
     return await client.put(document.service, text, options.revision, change)
 
 
-def _print(body: object, *, as_json: bool) -> None:
-    if as_json:
+def _print(body: object, options: argparse.Namespace) -> None:
+    if options.json:
         print(json.dumps(body))
+    elif options.command == "status":
+        print(status_table(body))
     elif isinstance(body, list):
         for row in body:
             print("  ".join(f"{key}={value}" for key, value in row.items()))
--- a/persimmonhall/control/machine.py
+++ b/persimmonhall/control/machine.py
@@ -5,6 +5,14 @@
 from persimmonhall.document.messages import PutDocument
 from persimmonhall.document.table import DocumentTable
 from persimmonhall.ids import LogIndex
+from persimmonhall.once.claims import ClaimTable
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ElapseTime,
+    FinishKey,
+    LoseClaims,
+    ReleaseKey,
+)
 
 
 class StateMachine:
@@ -12,7 +20,11 @@
 
     def __init__(self):
         self._documents = DocumentTable()
-        self._parts: dict[str, Part] = {"documents": self._documents}
+        self._claims = ClaimTable()
+        self._parts: dict[str, Part] = {
+            "documents": self._documents,
+            "claims": self._claims,
+        }
         self._index = LogIndex(0)
 
     @property
@@ -20,6 +32,11 @@
         """Return the documents."""
         return self._documents
 
+    @property
+    def claims(self) -> ClaimTable:
+        """Return the claims."""
+        return self._claims
+
     @property
     def index(self) -> LogIndex:
         """Return the index of the last command applied."""
@@ -31,8 +48,19 @@
         match command:
             case PutDocument():
                 return self._documents.put(command, index)
+            case ClaimKey():
+                return self._claims.claim(command)
+            case FinishKey():
+                self._claims.finish(command)
+            case ReleaseKey():
+                self._claims.release(command)
+            case ElapseTime():
+                self._claims.elapse(command)
+            case LoseClaims():
+                self._claims.lose(command)
             case NoOp():
-                return NoReply()
+                pass
+        return NoReply()
 
     def skip(self, index: LogIndex) -> None:
         """Pass over an entry that holds no command."""
--- a/persimmonhall/document/follow.py
+++ b/persimmonhall/document/follow.py
@@ -51,7 +51,9 @@
         match ASKS.decode(payload):
             case FetchDocuments(after):
                 items = self._documents.after(after)
-                return REPLIES.encode(Documents(self._documents.index, items))
+                return REPLIES.encode(
+                    Documents(self._documents.index, items, current=False)
+                )
         raise ValueError("neighbours only ask for documents")
 
     async def run(self) -> None:
@@ -118,7 +120,7 @@
 
     def _report(self, result: Result[Documents, Refusal | LinkError]) -> None:
         match result:
-            case Success(Documents(_, items)):
+            case Success(Documents(items=items)):
                 self._documents.apply_all(items)
                 self._gossiper.set_documents(self._documents.index)
             case Failure(reason):
