--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,9 @@
 micro: install
 	$(BIN)/python -m harness.micro
 
+membership-cost: install
+	$(BIN)/python -m harness.membership_cost
+
 bench-vanua: install
 	$(BIN)/python -m harness.bench_deployment vanua
 
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -9,6 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from persimmonhall.cli.node_client import document_status, drain
 from persimmonhall.cli.operator_definition import operator_parser
 from persimmonhall.cli.operator_status import gather_status, status_table
 from persimmonhall.cli.quarantine import run_quarantine
@@ -35,6 +36,8 @@
         return _check(options.file)
     if options.command == "quarantine":
         return _report(trio.run(run_quarantine, options), options)
+    if getattr(options, "node", None) is not None:
+        return _report(trio.run(_run_at_node, options), options)
     if options.settings is None:
         return fail(PROGRAM, "give --settings FILE", ExitStatus.USAGE)
     match load_settings(OperatorSettings, options.settings):
@@ -69,6 +72,14 @@
     return ExitStatus.SUCCESS
 
 
+async def _run_at_node(options: argparse.Namespace) -> Result[object, Refusal]:
+    match (options.command, getattr(options, "action", None)):
+        case ("drain", _):
+            return await drain(options.node)
+        case ("document", "status"):
+            return await document_status(options.node)
+
+
 async def _run(
     options: argparse.Namespace, client: AdminClient
 ) -> Result[object, Refusal]:
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from persimmonhall.cli.definition import add_settings, make_parser
-from persimmonhall.cli.quarantine import add_quarantine
+from persimmonhall.cli.quarantine import add_node, add_quarantine
 
 DESCRIPTION = "Check and change documents and look at a running system."
 
@@ -16,7 +16,9 @@
   persimmonhall --settings operator.toml document history cue
   persimmonhall --settings operator.toml replica list
   persimmonhall --settings operator.toml status --json
-  persimmonhall quarantine list --node 127.0.0.1:7100"""
+  persimmonhall quarantine list --node 127.0.0.1:7100
+  persimmonhall document status --node 127.0.0.1:7100
+  persimmonhall drain --node 127.0.0.1:7100"""
 
 
 def operator_parser() -> argparse.ArgumentParser:
@@ -29,6 +31,8 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    leave = commands.add_parser("drain", help="let a node leave gracefully")
+    add_node(leave)
     add_quarantine(commands)
     _add_replica(commands)
     return parser
@@ -57,6 +61,10 @@
     history = actions.add_parser("history", help="show who changed a document")
     history.add_argument("service", metavar="SERVICE")
     actions.add_parser("list", help="list the documents and their revisions")
+    status = actions.add_parser(
+        "status", help="show on how many nodes each revision is in force"
+    )
+    add_node(status)
 
 
 def _add_replica(commands: argparse._SubParsersAction) -> None:
--- a/persimmonhall/cli/quarantine.py
+++ b/persimmonhall/cli/quarantine.py
@@ -22,13 +22,14 @@
         "quarantine", help="list and lift requests that crash backend servers"
     )
     actions = quarantine.add_subparsers(dest="action", required=True, metavar="ACTION")
-    _add_node(actions.add_parser("list", help="list suspected requests"))
+    add_node(actions.add_parser("list", help="list suspected requests"))
     lift = actions.add_parser("lift", help="let a request run again")
     lift.add_argument("fingerprint", metavar="FINGERPRINT")
-    _add_node(lift)
+    add_node(lift)
 
 
-def _add_node(parser: argparse.ArgumentParser) -> None:
+def add_node(parser: argparse.ArgumentParser) -> None:
+    """Add the address of a node."""
     parser.add_argument(
         "--node",
         required=True,
--- a/persimmonhall/http/server.py
+++ b/persimmonhall/http/server.py
@@ -77,7 +77,9 @@
 
     def stop_if_idle(self) -> None:
         """Close the connection unless a request is in progress or has arrived."""
+        # At once: a request must not arrive between the look and the end.
         if self._idle_scope is not None and not self._stream.readable:
+            self._stream.shut_down()
             self._idle_scope.cancel()
 
     async def run(self, before_close: Callable[[], None]) -> None:
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -28,6 +28,7 @@
     SYNC_ASKS,
     CompareDigests,
     Differences,
+    Health,
     MemberState,
     PushNews,
     decode_differences,
@@ -61,6 +62,8 @@
         self._due: list[Effect] = []
         self._woken = trio.Event()
         self._leaving = False
+        self._bound = address_of(table.own.frames)
+        self._socket: DatagramSocket | None = None
         self._listeners: list[DocumentsListener] = []
 
     @property
@@ -68,6 +71,13 @@
         """Return the number of members, this node included."""
         return len(self._table.peers()) + 1
 
+    @property
+    def datagram_bytes(self) -> int:
+        """Return the bytes of all datagrams sent and received."""
+        if self._socket is None:
+            return 0
+        return self._socket.sent_bytes + self._socket.received_bytes
+
     def listen(self, listener: DocumentsListener) -> None:
         """Call a function for each sight of how far a node's documents reach."""
         self._listeners.append(listener)
@@ -81,9 +91,10 @@
             self._core.change_own(changed)
             self._woken.set()
 
-    def set_frames(self, address: Address) -> None:
-        """Change the address that peers reach this node at."""
-        self._table.set_own(replace(self._table.own, frames=str(address)))
+    def set_frames(self, bound: Address, advertised: Address) -> None:
+        """Set the address to bind and the one that peers reach this node at."""
+        self._bound = bound
+        self._table.set_own(replace(self._table.own, frames=str(advertised)))
 
     def set_documents(self, documents: LogIndex) -> None:
         """Tell peers how far the documents of this node reach."""
@@ -108,13 +119,14 @@
                 return encode_differences(compare(digests, self._core.news))
             case PushNews(news):
                 check_addresses(news)
-                self._due += self._core.take_news(news, trio.current_time())
+                self._due += self._core.take_synchronised(news, trio.current_time())
                 self._woken.set()
         return encode_differences(Differences((), ()))
 
     async def run(self) -> None:
         """Probe and gossip until cancelled."""
-        socket = await open_datagrams(address_of(self._table.own.frames))
+        socket = await open_datagrams(self._bound)
+        self._socket = socket
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive, socket, nursery)
             while True:
@@ -168,6 +180,8 @@
                     nursery.start_soon(self._synchronise, address)
                 case HealthChanged(news):
                     member = news.member
+                    if news.health is Health.DEAD:
+                        self._links.retire(address_of(member.frames))
                     logging.info(
                         "member node=%s health=%s zone=%s service=%s order=%s",
                         member.node,
@@ -192,7 +206,7 @@
         match await self._ask(address, ask):
             case Success(Differences(buckets, news)) if buckets:
                 own = news_in(self._core.news, buckets)
-                self._due += self._core.take_news(news, trio.current_time())
+                self._due += self._core.take_synchronised(news, trio.current_time())
                 self._woken.set()
                 await self._ask(address, PushNews(own))
 
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -67,7 +67,7 @@
 ) -> None:
     own = settings.node
     rng = random.Random(own.seed or None)
-    links = LinkPool(nursery)
+    links = LinkPool(nursery, own.frames.host)
     documents = DocumentsInForce()
     table = MemberTable(_own_member(settings))
     control = ControlClient(links, settings.peers.control)
@@ -99,16 +99,27 @@
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
-    local_api = LocalApi(entry, watch, table, documents, quarantine_api, stop.set, rng)
+    local_api = LocalApi(
+        entry,
+        watch,
+        gossiper,
+        table,
+        documents,
+        quarantine_api,
+        stop.set,
+        rng,
+    )
 
+    follower = DocumentFollower(documents, control, gossiper, table, links, rng)
     handlers = {
         Channel.CALL: gate.handle,
         Channel.LEDGER: tokens.handle,
         Channel.MEMBERSHIP: gossiper.handle,
+        Channel.DOCUMENT: follower.handle,
         Channel.ONCE: once.spreader.handle,
     }
     frames = await nursery.start(serve_links, handlers, own.frames)
-    gossiper.set_frames(frames)
+    gossiper.set_frames(frames, own.advertise or frames)
     limits = ServerLimits(
         max_header_bytes=settings.limits.max_header_bytes,
         max_body_bytes=settings.limits.max_body_bytes,
@@ -143,7 +154,7 @@
             nursery.start_soon(once.spreader.run)
             nursery.start_soon(gate.keep_time)
             nursery.start_soon(probe_lag, self_limit)
-            nursery.start_soon(DocumentFollower(documents, control).run)
+            nursery.start_soon(follower.run)
             nursery.start_soon(wait_for_stop_signal, stop)
             on_ready(NodeAddresses(callers, local, frames))
             await stop.wait()
--- a/persimmonhall/wire/direct_stream.py
+++ b/persimmonhall/wire/direct_stream.py
@@ -58,6 +58,13 @@
         """End the sending side."""
         await self._stream.send_eof()
 
+    def shut_down(self) -> None:
+        """End both directions before another task runs."""
+        try:
+            self._stream.socket.shutdown(trio.socket.SHUT_RDWR)
+        except OSError:
+            pass
+
     async def aclose(self) -> None:
         """Close the connection at once."""
         self._closed = True
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -105,20 +105,27 @@
 class Link:
     """Ask a peer over one connection and match replies by exchange."""
 
-    def __init__(self, address: Address):
+    def __init__(self, address: Address, local_host: str | None = None):
         self._address = address
+        self._local_host = local_host
         self._exchanges: dict[int, _Exchange] = {}
         self._ids = itertools.count(1)
         self._writer: _Writer | None = None
         self._closed: str | None = None
         self._ready = trio.Event()
         self._scope = trio.CancelScope()
+        self._retired = False
 
     @property
     def closed(self) -> bool:
         """Tell whether the connection has ended."""
         return self._closed is not None
 
+    @property
+    def connected(self) -> bool:
+        """Tell whether the connection is open."""
+        return self._ready.is_set() and not self.closed
+
     def drop(self) -> None:
         """End the connection, as a peer that is cut off silently never does."""
         self._scope.cancel()
@@ -136,22 +143,33 @@
         self._writer = _Writer(stream)
         reason = "closed"
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._writer.run)
-                self._ready.set()
-                await self._read(FrameReader(stream))
-                nursery.cancel_scope.cancel()
+            await self._serve(stream)
         except* ENDINGS as group:
             reason = str(group.exceptions[0]) or "broken"
         finally:
             self._close(f"the connection to {self._address} ended: {reason}")
             await stream.aclose()
 
+    def retire(self) -> None:
+        """Close the connection as soon as no exchange waits on it."""
+        self._retired = True
+        if not self._exchanges:
+            self._scope.cancel()
+
+    async def _serve(self, stream: DirectStream) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._writer.run)
+            self._ready.set()
+            await self._read(FrameReader(stream))
+            nursery.cancel_scope.cancel()
+
     async def _connect(self) -> DirectStream | None:
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await trio.open_tcp_stream(
-                    self._address.host, self._address.port
+                    self._address.host,
+                    self._address.port,
+                    local_address=self._local_host,
                 )
                 await stream.send_all(PREAMBLE)
                 return DirectStream(stream)
@@ -192,14 +210,17 @@
             raise
         finally:
             del self._exchanges[number]
+            if self._retired:
+                self.retire()
         return exchange.reply
 
 
 class LinkPool:
     """Keep one link to each peer and open it anew when it has ended."""
 
-    def __init__(self, nursery: trio.Nursery):
+    def __init__(self, nursery: trio.Nursery, local_host: str | None = None):
         self._nursery = nursery
+        self._local_host = local_host
         self._links: dict[Address, Link] = {}
 
     async def ask(
@@ -208,10 +229,18 @@
         """Send one message to a peer and return its reply."""
         link = self._links.get(address)
         if link is None or link.closed:
-            link = self._links[address] = Link(address)
+            link = self._links[address] = Link(address, self._local_host)
             self._nursery.start_soon(link.run)
         return await link.ask(channel, payload)
 
+    def retire(self, address: Address) -> None:
+        """Use a new connection to a peer from now on."""
+        # One that a cut made silent may stay so for minutes after the heal.
+        link = self._links.get(address)
+        if link is not None and link.connected:
+            del self._links[address]
+            link.retire()
+
     def reset(self, address: Address) -> None:
         """Drop the link to a peer that no longer replies."""
         link = self._links.pop(address, None)
