--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -10,8 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.cli.operator_definition import operator_parser
-from persimmonhall.cli.quarantine import run_quarantine
 from persimmonhall.cli.operator_status import gather_status, status_table
+from persimmonhall.cli.quarantine import run_quarantine
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.document.schema import parse_document
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -87,7 +87,7 @@
     gates = Gates(own.name, gate, links)
     retries = Retries(tokens)
     entry = Entry(
-        own.name, documents, router, retries, gates, once.quarantine, rng, self_limit
+        own.name, documents, router, retries, gates, rng, self_limit, once.quarantine
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
