--- a/persimmonhall/call/tests/hops.py
+++ b/persimmonhall/call/tests/hops.py
@@ -12,6 +12,7 @@
 from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.chain import CHAIN_HEADER, Chain
 from persimmonhall.call.entry import Entry
+from persimmonhall.call.executions import Executions
 from persimmonhall.call.gates import NO_LOAD
 from persimmonhall.call.messages import Answered, Call, Reply, refused
 from persimmonhall.call.plan import Listener
@@ -68,13 +69,16 @@
         retries: int = 1,
         resends: int = 0,
         servers: int = 2,
+        failed_call_status: int = 502,
         fault_of: FaultOf = lambda path, node: Fault.CONNECTION_LOST,
     ):
         self._depth = depth
         self._fan_out = fan_out
         self._resends = resends
+        self._failed_call_status = failed_call_status
         self._fault_of = fault_of
         self.links_are_cut = False
+        self.executions = Executions()
         self.runs: Counter[tuple[RootId, str]] = Counter()
         self.calls: list[Call] = []
         self._documents = DocumentsInForce()
@@ -113,6 +117,7 @@
             self,
             rng,
             SelfLimit(),
+            self.executions,
         )
 
     def _make_retries(self, tokens: Tokens) -> Retries:
@@ -159,7 +164,8 @@
             path = f"{call.target}/{number}"
             request = make_request(level, path, header)
             answer = await self._call_with_resends(member.node, request)
-            status = max(status, 502 if answer.status >= 500 else 200)
+            if answer.status >= 400:
+                status = self._failed_call_status
         return status
 
     async def _call_with_resends(
@@ -167,7 +173,7 @@
     ) -> HttpAnswer:
         for _ in range(self._resends + 1):
             answer = await self.entries[node].handle(request, Listener.LOCAL)
-            if answer.status < 500:
+            if answer.status < 400:
                 break
         return answer
 
--- a/persimmonhall/call/tests/test_retry_bound.py
+++ b/persimmonhall/call/tests/test_retry_bound.py
@@ -31,6 +31,19 @@
     assert model.positions <= model.runs.total() <= (1 + retries) * model.positions
 
 
+async def test_failures_answered_with_a_client_error_stay_in_the_bound(autojump_clock):
+    last = "/r" + "/0" * 15
+    model = HopModel(
+        16,
+        retries=1,
+        resends=1,
+        failed_call_status=424,
+        fault_of=lambda path, node: Fault.STATUS_500 if path == last else Fault.NONE,
+    )
+    await model.send()
+    assert model.most_runs() == 2
+
+
 class _UnboundRetries(Retries):
     """Let every backend server resend as it likes."""
 
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -87,7 +87,15 @@
     gates = Gates(own.name, gate, links)
     retries = Retries(tokens)
     entry = Entry(
-        own.name, documents, router, retries, gates, rng, self_limit, once.quarantine
+        own.name,
+        documents,
+        router,
+        retries,
+        gates,
+        rng,
+        self_limit,
+        gate.executions,
+        once.quarantine,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
