--- a/harness/bench_policy.py
+++ b/harness/bench_policy.py
@@ -85,9 +85,7 @@
         await system.start_backend(
             node, "cue", slots=SLOTS, connections=1000, service_ms=SERVICE_MS
         )
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", len(NODES))
+    await system.serve("cue", DOCUMENT, len(NODES))
 
 
 async def slow_down(system: System) -> None:
--- a/harness/latency.py
+++ b/harness/latency.py
@@ -68,9 +68,7 @@
     backend = await system.start_backend(
         "nadi-cue-1", "cue", slots=128, connections=128, service_ms=0.0
     )
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", 1)
+    await system.serve("cue", DOCUMENT, 1)
     return {
         "direct": backend.addresses["listen"],
         "own gate": system.nodes["nadi-cue-1"].addresses["callers"],
--- a/harness/routing_faults.py
+++ b/harness/routing_faults.py
@@ -48,9 +48,7 @@
         node = f"suva-cue-{number}"
         await system.start_node(node, "suva")
         await system.start_backend(node, "cue", slots=SLOTS, service_ms=SERVICE_MS)
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", SERVERS)
+    await system.serve("cue", DOCUMENT, SERVERS)
 
 
 def _load(system: System) -> dict:
--- a/harness/system.py
+++ b/harness/system.py
@@ -195,6 +195,12 @@
         """Put a document through the administration API."""
         return await self.admin.put(service, text, revision, f"{service}-{revision}")
 
+    async def serve(self, service: str, text: str, servers: int) -> None:
+        """Put a document and wait until every node can route its service."""
+        await self.put_document(service, text)
+        await self.wait_for_document(service, 1)
+        await self.wait_for_members(service, servers)
+
     async def send(
         self, node: str, request: HttpRequest, listener: str = "callers"
     ) -> Result[HttpAnswer, Refusal]:
--- a/tests/portal.py
+++ b/tests/portal.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from harness.system import open_system
+
 
 class Portal:
     """Call into a loop that runs in a thread of its own."""
@@ -49,3 +51,11 @@
     finally:
         trio.from_thread.run_sync(stop.set, trio_token=portal._token)
         thread.join()
+
+
+@contextmanager
+def open_running(start: Callable):
+    """Start a system in a loop of its own; yield a portal and the system."""
+    with open_portal(open_system) as (portal, system):
+        portal.run(start, system)
+        yield portal, system
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -31,11 +31,6 @@
         yield portal, scene
 
 
-@pytest.fixture
-def context() -> dict:
-    return {}
-
-
 def run_operator(scene, who: str, *arguments: str) -> subprocess.CompletedProcess:
     """Run persimmonhall with the token of a team."""
     addresses = [str(c.addresses["admin"]) for c in scene.system.control.values()]
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,9 +8,9 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 from returns.result import Success
 
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from tests.portal import open_portal
+from tests.portal import open_running
 
 scenarios("features/admission.feature")
 
@@ -80,21 +80,13 @@
     await system.start_node(ENTRY, "suva")
     await system.start_node(GATE, "nadi")
     await system.start_backend(GATE, "cue", slots=2, service_ms=SERVICE_MS)
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", 1)
+    await system.serve("cue", DOCUMENT, 1)
 
 
 @pytest.fixture(scope="module")
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
-
-
-@pytest.fixture
-def context() -> dict:
-    return {}
+    with open_running(_start) as running:
+        yield running
 
 
 async def _send(system: System, request: tuple[str, str], entry: str = ENTRY) -> Sent:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -9,10 +9,10 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 from returns.result import Success
 
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.errors import ErrorKind
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from tests.portal import open_portal
+from tests.portal import open_running
 
 scenarios("features/at_most_once.feature")
 
@@ -248,16 +248,13 @@
     for node in GATES:
         run_log = str(system.folder / f"{node}.runs")
         await system.start_backend(node, "cue", run_log=run_log)
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", len(GATES))
+    await system.serve("cue", DOCUMENT, len(GATES))
 
 
 @pytest.fixture(scope="module")
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
+    with open_running(_start) as running:
+        yield running
 
 
 @pytest.fixture
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -25,11 +25,6 @@
         yield portal, scene
 
 
-@pytest.fixture
-def context() -> dict:
-    return {}
-
-
 def log_of(scene, name: str = "control-1"):
     """Return the log file of a control VM."""
     return scene.system.folder / f"{name}.data" / LOG_FILE
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -124,9 +124,7 @@
     for node, zone in NODES.items():
         await system.start_node(node, zone)
         await system.start_backend(node, "cue", service_ms=SERVICE_MS, slots=SLOTS)
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", len(NODES))
+    await system.serve("cue", DOCUMENT, len(NODES))
 
 
 @pytest.fixture(scope="module")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,10 +8,10 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from harness.processes import Running
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.http.messages import HttpRequest
 from tests.builders import CUE_DOCUMENT
-from tests.portal import open_portal
+from tests.portal import open_running
 from tests.sender import Sender
 
 scenarios("features/leaving.feature")
@@ -44,14 +44,8 @@
 
 @pytest.fixture
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
-
-
-@pytest.fixture
-def context() -> dict:
-    return {}
+    with open_running(_start) as running:
+        yield running
 
 
 @given("four nodes in two zones with servers of cue and of reels that call cue")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,11 +6,11 @@
 import trio
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.cli.node_client import document_status
 from persimmonhall.http.messages import HttpRequest
 from tests.builders import CUE_DOCUMENT
-from tests.portal import open_portal
+from tests.portal import open_running
 
 scenarios("features/membership.feature")
 
@@ -33,21 +33,13 @@
     for node in NODES:
         await system.start_node(node, node.partition("-")[0])
         await system.start_backend(node, "cue")
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", 3)
+    await system.serve("cue", DOCUMENT, 3)
 
 
 @pytest.fixture
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
-
-
-@pytest.fixture
-def context() -> dict:
-    return {}
+    with open_running(_start) as running:
+        yield running
 
 
 @given("three nodes in two zones, each with a server of cue")
--- a/tests/test_ran.py
+++ b/tests/test_ran.py
@@ -37,14 +37,7 @@
         log = str(system.folder / f"{node}.runs")
         await system.start_node(node, "suva")
         await system.start_backend(node, "cue", service_ms=SERVICE_MS, run_log=log)
-    await system.put_document("cue", DOCUMENT)
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", len(SERVERS))
-
-
-@pytest.fixture
-def context() -> dict:
-    return {}
+    await system.serve("cue", DOCUMENT, len(SERVERS))
 
 
 @pytest.fixture
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -3,9 +3,9 @@
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.http.messages import HttpRequest
-from tests.portal import open_portal
+from tests.portal import open_running
 
 scenarios("features/retries.feature")
 
@@ -49,9 +49,8 @@
 
 @pytest.fixture(scope="module")
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
+    with open_running(_start) as running:
+        yield running
 
 
 @pytest.fixture
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -7,11 +7,11 @@
 import trio
 from pytest_bdd import given, parsers, scenarios, then, when
 
-from harness.system import System, open_system
+from harness.system import System
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.wire.frames import HEADER, MAX_FRAME_BYTES, PREAMBLE, Channel
 from tests.builders import CUE_DOCUMENT
-from tests.portal import open_portal
+from tests.portal import open_running
 
 scenarios("features/whole_path.feature")
 
@@ -47,21 +47,13 @@
     await system.start_node("suva-cue-1", "suva")
     await system.start_node("nadi-cue-1", "nadi")
     await system.start_backend("nadi-cue-1", "cue")
-    await system.put_document("cue", CUE_DOCUMENT.replace("publishing", "operators"))
-    await system.wait_for_document("cue", 1)
-    await system.wait_for_members("cue", 1)
+    await system.serve("cue", CUE_DOCUMENT.replace("publishing", "operators"), 1)
 
 
 @pytest.fixture(scope="module")
 def running():
-    with open_portal(open_system) as (portal, system):
-        portal.run(_start, system)
-        yield portal, system
-
-
-@pytest.fixture
-def context() -> dict:
-    return {}
+    with open_running(_start) as running:
+        yield running
 
 
 @given("control, two nodes in two zones and a backend server of cue in nadi")
