Split the links; end messages that wait for room when the connection ends

Cause: a message longer than the queue waited for room for ever once its connection had ended, until its caller's deadline. Found by reading. The new test timed out before the change. Link, server side and frame writer are a module each now.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -29,7 +29,8 @@
 from persimmonhall.settings import ControlSection, ControlSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import LinkPool, serve_links
+from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link_server import serve_links
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/document/tests/test_fetch.py
+++ b/persimmonhall/document/tests/test_fetch.py
@@ -7,7 +7,8 @@
 from persimmonhall.control.client import ControlClient
 from persimmonhall.control.messages import REPLIES, Documents
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import LinkPool, serve_links
+from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link_server import serve_links
 
 ANY_PORT = Address("127.0.0.1", 0)
 
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -38,7 +38,8 @@
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import LinkPool, serve_links
+from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link_server import serve_links
 
 SETTLE_S = 5.0
 
--- /dev/null
+++ b/persimmonhall/wire/frame_writer.py
@@ -0,0 +1,69 @@
+"""Write the frames of many exchanges to one connection."""
+
+from collections import deque
+
+import trio
+
+from persimmonhall.wire.direct_stream import DirectStream
+from persimmonhall.wire.frames import Channel, Frame, FrameKind, encode_frame
+
+CHUNK_BYTES = 64 * 1024
+MAX_QUEUED_FRAMES = 16
+
+
+class FrameWriter:
+    """Write whole frames in turn, whoever is cancelled meanwhile."""
+
+    def __init__(self, stream: DirectStream):
+        self._stream = stream
+        self._frames: deque[bytes] = deque()
+        self._work = trio.Event()
+        self._room = trio.Event()
+        self._closed = False
+
+    async def run(self) -> None:
+        """Write until the connection ends."""
+        while True:
+            while not self._frames:
+                self._work = trio.Event()
+                await self._work.wait()
+            await self._stream.send_all(self._frames[0])
+            self._frames.popleft()
+            self._room.set()
+
+    def close(self) -> None:
+        """End the messages that wait for room."""
+        self._closed = True
+        self._room.set()
+
+    async def write(
+        self,
+        part: FrameKind,
+        end: FrameKind,
+        channel: Channel,
+        exchange: int,
+        payload: bytes,
+    ) -> None:
+        """Queue one message, chunk by chunk; raise ClosedResourceError at the end."""
+        last = max(0, (len(payload) - 1) // CHUNK_BYTES)
+        for number in range(last + 1):
+            chunk = payload[number * CHUNK_BYTES : (number + 1) * CHUNK_BYTES]
+            kind = end if number == last else part
+            await self._wait_for_room()
+            self._queue(Frame(kind, channel, exchange, chunk))
+
+    async def _wait_for_room(self) -> None:
+        while len(self._frames) >= MAX_QUEUED_FRAMES and not self._closed:
+            if self._room.is_set():
+                self._room = trio.Event()
+            await self._room.wait()
+        if self._closed:
+            raise trio.ClosedResourceError("the connection has ended")
+
+    def cancel(self, channel: Channel, exchange: int) -> None:
+        """Tell the peer that nobody waits for the exchange."""
+        self._queue(Frame(FrameKind.CANCEL, channel, exchange))
+
+    def _queue(self, frame: Frame) -> None:
+        self._frames.append(encode_frame(frame))
+        self._work.set()
--- a/persimmonhall/wire/frames.py
+++ b/persimmonhall/wire/frames.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import trio
+
 from persimmonhall.wire.direct_stream import DirectStream
 
 PREAMBLE = b"PSH1"
@@ -42,6 +44,9 @@
     """Signal bytes that are not a frame."""
 
 
+ENDINGS = (trio.BrokenResourceError, trio.ClosedResourceError, FrameError)
+
+
 @dataclass(frozen=True)
 class Frame:
     """Hold one part of an exchange."""
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -1,33 +1,22 @@
 """Run many exchanges at once over one TCP connection a pair of processes."""
 
 import itertools
-from collections import deque
-from collections.abc import Awaitable, Callable, Mapping
 
 import trio
-from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
 from persimmonhall.wire.direct_stream import DirectStream
+from persimmonhall.wire.frame_writer import FrameWriter
 from persimmonhall.wire.frames import (
+    ENDINGS,
     PREAMBLE,
     Channel,
-    Frame,
-    FrameError,
     FrameKind,
     FrameReader,
-    encode_frame,
 )
 
-CHUNK_BYTES = 64 * 1024
-MAX_QUEUED_FRAMES = 16
-MAX_MESSAGE_BYTES = 96 * 1024 * 1024
 CONNECT_TIMEOUT_S = 1.0
-ENDINGS = (trio.BrokenResourceError, trio.ClosedResourceError, FrameError)
-
-LinkHandler = Callable[[bytes], Awaitable[bytes]]
-Handlers = Mapping[Channel, LinkHandler]
 
 
 class LinkError:
@@ -42,53 +31,6 @@
         return self.detail
 
 
-class _Writer:
-    """Write whole frames in turn, whoever is cancelled meanwhile."""
-
-    def __init__(self, stream: DirectStream):
-        self._stream = stream
-        self._frames: deque[bytes] = deque()
-        self._work = trio.Event()
-        self._room = trio.Event()
-
-    async def run(self) -> None:
-        """Write until the connection ends."""
-        while True:
-            while not self._frames:
-                self._work = trio.Event()
-                await self._work.wait()
-            await self._stream.send_all(self._frames[0])
-            self._frames.popleft()
-            self._room.set()
-
-    async def write(
-        self,
-        part: FrameKind,
-        end: FrameKind,
-        channel: Channel,
-        exchange: int,
-        payload: bytes,
-    ) -> None:
-        """Queue one message, chunk by chunk as room comes free."""
-        last = max(0, (len(payload) - 1) // CHUNK_BYTES)
-        for number in range(last + 1):
-            chunk = payload[number * CHUNK_BYTES : (number + 1) * CHUNK_BYTES]
-            kind = end if number == last else part
-            while len(self._frames) >= MAX_QUEUED_FRAMES:
-                if self._room.is_set():
-                    self._room = trio.Event()
-                await self._room.wait()
-            self._queue(Frame(kind, channel, exchange, chunk))
-
-    def cancel(self, channel: Channel, exchange: int) -> None:
-        """Tell the peer that nobody waits for the exchange."""
-        self._queue(Frame(FrameKind.CANCEL, channel, exchange))
-
-    def _queue(self, frame: Frame) -> None:
-        self._frames.append(encode_frame(frame))
-        self._work.set()
-
-
 class _Exchange:
     """Wait for the reply of one exchange."""
 
@@ -110,7 +52,7 @@
         self._local_host = local_host
         self._exchanges: dict[int, _Exchange] = {}
         self._ids = itertools.count(1)
-        self._writer: _Writer | None = None
+        self._writer: FrameWriter | None = None
         self._closed: str | None = None
         self._ready = trio.Event()
         self._scope = trio.CancelScope()
@@ -140,7 +82,7 @@
         if stream is None:
             self._close(f"{self._address} does not accept a connection")
             return
-        self._writer = _Writer(stream)
+        self._writer = FrameWriter(stream)
         reason = "closed"
         try:
             await self._serve(stream)
@@ -189,6 +131,8 @@
     def _close(self, reason: str) -> None:
         self._closed = reason
         self._ready.set()
+        if self._writer is not None:
+            self._writer.close()
         for exchange in self._exchanges.values():
             exchange.finish(Failure(LinkError(reason, sent=True)))
 
@@ -204,6 +148,8 @@
                 FrameKind.ASK, FrameKind.ASK_END, channel, number, payload
             )
             await exchange.done.wait()
+        except trio.ClosedResourceError as error:
+            return Failure(LinkError(str(error), sent=True))
         except trio.Cancelled:
             if not self.closed:
                 self._writer.cancel(channel, number)
@@ -246,91 +192,3 @@
         link = self._links.pop(address, None)
         if link is not None:
             link.drop()
-
-
-class _LinkServer:
-    """Answer the exchanges of one incoming connection."""
-
-    def __init__(self, stream: DirectStream, handlers: Handlers):
-        self._stream = stream
-        self._handlers = handlers
-        self._writer = _Writer(stream)
-        self._parts: dict[int, list[bytes]] = {}
-        self._scopes: dict[int, trio.CancelScope] = {}
-
-    async def run(self) -> None:
-        """Serve exchanges until the connection ends."""
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._writer.run)
-                await self._read(nursery)
-                nursery.cancel_scope.cancel()
-        except* ENDINGS as group:
-            logging.warning("frame connection closed: %s", group.exceptions[0])
-        finally:
-            await self._stream.aclose()
-
-    async def _read(self, nursery: trio.Nursery) -> None:
-        reader = FrameReader(self._stream)
-        await reader.read_preamble()
-        while (frame := await reader.read()) is not None:
-            if frame.kind is FrameKind.CANCEL:
-                self._cancel(frame.exchange)
-            elif frame.kind is FrameKind.ASK:
-                self._keep(frame)
-            elif frame.kind is FrameKind.ASK_END:
-                self._keep(frame)
-                payload = b"".join(self._parts.pop(frame.exchange))
-                nursery.start_soon(self._serve, frame, payload)
-
-    def _keep(self, frame: Frame) -> None:
-        parts = self._parts.setdefault(frame.exchange, [])
-        parts.append(frame.payload)
-        if sum(map(len, parts)) > MAX_MESSAGE_BYTES:
-            raise FrameError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
-
-    def _cancel(self, exchange: int) -> None:
-        self._parts.pop(exchange, None)
-        scope = self._scopes.get(exchange)
-        if scope is not None:
-            scope.cancel()
-
-    async def _serve(self, frame: Frame, payload: bytes) -> None:
-        handler = self._handlers.get(frame.channel)
-        if handler is None:
-            raise FrameError(f"no handler for channel {frame.channel.name}")
-        with trio.CancelScope() as scope:
-            self._scopes[frame.exchange] = scope
-            try:
-                reply = await handler(payload)
-                await self._writer.write(
-                    FrameKind.REPLY,
-                    FrameKind.REPLY_END,
-                    frame.channel,
-                    frame.exchange,
-                    reply,
-                )
-            except Exception as error:
-                # A fault met by one exchange must not end the process.
-                if not isinstance(error, ValueError):
-                    logging.exception("exchange failed channel=%s", frame.channel.name)
-                raise FrameError(str(error)) from error
-            finally:
-                del self._scopes[frame.exchange]
-
-
-async def serve_links(
-    handlers: Handlers,
-    address: Address,
-    *,
-    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Answer frame connections on an address."""
-
-    async def serve(stream: trio.SocketStream) -> None:
-        await _LinkServer(DirectStream(stream), handlers).run()
-
-    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
-    host, port = listeners[0].socket.getsockname()[:2]
-    task_status.started(Address(host, port))
-    await trio.serve_listeners(serve, listeners)
--- /dev/null
+++ b/persimmonhall/wire/link_server.py
@@ -0,0 +1,111 @@
+"""Answer exchanges on incoming frame connections."""
+
+from collections.abc import Awaitable, Callable, Mapping
+
+import trio
+from absl import logging
+
+from persimmonhall.address import Address
+from persimmonhall.wire.direct_stream import DirectStream
+from persimmonhall.wire.frame_writer import FrameWriter
+from persimmonhall.wire.frames import (
+    ENDINGS,
+    Channel,
+    Frame,
+    FrameError,
+    FrameKind,
+    FrameReader,
+)
+
+MAX_MESSAGE_BYTES = 96 * 1024 * 1024
+
+LinkHandler = Callable[[bytes], Awaitable[bytes]]
+Handlers = Mapping[Channel, LinkHandler]
+
+
+class _LinkServer:
+    """Answer the exchanges of one incoming connection."""
+
+    def __init__(self, stream: DirectStream, handlers: Handlers):
+        self._stream = stream
+        self._handlers = handlers
+        self._writer = FrameWriter(stream)
+        self._parts: dict[int, list[bytes]] = {}
+        self._scopes: dict[int, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Serve exchanges until the connection ends."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._writer.run)
+                await self._read(nursery)
+                nursery.cancel_scope.cancel()
+        except* ENDINGS as group:
+            logging.warning("frame connection closed: %s", group.exceptions[0])
+        finally:
+            await self._stream.aclose()
+
+    async def _read(self, nursery: trio.Nursery) -> None:
+        reader = FrameReader(self._stream)
+        await reader.read_preamble()
+        while (frame := await reader.read()) is not None:
+            if frame.kind is FrameKind.CANCEL:
+                self._cancel(frame.exchange)
+            elif frame.kind is FrameKind.ASK:
+                self._keep(frame)
+            elif frame.kind is FrameKind.ASK_END:
+                self._keep(frame)
+                payload = b"".join(self._parts.pop(frame.exchange))
+                nursery.start_soon(self._serve, frame, payload)
+
+    def _keep(self, frame: Frame) -> None:
+        parts = self._parts.setdefault(frame.exchange, [])
+        parts.append(frame.payload)
+        if sum(map(len, parts)) > MAX_MESSAGE_BYTES:
+            raise FrameError(f"a message is over {MAX_MESSAGE_BYTES} bytes")
+
+    def _cancel(self, exchange: int) -> None:
+        self._parts.pop(exchange, None)
+        scope = self._scopes.get(exchange)
+        if scope is not None:
+            scope.cancel()
+
+    async def _serve(self, frame: Frame, payload: bytes) -> None:
+        handler = self._handlers.get(frame.channel)
+        if handler is None:
+            raise FrameError(f"no handler for channel {frame.channel.name}")
+        with trio.CancelScope() as scope:
+            self._scopes[frame.exchange] = scope
+            try:
+                reply = await handler(payload)
+                await self._writer.write(
+                    FrameKind.REPLY,
+                    FrameKind.REPLY_END,
+                    frame.channel,
+                    frame.exchange,
+                    reply,
+                )
+            except Exception as error:
+                # A fault met by one exchange must not end the process.
+                if not isinstance(error, ValueError):
+                    logging.exception("exchange failed channel=%s", frame.channel.name)
+                raise FrameError(str(error)) from error
+            finally:
+                del self._scopes[frame.exchange]
+
+
+async def serve_links(
+    handlers: Handlers,
+    address: Address,
+    *,
+    task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Answer frame connections on an address."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await _LinkServer(DirectStream(stream), handlers).run()
+
+    listeners = await trio.open_tcp_listeners(address.port, host=address.host)
+    host, port = listeners[0].socket.getsockname()[:2]
+    task_status.started(Address(host, port))
+    await trio.serve_listeners(serve, listeners)
--- a/persimmonhall/wire/tests/test_link.py
+++ b/persimmonhall/wire/tests/test_link.py
@@ -1,11 +1,16 @@
 """Check exchanges over one connection."""
 
+from functools import partial
+
 import trio
+import trio.testing
 from returns.result import Success
 
 from persimmonhall.address import Address
+from persimmonhall.wire.frame_writer import CHUNK_BYTES, MAX_QUEUED_FRAMES
 from persimmonhall.wire.frames import Channel
-from persimmonhall.wire.link import MAX_QUEUED_FRAMES, LinkPool, serve_links
+from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link_server import serve_links
 
 ANY_PORT = Address("127.0.0.1", 0)
 EXCHANGES = MAX_QUEUED_FRAMES * 20
@@ -118,3 +123,34 @@
             asking.cancel_scope.cancel()
         await wait_until(lambda: ended == [1])
         nursery.cancel_scope.cancel()
+
+
+async def test_end_of_the_connection_ends_a_message_that_waits_for_room():
+    arrived, end = trio.Event(), trio.Event()
+
+    async def read_nothing(stream: trio.SocketStream) -> None:
+        arrived.set()
+        await end.wait()
+        await trio.aclose_forcefully(stream)
+
+    async with trio.open_nursery() as nursery:
+        serve = partial(trio.serve_tcp, host="127.0.0.1")
+        listeners = await nursery.start(serve, read_nothing, 0)
+        port = listeners[0].socket.getsockname()[1]
+        links = LinkPool(nursery)
+        replies = []
+
+        async def ask() -> None:
+            payload = b"x" * CHUNK_BYTES * MAX_QUEUED_FRAMES * 10
+            address = Address("127.0.0.1", port)
+            replies.append(await links.ask(address, Channel.CALL, payload))
+
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as asking:
+                asking.start_soon(ask)
+                asking.start_soon(ask)
+                await arrived.wait()
+                await trio.testing.wait_all_tasks_blocked()
+                end.set()
+        nursery.cancel_scope.cancel()
+    assert [reply.failure().sent for reply in replies] == [True, True]
