Spare requests that were answered lately when a server dies

Ruled out: the two lost servers, whose slots other requests of that service had enough of. Change: a gate that saw a request answered in the last 60 s does not suspect it.

--- a/harness/bench_deployment.py
+++ b/harness/bench_deployment.py
@@ -22,6 +22,7 @@
 from persimmonhall.load.settings import LoadSection, LoadSettings, RequestSection
 
 RESULTS = Path("results")
+WARM_UP = Timing(before_s=6.0, trigger_s=0.1, after_s=0.1)
 TIMING = Timing(before_s=4.0, trigger_s=5.0, after_s=8.0)
 SURGE_FACTOR = 3.0
 SLOW_FACTOR = 4.0
@@ -66,7 +67,7 @@
 
 
 def load_settings(
-    system: System, deployment: Deployment, factor: float
+    system: System, deployment: Deployment, timing: Timing, factor: float
 ) -> LoadSettings:
     """Mix all kinds of request of all services over all nodes."""
     targets = tuple(node.addresses["callers"] for node in system.nodes.values())
@@ -89,7 +90,7 @@
         for service in deployment.services
         for request in service.requests
     )
-    return LoadSettings(section, TIMING.phases(factor), requests)
+    return LoadSettings(section, timing.phases(factor), requests)
 
 
 async def _set_speed(deployment: Deployment, factor: float, system: System) -> None:
@@ -199,10 +200,13 @@
     figures = []
     async with open_system() as system:
         await start_deployment(system, deployment)
+        # Cold backend servers would lower the goodput before the first trigger.
+        usual = load_settings(system, deployment, WARM_UP, factor=1.0)
+        await run_trigger(system, Trigger("warm up"), WARM_UP, usual)
         for trigger in make_triggers(deployment):
             if only and trigger.name not in only:
                 continue
-            settings = load_settings(system, deployment, trigger.factor)
+            settings = load_settings(system, deployment, TIMING, trigger.factor)
             figures.append(await run_trigger(system, trigger, TIMING, settings))
     print_figures(figures)
     RESULTS.mkdir(exist_ok=True)
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -72,7 +72,7 @@
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
-        self.executions = Executions()
+        self._executions = Executions()
         self._backend: Backend | None = None
         self._client: HttpClient | None = None
         self._make_client = make_client
@@ -86,6 +86,11 @@
         """Return the backend server, if one has announced itself."""
         return self._backend
 
+    @property
+    def executions(self) -> Executions:
+        """Return the runs in progress on the backend server."""
+        return self._executions
+
     @property
     def counters(self) -> GateCounters:
         """Return the counts since the start."""
@@ -252,7 +257,7 @@
         headers = (*pair_up(call.headers), (CHAIN_HEADER, child.encode()))
         request = HttpRequest(call.method, call.target, headers, call.body)
         deadline = trio.current_effective_deadline()
-        with self.executions.running(child.execution, deadline):
+        with self._executions.running(child.execution, deadline):
             return await client.send(backend.address, request, call.max_answer_bytes)
 
 
--- a/persimmonhall/once/crash_watch.py
+++ b/persimmonhall/once/crash_watch.py
@@ -14,6 +14,7 @@
 from persimmonhall.ids import DeathId, Fingerprint
 from persimmonhall.once.claimer import Holder
 from persimmonhall.once.crash_messages import Suspicion
+from persimmonhall.once.proven import ProvenRequests
 from persimmonhall.once.quarantine import quarantine_refusal
 from persimmonhall.once.spread import SuspectSpreader
 from persimmonhall.once.suspects import SuspectRequest, SuspectTable
@@ -52,6 +53,7 @@
         self._spreader = spreader
         self._on_death = on_death
         self._running: set[_Run] = set()
+        self._proven = ProvenRequests()
         self._suspect_turn = trio.Lock()
         self._probe_done: trio.Event | None = None
         self._died_at = -SAME_DEATH_S
@@ -97,9 +99,9 @@
 
     def _clear(self, fingerprint: Fingerprint) -> None:
         now = trio.current_time()
+        self._proven.add(fingerprint, now)
         changed = self._suspects.clear(fingerprint, now)
         if changed:
-            # A request that crashes every server never gets a whole answer.
             logging.info("suspect cleared fingerprint=%016x", fingerprint)
             self._spreader.tell_all(changed)
 
@@ -125,7 +127,12 @@
         death = DeathId(f"{self._source}/{next(self._numbers)}")
         for run in in_flight:
             run.implicated = True
-        requests = {run.request.fingerprint: run.request for run in in_flight}
+        # A request that crashes every server never gets a whole answer.
+        requests = {
+            run.request.fingerprint: run.request
+            for run in in_flight
+            if not self._proven.holds(run.request.fingerprint, now)
+        }
         suspects = self._suspects.report(death, requests.values(), now)
         for request in requests.values():
             state = self._suspects.suspicion(request.fingerprint, now)
