--- a/persimmonhall/tests/test_examples.py
+++ b/persimmonhall/tests/test_examples.py
@@ -5,10 +5,18 @@
 import pytest
 
 from persimmonhall.cli import control, node, operator
+from persimmonhall.membership.announce import parse_announcement
 from persimmonhall.status import ExitStatus
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
-DOCUMENTS = sorted(EXAMPLES.glob("*/[!cno]*.toml")) + [EXAMPLES / "vanua/cue.toml"]
+SETTINGS = {"node.toml", "control.toml", "operator.toml"}
+DOCUMENTS = [p for p in sorted(EXAMPLES.glob("*/*.toml")) if p.name not in SETTINGS]
+ANNOUNCEMENTS = [
+    line
+    for path in sorted(EXAMPLES.glob("*/announcements.txt"))
+    for line in path.read_text().splitlines()
+    if line.startswith("{")
+]
 
 
 @pytest.mark.parametrize("path", DOCUMENTS, ids=lambda p: p.name)
@@ -21,3 +29,12 @@
 def test_example_settings_pass_their_check(user, program, name):
     path = EXAMPLES / user / f"{name}.toml"
     assert program.main(["--settings", str(path), "--check"]) is ExitStatus.SUCCESS
+
+
+@pytest.mark.parametrize("line", ANNOUNCEMENTS)
+def test_example_announcement_is_taken(line):
+    assert parse_announcement(line.encode()).unwrap().slots > 0
+
+
+def test_each_user_has_four_services():
+    assert (len(DOCUMENTS), len(ANNOUNCEMENTS)) == (8, 8)
