--- a/persimmonhall/once/spread.py
+++ b/persimmonhall/once/spread.py
@@ -41,9 +41,11 @@
         self._rng = rng
         self._tells = trio.CapacityLimiter(MAX_TELLS_AT_ONCE)
 
-    def tell_all(self, suspects: tuple[Suspect, ...]) -> None:
-        """Send suspects to every known node."""
-        self._nursery.start_soon(self._tell_all, suspects)
+    def tell_all(self, suspects: tuple[Suspect, ...]) -> trio.Event:
+        """Send suspects to every known node; the event tells that all have them."""
+        told = trio.Event()
+        self._nursery.start_soon(self._tell_all, suspects, told)
+        return told
 
     async def handle(self, payload: bytes) -> bytes:
         """Take in news and answer with everything if the sender knows less."""
@@ -64,7 +66,7 @@
                 await self._compare(address)
             await trio.sleep(COMPARE_INTERVAL_S)
 
-    async def _tell_all(self, suspects: tuple[Suspect, ...]) -> None:
+    async def _tell_all(self, suspects: tuple[Suspect, ...], told: trio.Event) -> None:
         payload = encode_news(
             self._suspects.news(trio.current_time(), suspects=suspects)
         )
@@ -72,6 +74,7 @@
             for member in self._members.peers() if suspects else ():
                 address = parse_address(member.frames).unwrap()
                 nursery.start_soon(self._tell, address, payload)
+        told.set()
 
     async def _tell(self, address: Address, payload: bytes) -> None:
         async with self._tells:
