Read the processor time of a process in one place

make latency and make membership-cost each parsed it from the kernel's page; both now ask the running process. A setting of the stand-in that nothing read is gone. Seen: both measurements run on a short system; test_whole_path and the shared tests pass. The whole suite was not run again.

--- a/harness/latency.py
+++ b/harness/latency.py
@@ -1,7 +1,6 @@
 """Measure the time that the system adds to a call, side by side."""
 
 import json
-import os
 import sys
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -55,12 +54,6 @@
     return 0.0
 
 
-def processor_s(pid: int) -> float:
-    """Return the processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def _start(system: System) -> dict[str, Address]:
     await system.start_control()
     await system.start_node("suva-cue-1", "suva", "--log-level", "info")
@@ -78,12 +71,11 @@
 
 async def _measure_processor(system: System, address: Address) -> dict[str, float]:
     """Return the processor microseconds that each node spends on a call."""
-    pids = {name: node.process.pid for name, node in system.nodes.items()}
-    before = {name: processor_s(pid) for name, pid in pids.items()}
+    before = {name: node.processor_s for name, node in system.nodes.items()}
     await measure(address, REQUEST, PROCESSOR_IN_FLIGHT, PROCESSOR_CALLS)
     return {
-        name: (processor_s(pid) - before[name]) / PROCESSOR_CALLS * 1e6
-        for name, pid in pids.items()
+        name: (node.processor_s - before[name]) / PROCESSOR_CALLS * 1e6
+        for name, node in system.nodes.items()
     }
 
 
--- a/harness/membership_cost.py
+++ b/harness/membership_cost.py
@@ -21,7 +21,6 @@
 ANNOUNCE_INTERVAL_S = 1.0
 SETTLE_S = 15.0
 MEASURE_S = 30.0
-TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 SIMULATED_S = 30.0
 STEP_S = 0.1
 HEADINGS = (
@@ -46,12 +45,11 @@
     streams = dict(
         line.split(": ") for line in (folder / "io").read_text().splitlines()
     )
-    fields = (folder / "stat").read_text().rpartition(")")[2].split()
     pages = int((folder / "statm").read_text().split()[1])
     return Usage(
         datagram_bytes=(await system.status(name))["datagram_bytes"],
         stream_bytes=int(streams["rchar"]) + int(streams["wchar"]),
-        cpu_s=(int(fields[11]) + int(fields[12])) / TICKS_PER_S,
+        cpu_s=system.nodes[name].processor_s,
         rss_mb=pages * os.sysconf("SC_PAGE_SIZE") / 1e6,
     )
 
--- a/harness/processes.py
+++ b/harness/processes.py
@@ -1,6 +1,7 @@
 """Start, find and stop the processes of an experiment."""
 
 import json
+import os
 import signal
 import subprocess
 import sys
@@ -12,6 +13,7 @@
 
 from persimmonhall.address import Address, parse_address
 
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 45.0
 
@@ -49,6 +51,14 @@
     module: str
     stopping: bool = False
 
+    @property
+    def processor_s(self) -> float:
+        """Return the processor time that it has used."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        # The name in parentheses may hold spaces.
+        fields = stat.rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
     def kill(self) -> None:
         """End it at once."""
         self.process.kill()
--- a/harness/standin.py
+++ b/harness/standin.py
@@ -47,7 +47,6 @@
     connections: int = 64
     service_ms: float = 5.0
     answer_bytes: int = 200
-    queue_when_full: bool = True
     calls: tuple[str, ...] = ()
     resends: int = 0
     run_log: str = ""
