Let a connection opened before the stop send its first request

Cause: at a stop the server closed every connection that waited for a request. Ruled out: the race on kept connections (each one used in the notice of 1 s before the stop is told to close), an accept lost at the stop, a hang-up taken for another connection, the end of the drain time. Change: a connection without an answer yet gets the time of a last head (0.5 s); one that has had its answer still closes at once. The idle mark of a connection ends with its head also when the head was read earlier. Before: the new test of the server fails (empty answer).

--- a/persimmonhall/http/server.py
+++ b/persimmonhall/http/server.py
@@ -68,6 +68,7 @@
         self._idle_scope: trio.CancelScope | None = None
         self._request_scope: trio.CancelScope | None = None
         self._gone = False
+        self._has_answered = False
 
     def hang_up(self) -> None:
         """Cancel the request in progress, for its caller is gone."""
@@ -76,11 +77,16 @@
             self._request_scope.cancel()
 
     def stop_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or has arrived."""
+        """Close the connection unless a request is in progress or expected."""
+        if self._idle_scope is None or self._stream.readable:
+            return
+        if not self._has_answered:
+            # Its caller connected to send a request, which is on its way.
+            self._idle_scope.deadline = trio.current_time() + LAST_HEAD_TIMEOUT_S
+            return
         # At once: a request must not arrive between the look and the end.
-        if self._idle_scope is not None and not self._stream.readable:
-            self._stream.shut_down()
-            self._idle_scope.cancel()
+        self._stream.shut_down()
+        self._idle_scope.cancel()
 
     async def run(self, before_close: Callable[[], None]) -> None:
         """Serve requests until the connection ends."""
@@ -106,6 +112,7 @@
         if answer is None:
             return False
         await self._write(answer, head=request.method == "HEAD")
+        self._has_answered = True
         if self._http.our_state is h11.MUST_CLOSE:
             return False
         try:
@@ -140,6 +147,7 @@
             timeout_s = LAST_HEAD_TIMEOUT_S
         with trio.move_on_after(timeout_s) as self._idle_scope:
             event = await self._next_event(may_end=True)
+            self._idle_scope = None
             return event if isinstance(event, h11.Request) else None
         return None
 
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -3,6 +3,7 @@
 from functools import partial
 
 import trio
+import trio.testing
 
 from persimmonhall.address import Address
 from persimmonhall.http.client import PooledClient
@@ -48,6 +49,27 @@
     assert answers[0].unwrap().body == b"whole"
 
 
+async def test_connection_opened_before_the_stop_gets_its_first_answer():
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, (), b"whole")
+
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(
+            partial(serve_http, write_refusal=None), handler, ANY_PORT, stop
+        )
+        fresh = await trio.open_tcp_stream(address.host, address.port)
+        # Its answer shows that the connection before it was accepted too.
+        later = PooledClient(1)
+        await later.send(address, HttpRequest("GET", "/", ()), LIMIT)
+        stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        await fresh.send_all(b"GET / HTTP/1.1\r\nhost: cue\r\n\r\n")
+        with trio.fail_after(5):
+            answer = await fresh.receive_some()
+    assert answer.startswith(b"HTTP/1.1 200")
+
+
 async def test_fault_of_one_request_leaves_the_server_running():
     async def handler(request: HttpRequest) -> HttpAnswer:
         if request.target == "/fault":
