Start the nodes of a test side by side and end them at once

Each of some hundred process tests started its processes one after the other (0.8 s a node) and stopped each gracefully at the end, which is a notice of 1 s for every node and is checked by none. Ruled out: several test workers at once; ports kept for a restart could be taken by another worker. Change: start_nodes and start_backends start side by side; open_system ends its processes by kill. Tests of planned stops ask for them themselves, as before. No check changed.

--- a/harness/processes.py
+++ b/harness/processes.py
@@ -130,16 +130,13 @@
         return json.loads(done.stdout)
 
     async def stop(self) -> None:
-        """Ask every process to stop, then end what is left."""
+        """End every process and wait for its end."""
         with trio.CancelScope(shield=True), trio.move_on_after(STOP_TIMEOUT_S):
-            async with trio.open_nursery() as nursery:
-                for running in self.running.values():
-                    if running.process.returncode is None:
-                        running.thaw()
-                        nursery.start_soon(running.terminate)
-        for running in self.running.values():
-            if running.process.returncode is None:
-                running.kill()
+            for running in self.running.values():
+                if running.process.returncode is None:
+                    running.kill()
+            for running in self.running.values():
+                await running.process.wait()
 
 
 async def _read_ready(process: trio.Process, log: Path) -> dict[str, Address]:
--- a/harness/system.py
+++ b/harness/system.py
@@ -2,8 +2,9 @@
 
 import json
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
@@ -153,6 +154,25 @@
         )
         return self.nodes[name]
 
+    async def start_nodes(self, zones: Mapping[str, str], **more) -> None:
+        """Start nodes, each in its zone: one that the others know, then these."""
+        number = len(self.nodes) + 1
+        first, *others = zones
+        await self.start_node(first, zones[first], **more)
+        async with trio.open_nursery() as nursery:
+            for seed, node in enumerate(others, number + 1):
+                start = partial(self.start_node, node, zones[node], seed=seed, **more)
+                nursery.start_soon(start)
+        for node in others:
+            self.nodes[node] = self.nodes.pop(node)
+
+    async def start_backends(self, nodes: Iterable[str], service: str, **more) -> None:
+        """Start a stand-in backend server of a service beside each node."""
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                start = partial(self.start_backend, node, service, **more)
+                nursery.start_soon(start)
+
     async def start_backend(self, node: str, service: str, **more) -> Running:
         """Start a stand-in backend server beside a node."""
         settings = {
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -243,8 +243,7 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    for node, zone in NODES.items():
-        await system.start_node(node, zone)
+    await system.start_nodes(NODES)
     for node in GATES:
         run_log = str(system.folder / f"{node}.runs")
         await system.start_backend(node, "cue", run_log=run_log)
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -121,9 +121,8 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    for node, zone in NODES.items():
-        await system.start_node(node, zone)
-        await system.start_backend(node, "cue", service_ms=SERVICE_MS, slots=SLOTS)
+    await system.start_nodes(NODES)
+    await system.start_backends(NODES, "cue", service_ms=SERVICE_MS, slots=SLOTS)
     await system.serve("cue", DOCUMENT, len(NODES))
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -22,6 +22,7 @@
     "suva-reels-1": "reels",
     "nadi-reels-1": "reels",
 }
+CALLS = {"cue": [], "reels": ["cue/segments/7"]}
 LOAD_BEFORE_S = 0.5
 SERVICE_MS = 60.0
 SLOTS = 40
@@ -29,13 +30,12 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    for node, service in NODES.items():
-        await system.start_node(node, node.partition("-")[0], drain_seconds=8.0)
-        calls = ["cue/segments/7"] if service == "reels" else []
-        await system.start_backend(
-            node, service, service_ms=SERVICE_MS, slots=SLOTS, calls=calls
-        )
-    for service in ("cue", "reels"):
+    zones = {node: node.partition("-")[0] for node in NODES}
+    await system.start_nodes(zones, drain_seconds=8.0)
+    for service, calls in CALLS.items():
+        nodes = [node for node in NODES if NODES[node] == service]
+        more = {"service_ms": SERVICE_MS, "slots": SLOTS, "calls": calls}
+        await system.start_backends(nodes, service, **more)
         text = CUE_DOCUMENT.replace("publishing", "operators")
         await system.put_document(service, text.replace('"cue"', f'"{service}"'))
         await system.wait_for_document(service, 1)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -30,9 +30,8 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    for node in NODES:
-        await system.start_node(node, node.partition("-")[0])
-        await system.start_backend(node, "cue")
+    await system.start_nodes({node: node.partition("-")[0] for node in NODES})
+    await system.start_backends(NODES, "cue")
     await system.serve("cue", DOCUMENT, 3)
 
 
--- a/tests/test_ran.py
+++ b/tests/test_ran.py
@@ -32,10 +32,9 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    await system.start_node(ENTRY, "suva")
+    await system.start_nodes(dict.fromkeys((ENTRY, *SERVERS), "suva"))
     for node in SERVERS:
         log = str(system.folder / f"{node}.runs")
-        await system.start_node(node, "suva")
         await system.start_backend(node, "cue", service_ms=SERVICE_MS, run_log=log)
     await system.serve("cue", DOCUMENT, len(SERVERS))
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -32,8 +32,7 @@
 
 async def _start(system: System) -> None:
     await system.start_control()
-    for level in range(DEPTH):
-        await system.start_node(_node(level), "suva")
+    await system.start_nodes({_node(level): "suva" for level in range(DEPTH)})
     for level in range(DEPTH):
         calls = [f"s{level + 1}/retries1/hop"] if level < LAST else []
         more = {"resends": 1, "calls": calls, "service_ms": 1.0}
