Bound the memory of all answers that a node holds

Cause: answers are held whole and nothing bounded their sum. 32 bundles of 16 MB at once took 662 MB at the gate. limits.max_answer_bytes in the settings was read and used by nothing. Ruled out: streaming (an answer lost half-way could not be fetched again from another server) and refusing after the run (wasted work). Change: an AnswerMemory for each role of a node lends bytes to answers; one that would pass the bound waits, the oldest goes on. The gate reads an answer only when it has room; the entry grants credit on the exchange beyond 256 kB. A caller that reads nothing for 20 s loses its connection. A planned stop also waits until the gate's answers are written. Conclusion: the sum is bounded; request bodies are still bounded one by one.

--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -22,10 +22,12 @@
 from persimmonhall.routing.router import Choice, Observation, Router
 from persimmonhall.routing.rules import Ruling, rule_on
 from persimmonhall.routing.views import CallOutcome
+from persimmonhall.wire.answer_memory import AnswerMemory, Holding
 
 RAN_HEADER = b"persimmonhall-ran"
 SHED_STATUS = 503
 MAX_REROUTES = 2
+MAX_HELD_BYTES = 64 * 1024 * 1024
 
 
 class Entry:
@@ -42,6 +44,7 @@
         self_limit: SelfLimit,
         executions: Executions,
         quarantine: SuspectRouting | None = None,
+        answers: AnswerMemory | None = None,
     ):
         self._node = node
         self._documents = documents
@@ -52,6 +55,7 @@
         self._rng = rng
         self._self_limit = self_limit
         self._executions = executions
+        self._answers = answers or AnswerMemory(MAX_HELD_BYTES)
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -64,12 +68,21 @@
                 refusal = self._quarantine.refusal(plan.fingerprint)
                 if refusal is not None:
                     return problem_answer(refusal, self._rng)
-                reply = await self._run(request, plan)
+                return await self._answer(request, plan)
+
+    async def _answer(self, request: HttpRequest, plan: Plan) -> HttpAnswer:
+        holding = self._answers.open()
+        try:
+            reply = await self._run(request, plan, holding)
+        except BaseException:
+            holding.close()
+            raise
         if isinstance(reply, Answered):
-            return _pass_on(reply)
+            return _pass_on(reply, holding)
+        holding.close()
         return problem_answer(reply.refusal, self._rng)
 
-    async def _run(self, request: HttpRequest, plan: Plan) -> Reply:
+    async def _run(self, request: HttpRequest, plan: Plan, holding: Holding) -> Reply:
         refusal = self._self_limit.refusal(plan.chain.worth, plan.chain.root)
         if refusal is not None:
             return refused(refusal, NO_LOAD)
@@ -81,7 +94,7 @@
             return refused(refuse(kind, detail, ran=Ran.NO), NO_LOAD)
         deadline = now + plan.budget_ms / 1000
         self._retries.open(plan, deadline)
-        attempts = _Attempts()
+        attempts = _Attempts(holding)
         reply: Reply | None = None
         try:
             with trio.move_on_at(deadline):
@@ -148,9 +161,10 @@
         call = make_call(request, plan, max(0, int((deadline - start) * 1000)))
         attempts.tried.append(node)
         attempts.in_flight = True
+        attempts.holding.clear()
         reply: Reply | None = None
         try:
-            reply = await self._gates.call(choice.member, call)
+            reply = await self._gates.call(choice.member, call, attempts.holding)
         finally:
             now = trio.current_time()
             outcome = outcome_of(reply) if reply else _outcome_at(now, deadline)
@@ -164,7 +178,8 @@
 class _Attempts:
     """Collect what the attempts of one request came to."""
 
-    def __init__(self):
+    def __init__(self, holding: Holding):
+        self.holding = holding
         self.tried: list[NodeName] = []
         self.reroutes = 0
         self.in_flight = False
@@ -197,13 +212,12 @@
     return CallOutcome.TIMED_OUT if now >= deadline else CallOutcome.CANCELLED
 
 
-def _pass_on(reply: Answered) -> HttpAnswer:
+def _pass_on(reply: Answered, holding: Holding) -> HttpAnswer:
     """Pass a backend server's answer on; its 503 does not prove it did nothing."""
     ran = Ran.UNKNOWN if reply.status == SHED_STATUS else Ran.YES
     headers = tuple(h for h in pair_up(reply.headers) if h[0] != RAN_HEADER)
-    return HttpAnswer(
-        reply.status, (*headers, (RAN_HEADER, ran.value.encode())), reply.body
-    )
+    headers = (*headers, (RAN_HEADER, ran.value.encode()))
+    return HttpAnswer(reply.status, headers, reply.body, holding)
 
 
 def _no_server(plan: Plan) -> Reply:
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -33,8 +33,11 @@
 from persimmonhall.ids import ServiceName
 from persimmonhall.once.answers import is_replayed
 from persimmonhall.once.runner import DirectRunner, Runner
+from persimmonhall.wire.answer_memory import AnswerMemory, Holding
+from persimmonhall.wire.link_server import HeldReply
 
 SHED_STATUS = 503
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 NOT_SENT = frozenset(
     {
         ErrorKind.NO_SERVER,
@@ -66,6 +69,8 @@
         self_limit: SelfLimit | None = None,
         runner: Runner | None = None,
         make_client: Callable[[int], HttpClient] = PooledClient,
+        answers: AnswerMemory | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ):
         self._runner = runner or DirectRunner()
         self._admission = Admission()
@@ -76,6 +81,8 @@
         self._backend: Backend | None = None
         self._client: HttpClient | None = None
         self._make_client = make_client
+        self._answers = answers or AnswerMemory(MAX_ANSWER_BYTES)
+        self._max_answer_bytes = max_answer_bytes
         self._connect_failed = False
         self._leaving = False
         self._calls = 0
@@ -127,16 +134,24 @@
         with trio.move_on_after(timeout_s):
             while self._calls:
                 await self._changed.wait()
+            await self._answers.wait_idle()
 
-    async def handle(self, payload: bytes) -> bytes:
+    async def handle(self, payload: bytes) -> HeldReply:
         """Answer a call that came as bytes."""
-        return REPLIES.encode(await self.run(decode_call(payload)))
+        call = decode_call(payload)
+        holding = self._answers.open()
+        try:
+            reply = REPLIES.encode(await self.run(call, holding))
+        except BaseException:
+            holding.close()
+            raise
+        return HeldReply(reply, holding.close)
 
-    async def run(self, call: Call) -> Reply:
+    async def run(self, call: Call, holding: Holding | None = None) -> Reply:
         """Admit and run one call within its remaining time."""
         self._calls += 1
         try:
-            return await self._run_in_time(self._rank(call))
+            return await self._run_in_time(self._rank(call), holding)
         finally:
             self._calls -= 1
             self._changed.set()
@@ -181,7 +196,7 @@
         )
         return replace(call, worth=worth)
 
-    async def _run_in_time(self, call: Call) -> Reply:
+    async def _run_in_time(self, call: Call, holding: Holding | None) -> Reply:
         started = False
         with trio.move_on_after(call.remaining_ms / 1000) as scope:
             match await self._admit(call, scope.deadline):
@@ -189,7 +204,7 @@
                     return refused(refusal, self.load)
                 case Success(admitted):
                     started = True
-                    return await self._run_admitted(call, admitted)
+                    return await self._run_admitted(call, admitted, holding)
         ran = Ran.UNKNOWN if started else Ran.NO
         refusal = refuse(ErrorKind.DEADLINE_EXCEEDED, "no time was left", ran=ran)
         return refused(refusal, self.load)
@@ -214,10 +229,12 @@
             or self._runner.refusal(call)
         )
 
-    async def _run_admitted(self, call: Call, admitted: Admitted) -> Reply:
+    async def _run_admitted(
+        self, call: Call, admitted: Admitted, holding: Holding | None
+    ) -> Reply:
         outcome = Outcome.CANCELLED
         try:
-            result = await self._send_once(call)
+            result = await self._send_once(call, holding)
             outcome = _outcome_of(result)
         finally:
             self._admission.finish(admitted, outcome)
@@ -241,13 +258,18 @@
             refusal.detail,
         )
 
-    async def _send_once(self, call: Call) -> Result[HttpAnswer, Refusal]:
+    async def _send_once(
+        self, call: Call, holding: Holding | None
+    ) -> Result[HttpAnswer, Refusal]:
         if self._backend is None:
             return Failure(_backend_gone())
         address = self._backend.address
-        return await self._runner.run(call, address, partial(self._send, call))
+        send = partial(self._send, call, holding)
+        return await self._runner.run(call, address, send)
 
-    async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
+    async def _send(
+        self, call: Call, holding: Holding | None
+    ) -> Result[HttpAnswer, Refusal]:
         backend, client = self._backend, self._client
         if backend is None or client is None:
             return Failure(_backend_gone())
@@ -258,7 +280,8 @@
         request = HttpRequest(call.method, call.target, headers, call.body)
         deadline = trio.current_effective_deadline()
         with self._executions.running(child.execution, deadline):
-            return await client.send(backend.address, request, call.max_answer_bytes)
+            limit = min(call.max_answer_bytes, self._max_answer_bytes)
+            return await client.send(backend.address, request, limit, holding)
 
 
 def _backend_gone() -> Refusal:
--- a/persimmonhall/call/gates.py
+++ b/persimmonhall/call/gates.py
@@ -18,6 +18,7 @@
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import NodeName
 from persimmonhall.membership.messages import Member
+from persimmonhall.wire.answer_memory import Holding
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkError, LinkPool
 
@@ -34,26 +35,31 @@
         self._gate = gate
         self._links = links
 
-    async def call(self, member: Member, call: Call) -> Reply:
+    async def call(
+        self, member: Member, call: Call, holding: Holding | None = None
+    ) -> Reply:
         """Run a call at the gate of a member within its remaining time."""
         with trio.move_on_after(call.remaining_ms / 1000):
-            return await self._call(member, _leave_margin(call))
+            return await self._call(member, _leave_margin(call), holding)
         detail = f"{member.node} did not answer"
         refusal = refuse(ErrorKind.DEADLINE_EXCEEDED, detail, ran=Ran.UNKNOWN)
         return refused(refusal, NO_LOAD)
 
-    async def _call(self, member: Member, call: Call) -> Reply:
+    async def _call(self, member: Member, call: Call, holding: Holding | None) -> Reply:
         if member.node == self._own:
-            return await self._gate.run(call)
+            return await self._gate.run(call, holding)
         match parse_address(member.frames):
             case Success(address):
-                return await self._call_remote(address, call)
+                return await self._call_remote(address, call, holding)
             case Failure(reason):
                 refusal = refuse(ErrorKind.CONNECT_FAILED, reason, ran=Ran.NO)
                 return refused(refusal, NO_LOAD)
 
-    async def _call_remote(self, address: Address, call: Call) -> Reply:
-        match await self._links.ask(address, Channel.CALL, encode_call(call)):
+    async def _call_remote(
+        self, address: Address, call: Call, holding: Holding | None
+    ) -> Reply:
+        payload = encode_call(call)
+        match await self._links.ask(address, Channel.CALL, payload, holding):
             case Success(data):
                 return _read_reply(data)
             case Failure(error):
--- a/persimmonhall/call/tests/hops.py
+++ b/persimmonhall/call/tests/hops.py
@@ -26,6 +26,7 @@
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
 from persimmonhall.routing.tokens import Tokens
+from persimmonhall.wire.answer_memory import Holding
 from persimmonhall.wire.link import LinkError
 from tests.builders import make_held, make_member, merge_members
 
@@ -139,7 +140,7 @@
             return Failure(LinkError("no such node", sent=False))
         return Success(await tokens.handle(payload))
 
-    async def call(self, member: Member, call: Call) -> Reply:
+    async def call(self, member: Member, call: Call, holding: Holding) -> Reply:
         """Stand in for the gate of a member and its backend server."""
         self.calls.append(call)
         fault = self._fault_of(call.target, member.node)
--- a/persimmonhall/call/tests/test_backend_answers.py
+++ b/persimmonhall/call/tests/test_backend_answers.py
@@ -12,6 +12,7 @@
 from persimmonhall.call.messages import Answered
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import ServiceName
+from persimmonhall.wire.answer_memory import AnswerMemory
 from tests.builders import make_call
 
 TIMEOUT_S = 5.0
@@ -129,6 +130,30 @@
             assert not isinstance(reply, Answered) or reply.body == b"ok"
 
 
+async def test_answer_waits_until_the_gate_has_memory_for_it():
+    async def script(stream):
+        await stream.receive_some()
+        await stream.send_all(OK + b"Content-Length: 1000\r\n\r\n" + b"a" * 1000)
+
+    memory = AnswerMemory(1000)
+    first = memory.open()
+    await first.grow_to(1)
+    replies = []
+    async with _open_gate(script) as gate, trio.open_nursery() as nursery:
+
+        async def run() -> None:
+            replies.append(await gate.run(make_call(), memory.open()))
+
+        nursery.start_soon(run)
+        with trio.fail_after(TIMEOUT_S):
+            while not memory.waits:
+                await trio.sleep(0.001)
+        assert replies == []
+        first.close()
+    assert isinstance(replies[0], Answered)
+    assert memory.used_bytes == 1000
+
+
 async def test_answer_over_its_limit_is_refused_whole():
     async def script(stream):
         await stream.receive_some()
--- a/persimmonhall/call/tests/test_gate.py
+++ b/persimmonhall/call/tests/test_gate.py
@@ -25,7 +25,7 @@
         self.release = trio.Event()
         self.requests: list[HttpRequest] = []
 
-    async def send(self, address, request, max_answer_bytes) -> Result:
+    async def send(self, address, request, max_answer_bytes, holding) -> Result:
         """Answer once released."""
         self.requests.append(request)
         await self.release.wait()
--- a/persimmonhall/call/tests/test_ran.py
+++ b/persimmonhall/call/tests/test_ran.py
@@ -52,7 +52,7 @@
 
     script: list
 
-    async def call(self, member, call):
+    async def call(self, member, call, holding):
         self.calls.append(call)
         reply = self.script[len(self.calls) - 1]
         if reply is NEVER:
--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -10,7 +10,13 @@
 
 from persimmonhall.address import Address
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
-from persimmonhall.http.messages import HttpAnswer, HttpRequest, end_to_end
+from persimmonhall.http.messages import (
+    HttpAnswer,
+    HttpRequest,
+    end_to_end,
+    first_header,
+)
+from persimmonhall.wire.answer_memory import Holding
 from persimmonhall.wire.direct_stream import DirectStream
 
 CONNECT_TIMEOUT_S = 1.0
@@ -25,7 +31,11 @@
     """Send a request to an address and return its whole answer."""
 
     async def send(
-        self, address: Address, request: HttpRequest, max_answer_bytes: int
+        self,
+        address: Address,
+        request: HttpRequest,
+        max_answer_bytes: int,
+        holding: Holding | None = None,
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request and return its whole answer."""
 
@@ -55,7 +65,7 @@
         await self._stream.aclose()
 
     async def exchange(
-        self, request: HttpRequest, limit: int
+        self, request: HttpRequest, limit: int, holding: Holding | None
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request and return its whole answer."""
         # A server may answer and close before it has read the whole body.
@@ -69,7 +79,7 @@
             return Failure(self._lost(error))
         if head is None:
             return Failure(self._lost("it ended before an answer"))
-        return await self._read_answer(head, request, limit)
+        return await self._read_answer(head, request, limit, holding)
 
     def _encode(self, request: HttpRequest) -> bytes:
         headers = [(k, v) for k, v in request.headers if k != b"content-length"]
@@ -93,12 +103,21 @@
             return event if isinstance(event, h11.Response) else None
 
     async def _read_answer(
-        self, head: h11.Response, request: HttpRequest, limit: int
+        self,
+        head: h11.Response,
+        request: HttpRequest,
+        limit: int,
+        holding: Holding | None,
     ) -> Result[HttpAnswer, Refusal]:
         headers = tuple(head.headers)
         if not _end_is_marked(head, request):
             detail = "the answer has neither length nor chunks"
             return Failure(refuse(ErrorKind.ANSWER_CUT, detail))
+        size = _announced_size(head, request)
+        if size > limit:
+            return Failure(_too_large(limit))
+        if holding is not None:
+            await holding.grow_to(size)
         parts: list[bytes] = []
         size = 0
         while True:
@@ -110,8 +129,9 @@
                 break
             size += len(event.data)
             if size > limit:
-                detail = f"the answer is over {limit} bytes"
-                return Failure(refuse(ErrorKind.ANSWER_TOO_LARGE, detail))
+                return Failure(_too_large(limit))
+            if holding is not None:
+                await holding.grow_to(size)
             parts.append(bytes(event.data))
         self._prepare_next()
         return Success(
@@ -145,6 +165,18 @@
     return b"content-length" in names or b"transfer-encoding" in names
 
 
+def _announced_size(head: h11.Response, request: HttpRequest) -> int:
+    """Return the size in bytes that the head tells, or 0."""
+    if request.method == "HEAD" or head.status_code in NO_BODY_STATUSES:
+        return 0
+    return int(first_header(tuple(head.headers), b"content-length") or 0)
+
+
+def _too_large(limit: int) -> Refusal:
+    detail = f"the answer is over {limit} bytes"
+    return refuse(ErrorKind.ANSWER_TOO_LARGE, detail)
+
+
 class PooledClient:
     """Keep idle connections to each address and reuse the latest."""
 
@@ -153,7 +185,11 @@
         self._permits = trio.CapacityLimiter(max_connections)
 
     async def send(
-        self, address: Address, request: HttpRequest, max_answer_bytes: int
+        self,
+        address: Address,
+        request: HttpRequest,
+        max_answer_bytes: int,
+        holding: Holding | None = None,
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request and return its whole answer."""
         async with self._permits:
@@ -162,7 +198,7 @@
                 detail = f"no connection to {address}"
                 return Failure(refuse(ErrorKind.CONNECT_FAILED, detail))
             try:
-                return await connection.exchange(request, max_answer_bytes)
+                return await connection.exchange(request, max_answer_bytes, holding)
             finally:
                 await self._give_back(address, connection)
 
--- a/persimmonhall/http/messages.py
+++ b/persimmonhall/http/messages.py
@@ -1,7 +1,9 @@
 """Define HTTP requests and answers held whole."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from persimmonhall.wire.answer_memory import Holding
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
@@ -40,6 +42,12 @@
     status: int
     headers: Headers
     body: bytes = b""
+    holding: Holding | None = field(default=None, compare=False, repr=False)
+
+    def close(self) -> None:
+        """Give back the memory that is counted for the answer."""
+        if self.holding is not None:
+            self.holding.close()
 
     def header(self, name: bytes) -> str | None:
         """Return the first header of that lower-case name."""
--- a/persimmonhall/http/server.py
+++ b/persimmonhall/http/server.py
@@ -20,6 +20,8 @@
 IDLE_TIMEOUT_S = 60.0
 READ_TIMEOUT_S = 20.0
 LAST_HEAD_TIMEOUT_S = 0.5
+WRITE_TIMEOUT_S = 20.0
+WRITE_BYTES = 64 * 1024
 BACKLOG = 1024
 
 
@@ -111,7 +113,10 @@
         answer = await self._answer_unless_gone(request)
         if answer is None:
             return False
-        await self._write(answer, head=request.method == "HEAD")
+        try:
+            await self._write(answer, head=request.method == "HEAD")
+        finally:
+            answer.close()
         self._has_answered = True
         if self._http.our_state is h11.MUST_CLOSE:
             return False
@@ -220,10 +225,24 @@
             headers.append((b"connection", b"close"))
         response = h11.Response(status_code=answer.status, headers=headers)
         data = self._http.send(response)
+        body = b""
         if answer.body and not head:
-            data += self._http.send(h11.Data(data=answer.body))
-        data += self._http.send(h11.EndOfMessage())
+            body = self._http.send(h11.Data(data=answer.body))
+        self._http.send(h11.EndOfMessage())
+        if len(body) <= WRITE_BYTES:
+            await self._stream.send_all(data + body)
+            return
         await self._stream.send_all(data)
+        await self._write_body(memoryview(body))
+
+    async def _write_body(self, body: memoryview) -> None:
+        # A caller that reads nothing must not keep an answer in memory for ever.
+        for start in range(0, len(body), WRITE_BYTES):
+            with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
+                await self._stream.send_all(body[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                logging.info("caller reads no answer; the connection is closed")
+                raise trio.BrokenResourceError("the caller reads nothing")
 
 
 async def serve_http(
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -6,12 +6,15 @@
 import trio.testing
 
 from persimmonhall.address import Address
+from persimmonhall.http import server
 from persimmonhall.http.client import PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.http.server import serve_http
+from persimmonhall.wire.answer_memory import AnswerMemory
 
 ANY_PORT = Address("127.0.0.1", 0)
 LIMIT = 1000
+LARGE_BYTES = 32 * 1024 * 1024
 
 
 async def test_stop_closes_idle_connections_and_finishes_requests_in_flight():
@@ -70,6 +73,45 @@
     assert answer.startswith(b"HTTP/1.1 200")
 
 
+async def test_answer_gives_back_its_memory_once_written_or_lost(nursery):
+    memory = AnswerMemory(LIMIT)
+
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        holding = memory.open()
+        await holding.grow_to(LARGE_BYTES)
+        return HttpAnswer(200, (), b"a" * LARGE_BYTES, holding)
+
+    serve = partial(serve_http, write_refusal=None)
+    address = await nursery.start(serve, handler, ANY_PORT, trio.Event())
+    reader = PooledClient(1)
+    answer = await reader.send(address, HttpRequest("GET", "/", ()), LARGE_BYTES)
+    assert len(answer.unwrap().body) == LARGE_BYTES
+    lost = await trio.open_tcp_stream(address.host, address.port)
+    with trio.fail_after(5):
+        await lost.send_all(b"GET / HTTP/1.1\r\nhost: cue\r\n\r\n")
+        await lost.receive_some(1)
+        assert memory.used_bytes == LARGE_BYTES
+        await lost.aclose()
+        await memory.wait_idle()
+    assert memory.used_bytes == 0
+
+
+async def test_caller_that_reads_nothing_does_not_keep_its_answer(nursery, monkeypatch):
+    monkeypatch.setattr(server, "WRITE_TIMEOUT_S", 0.01)
+    memory = AnswerMemory(LIMIT)
+
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, (), b"a" * LARGE_BYTES, memory.open())
+
+    serve = partial(serve_http, write_refusal=None)
+    address = await nursery.start(serve, handler, ANY_PORT, trio.Event())
+    caller = await trio.open_tcp_stream(address.host, address.port)
+    await caller.send_all(b"GET / HTTP/1.1\r\nhost: cue\r\n\r\n")
+    await caller.receive_some(1)
+    with trio.fail_after(5):
+        await memory.wait_idle()
+
+
 async def test_fault_of_one_request_leaves_the_server_running():
     async def handler(request: HttpRequest) -> HttpAnswer:
         if request.target == "/fault":
--- a/persimmonhall/metrics.py
+++ b/persimmonhall/metrics.py
@@ -6,14 +6,22 @@
 
 from persimmonhall.admission.counters import GateCounters
 from persimmonhall.call.messages import Load
+from persimmonhall.wire.answer_memory import AnswerMemory
 
 PREFIX = "persimmonhall_"
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
-def gate_page(counters: GateCounters, load: Load) -> bytes:
-    """Write the metrics of a gate, one a line."""
+def node_page(
+    counters: GateCounters,
+    load: Load,
+    entry_answers: AnswerMemory,
+    gate_answers: AnswerMemory,
+) -> bytes:
+    """Write the metrics of a node, one a line."""
     lines = [
+        *_held_answers("entry", entry_answers),
+        *_held_answers("gate", gate_answers),
         *_gauge("in_flight", load.in_flight),
         *_gauge("queued", load.queued),
         *_gauge("limit", load.limit),
@@ -31,6 +39,12 @@
     yield f"{PREFIX}{name} {value}"
 
 
+def _held_answers(role: str, answers: AnswerMemory) -> Iterable[str]:
+    labels = f'{{role="{role}"}}'
+    yield f"{PREFIX}held_answers_bytes{labels} {answers.used_bytes}"
+    yield f"{PREFIX}held_answers_waits_total{labels} {answers.waits}"
+
+
 def _by_worth(name: str, counts: Iterable) -> Iterable[str]:
     for worth, count in counts:
         yield f'{PREFIX}{name}_total{{worth="{worth.value}"}} {count}'
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -29,7 +29,7 @@
 from persimmonhall.membership.leave import Leaving
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
-from persimmonhall.metrics import gate_page
+from persimmonhall.metrics import node_page
 from persimmonhall.once.api import QuarantineApi
 from persimmonhall.once.service import open_once
 from persimmonhall.routing.ledger import RetryLedger
@@ -37,6 +37,7 @@
 from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
+from persimmonhall.wire.answer_memory import AnswerMemory
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.link_server import serve_links
@@ -81,7 +82,17 @@
         rate = document.critical_per_second if document is not None else 0.0
         return server_share(rate, len(table.servers_of(service)))
 
-    gate = Gate(critical_share, self_limit, once.runner)
+    limits = settings.limits
+    # Apart, so that answers on their way in never wait for answers on their way out.
+    gate_answers = AnswerMemory(limits.held_answers_bytes)
+    entry_answers = AnswerMemory(limits.held_answers_bytes)
+    gate = Gate(
+        critical_share,
+        self_limit,
+        once.runner,
+        answers=gate_answers,
+        max_answer_bytes=limits.max_answer_bytes,
+    )
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
@@ -98,6 +109,7 @@
         self_limit,
         gate.executions,
         once.quarantine,
+        entry_answers,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
@@ -108,7 +120,7 @@
         table,
         documents,
         quarantine_api,
-        lambda: gate_page(gate.counters, gate.load),
+        lambda: node_page(gate.counters, gate.load, entry_answers, gate_answers),
         stop.set,
         rng,
     )
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -42,6 +42,7 @@
     max_header_bytes: int = bounded(32 * 1024, least=1024, most=1024 * 1024)
     max_body_bytes: int = bounded(16 * 1024 * 1024, least=0, most=64 * 1024 * 1024)
     max_answer_bytes: int = bounded(32 * 1024 * 1024, least=1, most=64 * 1024 * 1024)
+    held_answers_bytes: int = bounded(64 * 1024 * 1024, least=1024 * 1024)
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/wire/frame_writer.py
+++ b/persimmonhall/wire/frame_writer.py
@@ -4,8 +4,9 @@
 
 import trio
 
+from persimmonhall.wire.credit import Credit
 from persimmonhall.wire.direct_stream import DirectStream
-from persimmonhall.wire.frames import Channel, Frame, FrameKind, encode_frame
+from persimmonhall.wire.frames import CREDIT, Channel, Frame, FrameKind, encode_frame
 
 CHUNK_BYTES = 64 * 1024
 MAX_QUEUED_FRAMES = 16
@@ -43,12 +44,15 @@
         channel: Channel,
         exchange: int,
         payload: bytes,
+        credit: Credit | None = None,
     ) -> None:
         """Queue one message, chunk by chunk; raise ClosedResourceError at the end."""
         last = max(0, (len(payload) - 1) // CHUNK_BYTES)
         for number in range(last + 1):
             chunk = payload[number * CHUNK_BYTES : (number + 1) * CHUNK_BYTES]
             kind = end if number == last else part
+            if credit is not None:
+                await credit.spend(len(chunk))
             await self._wait_for_room()
             self._queue(Frame(kind, channel, exchange, chunk))
 
@@ -60,6 +64,10 @@
         if self._closed:
             raise trio.ClosedResourceError("the connection has ended")
 
+    def grant(self, channel: Channel, exchange: int, size: int) -> None:
+        """Let the peer send more bytes of its reply."""
+        self._queue(Frame(FrameKind.CREDIT, channel, exchange, CREDIT.pack(size)))
+
     def cancel(self, channel: Channel, exchange: int) -> None:
         """Tell the peer that nobody waits for the exchange."""
         self._queue(Frame(FrameKind.CANCEL, channel, exchange))
--- a/persimmonhall/wire/frames.py
+++ b/persimmonhall/wire/frames.py
@@ -10,6 +10,7 @@
 
 PREAMBLE = b"PSH1"
 HEADER = struct.Struct("<IBBQ")
+CREDIT = struct.Struct("<I")
 MAX_FRAME_BYTES = 128 * 1024
 RECEIVE_BYTES = 64 * 1024
 
@@ -22,6 +23,7 @@
     REPLY = 3
     REPLY_END = 4
     CANCEL = 5
+    CREDIT = 6
 
 
 class Channel(Enum):
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -6,6 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
+from persimmonhall.wire.answer_memory import Holding
+from persimmonhall.wire.credit import ReplyParts
 from persimmonhall.wire.direct_stream import DirectStream
 from persimmonhall.wire.frame_writer import FrameWriter
 from persimmonhall.wire.frames import (
@@ -35,13 +37,25 @@
     """Wait for the reply of one exchange."""
 
     def __init__(self):
-        self.parts: list[bytes] = []
-        self.done = trio.Event()
+        self.parts = ReplyParts()
         self.reply: Result[bytes, LinkError] | None = None
+        self._changed = trio.Event()
+
+    def add(self, part: bytes) -> None:
+        self.parts.add(part)
+        if self.parts.due_bytes:
+            self._changed.set()
 
     def finish(self, reply: Result[bytes, LinkError]) -> None:
         self.reply = reply
-        self.done.set()
+        self._changed.set()
+
+    async def wait_credit_due(self) -> bool:
+        """Wait until the peer needs credit; return False at the end."""
+        while self.reply is None and not self.parts.due_bytes:
+            await self._changed.wait()
+            self._changed = trio.Event()
+        return self.reply is None
 
 
 class Link:
@@ -124,9 +138,9 @@
             exchange = self._exchanges.get(frame.exchange)
             if exchange is None:
                 continue
-            exchange.parts.append(frame.payload)
+            exchange.add(frame.payload)
             if frame.kind is FrameKind.REPLY_END:
-                exchange.finish(Success(b"".join(exchange.parts)))
+                exchange.finish(Success(exchange.parts.payload))
 
     def _close(self, reason: str) -> None:
         self._closed = reason
@@ -136,8 +150,10 @@
         for exchange in self._exchanges.values():
             exchange.finish(Failure(LinkError(reason, sent=True)))
 
-    async def ask(self, channel: Channel, payload: bytes) -> Result[bytes, LinkError]:
-        """Send one message and return its reply."""
+    async def ask(
+        self, channel: Channel, payload: bytes, holding: Holding | None = None
+    ) -> Result[bytes, LinkError]:
+        """Send one message and return its reply, as large as its holding allows."""
         await self._ready.wait()
         if self._closed is not None or self._writer is None:
             return Failure(LinkError(self._closed or "closed", sent=False))
@@ -147,7 +163,8 @@
             await self._writer.write(
                 FrameKind.ASK, FrameKind.ASK_END, channel, number, payload
             )
-            await exchange.done.wait()
+            while await exchange.wait_credit_due():
+                await self._grant(channel, number, exchange.parts, holding)
         except trio.ClosedResourceError as error:
             return Failure(LinkError(str(error), sent=True))
         except trio.Cancelled:
@@ -160,6 +177,15 @@
                 self.retire()
         return exchange.reply
 
+    async def _grant(
+        self, channel: Channel, number: int, parts: ReplyParts, holding: Holding | None
+    ) -> None:
+        size = parts.due_bytes
+        if holding is not None:
+            await holding.grow_to(parts.credited_bytes + size)
+        parts.grant(size)
+        self._writer.grant(channel, number, size)
+
 
 class LinkPool:
     """Keep one link to each peer and open it anew when it has ended."""
@@ -170,14 +196,18 @@
         self._links: dict[Address, Link] = {}
 
     async def ask(
-        self, address: Address, channel: Channel, payload: bytes
+        self,
+        address: Address,
+        channel: Channel,
+        payload: bytes,
+        holding: Holding | None = None,
     ) -> Result[bytes, LinkError]:
         """Send one message to a peer and return its reply."""
         link = self._links.get(address)
         if link is None or link.closed:
             link = self._links[address] = Link(address, self._local_host)
             self._nursery.start_soon(link.run)
-        return await link.ask(channel, payload)
+        return await link.ask(channel, payload, holding)
 
     def retire(self, address: Address) -> None:
         """Use a new connection to a peer from now on."""
--- a/persimmonhall/wire/link_server.py
+++ b/persimmonhall/wire/link_server.py
@@ -1,14 +1,17 @@
 """Answer exchanges on incoming frame connections."""
 
 from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
 
 import trio
 from absl import logging
 
 from persimmonhall.address import Address
+from persimmonhall.wire.credit import Credit
 from persimmonhall.wire.direct_stream import DirectStream
 from persimmonhall.wire.frame_writer import FrameWriter
 from persimmonhall.wire.frames import (
+    CREDIT,
     ENDINGS,
     Channel,
     Frame,
@@ -19,7 +22,16 @@
 
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
 
-LinkHandler = Callable[[bytes], Awaitable[bytes]]
+
+@dataclass(frozen=True)
+class HeldReply:
+    """Carry a reply and what to do once it was sent or given up."""
+
+    payload: bytes
+    close: Callable[[], None]
+
+
+LinkHandler = Callable[[bytes], Awaitable[bytes | HeldReply]]
 Handlers = Mapping[Channel, LinkHandler]
 
 
@@ -32,6 +44,7 @@
         self._writer = FrameWriter(stream)
         self._parts: dict[int, list[bytes]] = {}
         self._scopes: dict[int, trio.CancelScope] = {}
+        self._credits: dict[int, Credit] = {}
 
     async def run(self) -> None:
         """Serve exchanges until the connection ends."""
@@ -51,6 +64,8 @@
         while (frame := await reader.read()) is not None:
             if frame.kind is FrameKind.CANCEL:
                 self._cancel(frame.exchange)
+            elif frame.kind is FrameKind.CREDIT:
+                self._grant(frame)
             elif frame.kind is FrameKind.ASK:
                 self._keep(frame)
             elif frame.kind is FrameKind.ASK_END:
@@ -70,21 +85,22 @@
         if scope is not None:
             scope.cancel()
 
+    def _grant(self, frame: Frame) -> None:
+        if len(frame.payload) != CREDIT.size:
+            raise FrameError(f"a credit of {len(frame.payload)} bytes is malformed")
+        credit = self._credits.get(frame.exchange)
+        if credit is not None:
+            credit.grant(*CREDIT.unpack(frame.payload))
+
     async def _serve(self, frame: Frame, payload: bytes) -> None:
         handler = self._handlers.get(frame.channel)
         if handler is None:
             raise FrameError(f"no handler for channel {frame.channel.name}")
         with trio.CancelScope() as scope:
             self._scopes[frame.exchange] = scope
+            self._credits[frame.exchange] = Credit()
             try:
-                reply = await handler(payload)
-                await self._writer.write(
-                    FrameKind.REPLY,
-                    FrameKind.REPLY_END,
-                    frame.channel,
-                    frame.exchange,
-                    reply,
-                )
+                await self._reply(frame, await handler(payload))
             except Exception as error:
                 # A fault met by one exchange must not end the process.
                 if not isinstance(error, ValueError):
@@ -92,6 +108,26 @@
                 raise FrameError(str(error)) from error
             finally:
                 del self._scopes[frame.exchange]
+                del self._credits[frame.exchange]
+
+    async def _reply(self, frame: Frame, reply: bytes | HeldReply) -> None:
+        if isinstance(reply, HeldReply):
+            try:
+                await self._write(frame, reply.payload)
+            finally:
+                reply.close()
+        else:
+            await self._write(frame, reply)
+
+    async def _write(self, frame: Frame, payload: bytes) -> None:
+        await self._writer.write(
+            FrameKind.REPLY,
+            FrameKind.REPLY_END,
+            frame.channel,
+            frame.exchange,
+            payload,
+            self._credits[frame.exchange],
+        )
 
 
 async def serve_links(
--- a/persimmonhall/wire/tests/test_link.py
+++ b/persimmonhall/wire/tests/test_link.py
@@ -2,15 +2,24 @@
 
 from functools import partial
 
+import pytest
 import trio
 import trio.testing
 from returns.result import Success
 
 from persimmonhall.address import Address
+from persimmonhall.wire.answer_memory import AnswerMemory, Holding
+from persimmonhall.wire.credit import WINDOW_BYTES
 from persimmonhall.wire.frame_writer import CHUNK_BYTES, MAX_QUEUED_FRAMES
-from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.frames import (
+    PREAMBLE,
+    Channel,
+    Frame,
+    FrameKind,
+    encode_frame,
+)
 from persimmonhall.wire.link import LinkPool
-from persimmonhall.wire.link_server import serve_links
+from persimmonhall.wire.link_server import HeldReply, serve_links
 
 ANY_PORT = Address("127.0.0.1", 0)
 EXCHANGES = MAX_QUEUED_FRAMES * 20
@@ -69,6 +78,77 @@
     assert order == [10, 32_000_000]
 
 
+async def test_large_reply_waits_for_memory_and_a_small_one_does_not():
+    async def reply(payload: bytes) -> bytes:
+        return b"x" * int(payload)
+
+    memory = AnswerMemory(1)
+    first, second = memory.open(), memory.open()
+    await first.grow_to(1)
+    replies = []
+
+    async with trio.open_nursery() as nursery:
+        address, links = await _open(nursery, reply)
+
+        async def ask(size: int, holding: Holding) -> None:
+            payload = b"%d" % size
+            replies.append(await links.ask(address, Channel.CALL, payload, holding))
+
+        with trio.fail_after(TIMEOUT_S):
+            nursery.start_soon(ask, 1_000_000, second)
+            while not memory.waits:
+                await trio.sleep(0.01)
+            await ask(WINDOW_BYTES // 2, memory.open())
+            assert [len(reply.unwrap()) for reply in replies] == [WINDOW_BYTES // 2]
+            first.close()
+            while len(replies) < 2:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    assert len(replies[1].unwrap()) == 1_000_000
+    assert memory.used_bytes >= 1_000_000 - WINDOW_BYTES
+
+
+@pytest.mark.parametrize("end", ["written", "cancelled", "connection lost"])
+async def test_held_reply_is_closed_however_its_exchange_ends(end):
+    arrived, closed = trio.Event(), trio.Event()
+
+    async def reply(payload: bytes) -> HeldReply:
+        arrived.set()
+        return HeldReply(b"x" * 10_000_000, closed.set)
+
+    async with trio.open_nursery() as nursery:
+        address, links = await _open(nursery, reply)
+        memory = AnswerMemory(1)
+        await memory.open().grow_to(1)
+        holding = None if end == "written" else memory.open()
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as asking:
+                asking.start_soon(links.ask, address, Channel.CALL, b"", holding)
+                await arrived.wait()
+                if end == "cancelled":
+                    asking.cancel_scope.cancel()
+                if end == "connection lost":
+                    links.reset(address)
+                    asking.cancel_scope.cancel()
+            await closed.wait()
+        nursery.cancel_scope.cancel()
+
+
+async def test_malformed_credit_ends_its_connection_only():
+    async def echo(payload: bytes) -> bytes:
+        return payload
+
+    async with trio.open_nursery() as nursery:
+        address, links = await _open(nursery, echo)
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        credit = Frame(FrameKind.CREDIT, Channel.CALL, 1, b"123")
+        await stream.send_all(PREAMBLE + encode_frame(credit))
+        with trio.fail_after(TIMEOUT_S):
+            assert await stream.receive_some() == b""
+            assert await links.ask(address, Channel.CALL, b"x") == Success(b"x")
+        nursery.cancel_scope.cancel()
+
+
 async def test_cancelled_exchange_is_cancelled_at_the_peer():
     arrived, cancelled = trio.Event(), trio.Event()
 
