Remember every withdrawn claim of a key, not only the last four

Cause: a key kept the ids of its last 4 withdrawn claims. While the leader of control is frozen, every attempt on a key ends with a withdrawal; copies of the claims wait in sockets and come after the thaw. A copy whose id had been pushed out was granted to a gate that had given up: the key answered keyRunning until it expired after 24 h.

Ruled out: lost endings in the settler (the log has the releases), an order of release and claim that the table does not know (covered by a case).

Change: claim ids end with a number that grows over one run of a node, so the highest withdrawn number of a run stands for all before it; 64 runs are kept. A claim that is granted already hears its grant again whatever was withdrawn after it. The form on disk is the same.

Checked: the case "late copy after many releases" failed before (granted) and passes; the random schedules now have several claims of one node.

--- a/persimmonhall/once/claims.py
+++ b/persimmonhall/once/claims.py
@@ -28,10 +28,10 @@
     decode_claims,
     encode_claims,
 )
+from persimmonhall.once.withdrawn import is_withdrawn, withdraw
 
 MAX_CLAIMS = 250_000
 MAX_KEPT_BYTES = 32 * 1024 * 1024
-MAX_RELEASED_IDS = 4
 RELEASED_KEEP_MS = 10 * 60 * 1000
 
 Slot = tuple[ServiceName, IdempotencyKey]
@@ -81,12 +81,12 @@
             if len(self._claims) >= self._max_claims:
                 return _reply(ClaimOutcome.FULL, command)
             return self._grant(slot, command, ())
-        if command.claim in held.released:
+        if held.claim == command.claim and held.state is ClaimState.RUNNING:
+            return _reply(ClaimOutcome.GRANTED, held)
+        if is_withdrawn(held.released, command.claim):
             return _reply(ClaimOutcome.WITHDRAWN, command)
         if held.state is ClaimState.RELEASED:
             return self._grant(slot, command, held.released)
-        if held.claim == command.claim and held.state is ClaimState.RUNNING:
-            return _reply(ClaimOutcome.GRANTED, held)
         if held.fingerprint != command.fingerprint:
             return _reply(ClaimOutcome.MISMATCH, held)
         return _reply(OUTCOMES[held.state], held, held.answer)
@@ -120,7 +120,7 @@
             return
         if held.state in (ClaimState.FINISHED, ClaimState.UNKNOWN):
             return
-        released = (*held.released, command.claim)[-MAX_RELEASED_IDS:]
+        released = withdraw(held.released, command.claim)
         is_holder = held.claim == command.claim
         state = ClaimState.RELEASED if is_holder else held.state
         self._replace(slot, held, state=state, released=released)
--- a/persimmonhall/once/tests/test_claims.py
+++ b/persimmonhall/once/tests/test_claims.py
@@ -16,13 +16,26 @@
     LoseClaims,
     ReleaseKey,
 )
-from tests.builders import KEY, SERVICE, make_claim, make_finish, make_release
+from tests.builders import (
+    KEY,
+    SERVICE,
+    claim_id,
+    make_claim,
+    make_finish,
+    make_release,
+)
 
 SEEDS = range(300)
 STEPS = 60
 OTHER = {"fingerprint": Fingerprint(8)}
 UNKNOWN = ClaimState.UNKNOWN
 
+
+def by_node(number: int) -> ReleaseKey:
+    """Release one of several claims of the same node."""
+    return replace(make_release(number), claim=claim_id(number, "suva-cue-9"))
+
+
 CASES = {
     "first": ([], make_claim(1), "granted"),
     "same claim again": ([make_claim(1)], make_claim(1), "granted"),
@@ -66,6 +79,26 @@
         make_claim(1),
         "withdrawn",
     ),
+    "late copy after many releases": (
+        [make_release(number) for number in range(1, 30)],
+        make_claim(1),
+        "withdrawn",
+    ),
+    "late copy after a later release of its node": (
+        [make_release(1), by_node(2), by_node(3), by_node(4)],
+        make_claim(2, claim=claim_id(2, "suva-cue-9")),
+        "withdrawn",
+    ),
+    "later claim of a node that released": (
+        [by_node(2)],
+        make_claim(3, claim=claim_id(3, "suva-cue-9")),
+        "granted",
+    ),
+    "own claim after a later release of its node": (
+        [make_claim(2, claim=claim_id(2, "suva-cue-9")), by_node(3)],
+        make_claim(2, claim=claim_id(2, "suva-cue-9")),
+        "granted",
+    ),
     "other request": ([make_claim(1)], make_claim(2, **OTHER), "mismatch"),
     "other request after the end": (
         [make_claim(1), make_finish(1)],
@@ -143,7 +176,8 @@
         """Start an attempt, or move a message or an attempt on."""
         pick = self._rng.random()
         if pick < 0.2:
-            claim = make_claim(number, holder=f"node-{self._rng.randrange(3)}")
+            node = f"node-{self._rng.randrange(3)}"
+            claim = make_claim(number, holder=node, claim=claim_id(number, node))
             self._waiting.add(claim)
             self._wire.append(claim)
         elif pick < 0.3 and self._waiting:
--- /dev/null
+++ b/persimmonhall/once/withdrawn.py
@@ -0,0 +1,32 @@
+"""Remember which claims of a key were withdrawn, so that none is granted late.
+
+A claim's id ends with a number that grows over one run of a node's process, so
+the highest withdrawn number of a run stands for all that came before it.
+"""
+
+from persimmonhall.ids import ClaimId
+
+MAX_RUNS = 64
+
+Withdrawn = tuple[ClaimId, ...]
+
+
+def withdraw(withdrawn: Withdrawn, claim: ClaimId) -> Withdrawn:
+    """Add a claim, in place of an earlier one of the same run."""
+    if is_withdrawn(withdrawn, claim):
+        return withdrawn
+    run, _ = _split(claim)
+    others = tuple(other for other in withdrawn if _split(other)[0] != run)
+    return (*others, claim)[-MAX_RUNS:]
+
+
+def is_withdrawn(withdrawn: Withdrawn, claim: ClaimId) -> bool:
+    """Tell whether a claim or a later one of its run was withdrawn."""
+    run, number = _split(claim)
+    marks = (_split(mark) for mark in withdrawn)
+    return any(mark_run == run and mark >= number for mark_run, mark in marks)
+
+
+def _split(claim: ClaimId) -> tuple[str, int]:
+    run, _, number = claim.rpartition("/")
+    return (run, int(number)) if number.isdecimal() else (claim, 0)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -131,10 +131,15 @@
 KEY = IdempotencyKey("caller:key-1")
 
 
+def claim_id(number: int, node: str = "") -> ClaimId:
+    """Build the id of a claim, as from a node of its own unless one is given."""
+    return ClaimId(f"{node or f'suva-cue-{number}'}/1/{number}")
+
+
 def make_claim(number: int, **changes) -> ClaimKey:
     """Build the claim of one key by one attempt."""
     claim = ClaimKey(
-        claim=ClaimId(f"claim-{number}"),
+        claim=claim_id(number),
         service=SERVICE,
         key=KEY,
         fingerprint=Fingerprint(7),
@@ -147,7 +152,7 @@
 
 def make_release(number: int) -> ReleaseKey:
     """Build the release of one claim."""
-    return ReleaseKey(ClaimId(f"claim-{number}"), SERVICE, KEY)
+    return ReleaseKey(claim_id(number), SERVICE, KEY)
 
 
 def make_finish(
@@ -155,7 +160,7 @@
 ) -> FinishKey:
     """Build the end of one claim."""
     answer = KeptAnswer(200, (), body, len(body), 1, whole=True)
-    return FinishKey(ClaimId(f"claim-{number}"), SERVICE, KEY, state, answer)
+    return FinishKey(claim_id(number), SERVICE, KEY, state, answer)
 
 
 def make_suspect_request(number: int) -> SuspectRequest:
