Let claims wait for the next leader instead of refusing them

Cause: over a change of leader (1.0 to 1.8 s) keyed requests were refused needlessly: a claim waited half of the time left (0.75 s of 1.5 s), and after the first failure a gate refused at once and tried one claim each 0.5 s, also when the new leader was there. Each 0.35 s a claim was cancelled and moved to another control VM, a frozen one included.

Change, on the side of the node: - A claim waits until the run's usual time (times 1.2) is left, at most 2 s. - After 0.35 s without an answer it gives its slot back, so that other requests use the server, and is admitted again before it runs. At most 1,000 claims a node wait without a slot. - A claim is asked of one more control VM at each silence of 0.35 s and the first answer counts; asks that wait at a control VM for the next leader are no longer cancelled. It is the same claim id, so copies are harmless; a claim that may have copies and is not granted is withdrawn. - A quorum that is missing for 2 s makes claims refuse at once. A no-op command, sent until it is answered, finds the quorum back; no claim has to. - A claim whose caller leaves is withdrawn also if the cancel comes as a group. - A claim withdrawn by a later one of the same node is made once more.

Ruled out: holding on to the dead leader's address (its connection ends at once and the next control VM is asked within 20 ms).

The trial of one key moved from test_at_most_once.py to key_trial.py, unchanged.

--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -89,6 +89,10 @@
         """Return the mean service time in seconds."""
         return self._times.latest_mean
 
+    def run_s(self, kind: RequestKind) -> float:
+        """Return the service time of a kind in seconds, 0 when nothing is known."""
+        return self._times.latest(kind)
+
     def announce(self, slots: int, now: float, *, cold: bool) -> list[Verdict]:
         """Take in the slots of the backend server."""
         if cold:
--- a/persimmonhall/admission/service_times.py
+++ b/persimmonhall/admission/service_times.py
@@ -61,9 +61,17 @@
 
     def expected(self, kind: RequestKind, now: float) -> float:
         """Return the expected seconds of a kind, 0 when nothing is known."""
-        mean = self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
+        mean = self._mean_of(kind)
         return mean.aged(now) if mean is not None else 0.0
 
+    def latest(self, kind: RequestKind) -> float:
+        """Return the expected seconds as of the newest sample, without ageing."""
+        mean = self._mean_of(kind)
+        return mean.seconds if mean is not None else 0.0
+
+    def _mean_of(self, kind: RequestKind) -> _Mean | None:
+        return self._kinds.get(kind) or self._kinds.get(OTHER_KIND)
+
     def mean(self, now: float) -> float:
         """Return the expected seconds over all kinds."""
         return self._all.aged(now) if self._all is not None else 0.0
--- /dev/null
+++ b/persimmonhall/admission/slot.py
@@ -0,0 +1,55 @@
+"""Hold the place of one admitted request, also while it is given back."""
+
+from collections.abc import Callable
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.admission.admission import Admission, Admitted, Asked
+from persimmonhall.admission.messages import Outcome
+from persimmonhall.errors import Refusal
+
+
+class AdmittedSlot:
+    """Give the place back and be admitted again."""
+
+    def __init__(
+        self,
+        admission: Admission,
+        asked: Asked,
+        admitted: Admitted,
+        refusal: Callable[[], Refusal | None],
+    ):
+        self._admission = admission
+        self._asked = asked
+        self._admitted: Admitted | None = admitted
+        self._refusal = refusal
+
+    @property
+    def run_s(self) -> float:
+        """Return how long such a request usually runs, 0 if not known."""
+        return self._admission.core.run_s(self._asked.kind)
+
+    def give_back(self) -> None:
+        """Let another request use the place for now."""
+        self.finish(Outcome.NOT_RUN)
+
+    def finish(self, outcome: Outcome) -> None:
+        """Record how the request ended if it has a place."""
+        if self._admitted is not None:
+            self._admission.finish(self._admitted, outcome)
+            self._admitted = None
+
+    async def take_again(self) -> Result[None, Refusal]:
+        """Be admitted again if the place was given back."""
+        if self._admitted is not None:
+            return Success(None)
+        refusal = self._refusal()
+        if refusal is not None:
+            self._admission.count_refusal(refusal, self._asked.worth)
+            return Failure(refusal)
+        match await self._admission.admit(self._asked):
+            case Success(admitted):
+                self._admitted = admitted
+                return Success(None)
+            case failure:
+                return failure
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -8,11 +8,12 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
-from persimmonhall.admission.admission import Admission, Admitted, Asked
+from persimmonhall.admission.admission import Admission, Asked
 from persimmonhall.admission.counters import GateCounters
 from persimmonhall.admission.critical_budget import CriticalBudget
 from persimmonhall.admission.messages import Outcome, kind_of
 from persimmonhall.admission.self_limit import SelfLimit
+from persimmonhall.admission.slot import AdmittedSlot
 from persimmonhall.call.backend import Backend, BackendState
 from persimmonhall.call.chain import CHAIN_HEADER, Chain
 from persimmonhall.call.executions import Executions
@@ -187,21 +188,26 @@
             match await self._admit(call, scope.deadline):
                 case Failure(refusal):
                     return refused(refusal, self.load)
-                case Success(admitted):
+                case Success(slot):
                     started = True
-                    return await self._run_admitted(call, admitted)
+                    return await self._run_admitted(call, slot)
         ran = Ran.UNKNOWN if started else Ran.NO
         refusal = refuse(ErrorKind.DEADLINE_EXCEEDED, "no time was left", ran=ran)
         return refused(refusal, self.load)
 
-    async def _admit(self, call: Call, deadline: float) -> Result[Admitted, Refusal]:
+    async def _admit(
+        self, call: Call, deadline: float
+    ) -> Result[AdmittedSlot, Refusal]:
         refusal = self._refusal_before_queue(call)
         if refusal is not None:
             self._admission.count_refusal(refusal, call.worth)
             return Failure(refusal)
         kind = kind_of(call.method, call.target)
         asked = Asked(call.root, call.worth, call.depth, kind, deadline)
-        return await self._admission.admit(asked)
+        admitted = await self._admission.admit(asked)
+        return admitted.map(
+            lambda given: AdmittedSlot(self._admission, asked, given, self._closed)
+        )
 
     def _refusal_before_queue(self, call: Call) -> Refusal | None:
         backend = self._backend
@@ -214,13 +220,13 @@
             or self._runner.refusal(call)
         )
 
-    async def _run_admitted(self, call: Call, admitted: Admitted) -> Reply:
+    async def _run_admitted(self, call: Call, slot: AdmittedSlot) -> Reply:
         outcome = Outcome.CANCELLED
         try:
-            result = await self._send_once(call)
+            result = await self._send_once(call, slot)
             outcome = _outcome_of(result)
         finally:
-            self._admission.finish(admitted, outcome)
+            slot.finish(outcome)
         match result:
             case Success(answer):
                 return Answered(
@@ -241,11 +247,13 @@
             refusal.detail,
         )
 
-    async def _send_once(self, call: Call) -> Result[HttpAnswer, Refusal]:
+    async def _send_once(
+        self, call: Call, slot: AdmittedSlot
+    ) -> Result[HttpAnswer, Refusal]:
         if self._backend is None:
             return Failure(_backend_gone())
         address = self._backend.address
-        return await self._runner.run(call, address, partial(self._send, call))
+        return await self._runner.run(call, address, slot, partial(self._send, call))
 
     async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
         backend, client = self._backend, self._client
--- a/persimmonhall/control/client.py
+++ b/persimmonhall/control/client.py
@@ -1,5 +1,8 @@
 """Speak to the control VMs from a node."""
 
+import math
+from collections.abc import Callable
+
 import trio
 from returns.result import Failure, Result, Success
 
@@ -24,6 +27,8 @@
 
 TRY_TIMEOUT_S = 1.5
 SUBMIT_TIMEOUT_S = 5.0
+SILENCE_S = 0.35
+RESEND_PAUSE_S = 0.02
 
 
 class ControlClient:
@@ -62,19 +67,61 @@
                         break
         return Failure(refusal)
 
+    async def submit_widely(
+        self, command: Command, on_delay: Callable[[], None]
+    ) -> Result[CommandReply, Refusal]:
+        """Submit an idempotent command; ask one more control VM at each silence.
+
+        An ask that may have been lost is sent again; the caller bounds the time.
+        """
+        payload = ASKS.encode(Submit(COMMANDS.encode(command)))
+        asking = _Asking(on_delay)
+        async with trio.open_nursery() as nursery:
+            for address in tuple(self._addresses):
+                asking.under_way += 1
+                nursery.start_soon(self._ask_until_settled, address, payload, asking)
+                await asking.wait(SILENCE_S)
+                if asking.reply is not None:
+                    break
+            while asking.reply is None and asking.under_way:
+                await asking.wait(math.inf)
+            nursery.cancel_scope.cancel()
+        if asking.reply is None:
+            return Failure(asking.refusal)
+        return Success(COMMAND_REPLIES.decode(asking.reply.reply))
+
+    async def _ask_until_settled(
+        self, address: Address, payload: bytes, asking: "_Asking"
+    ) -> None:
+        self._demote(address)
+        while True:
+            match await self._ask(address, payload):
+                case Success(reply):
+                    self._prefer(address)
+                    asking.finish(reply)
+                    return
+                case Failure(refusal) if refusal.ran is Ran.NO:
+                    asking.fail(refusal)
+                    return
+            asking.on_delay()
+            await trio.sleep(RESEND_PAUSE_S)
+
     async def _try(self, address: Address, payload: bytes, timeout_s: float) -> Result:
         self._demote(address)
         with trio.move_on_after(timeout_s):
-            match await self._links.ask(address, Channel.CONTROL, payload):
-                case Success(data):
-                    return _read(REPLIES.decode(data))
-                case Failure(error):
-                    ran = Ran.UNKNOWN if error.sent else Ran.NO
-                    return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+            return await self._ask(address, payload)
         self._links.reset(address)
         detail = f"{address} did not answer in time"
         return Failure(refuse(ErrorKind.NO_QUORUM, detail, ran=Ran.UNKNOWN))
 
+    async def _ask(self, address: Address, payload: bytes) -> Result:
+        match await self._links.ask(address, Channel.CONTROL, payload):
+            case Success(data):
+                return _read(REPLIES.decode(data))
+            case Failure(error):
+                ran = Ran.UNKNOWN if error.sent else Ran.NO
+                return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+
     def _prefer(self, address: Address) -> None:
         self._addresses.remove(address)
         self._addresses.insert(0, address)
@@ -85,6 +132,39 @@
         self._addresses.append(address)
 
 
+class _Asking:
+    """Collect what the asks of one command came to."""
+
+    def __init__(self, on_delay: Callable[[], None]):
+        self.on_delay = on_delay
+        self.under_way = 0
+        self.reply: Submitted | None = None
+        self.refusal: Refusal = _no_control().failure()
+        self._changed = trio.Event()
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait until an ask came to an end, at most the timeout."""
+        with trio.move_on_after(timeout_s) as scope:
+            await self._changed.wait()
+        if scope.cancelled_caught:
+            self.on_delay()
+
+    def finish(self, reply: Submitted) -> None:
+        """Take in the reply."""
+        self.reply = reply
+        self._wake()
+
+    def fail(self, refusal: Refusal) -> None:
+        """Take in that one ask came to nothing."""
+        self.under_way -= 1
+        self.refusal = refusal
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
 def _no_control() -> Result:
     return Failure(refuse(ErrorKind.NO_QUORUM, "no control VM is configured"))
 
--- /dev/null
+++ b/persimmonhall/control/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Test at-most-once runs and quarantine."""
--- /dev/null
+++ b/persimmonhall/control/tests/test_client.py
@@ -0,0 +1,114 @@
+"""Check which control VMs a node asks when some are silent, dead or lose replies."""
+
+import math
+
+import pytest
+import trio
+from returns.result import Failure, Success
+
+from persimmonhall.address import Address
+from persimmonhall.control.client import RESEND_PAUSE_S, SILENCE_S, ControlClient
+from persimmonhall.control.messages import (
+    COMMAND_REPLIES,
+    REPLIES,
+    Declined,
+    NoOp,
+    NoReply,
+    Submitted,
+)
+from persimmonhall.errors import ErrorKind, Ran
+from persimmonhall.wire.link import LinkError
+
+VMS = tuple(Address("127.0.0.1", port) for port in (1, 2, 3))
+DONE = Success(REPLIES.encode(Submitted(COMMAND_REPLIES.encode(NoReply()))))
+DEAD = Failure(LinkError("refused", sent=False))
+LOST = Failure(LinkError("lost", sent=True))
+NO_LEADER = Success(REPLIES.encode(Declined(ErrorKind.NO_QUORUM, "none", Ran.NO)))
+SILENT = math.inf
+LEADER_AT_S = 1.2
+
+
+class FakeLinks:
+    """Answer each control VM's asks in turn, each answer at its time."""
+
+    def __init__(self, script):
+        self._script = {VMS[number]: list(steps) for number, steps in script.items()}
+        self.asks = 0
+
+    async def ask(self, address, channel, payload):
+        """Wait for the next answer of a control VM; the last one stays."""
+        self.asks += 1
+        steps = self._script[address]
+        at_s, answer = steps.pop(0) if len(steps) > 1 else steps[0]
+        await trio.sleep_until(at_s)
+        return answer
+
+
+ALL_DEAD = {0: [(0, DEAD)], 1: [(0, DEAD)], 2: [(0, DEAD)]}
+CASES = {
+    "at once": ({0: [(0, DONE)], 1: [(0, DONE)], 2: [(0, DONE)]}, 0.0, 1, False),
+    "first dead": ({0: [(0, DEAD)], 1: [(0, DONE)], 2: [(0, DONE)]}, 0.0, 2, False),
+    "first frozen": (
+        {0: [(SILENT, DONE)], 1: [(0, DONE)], 2: [(0, DONE)]},
+        SILENCE_S,
+        2,
+        True,
+    ),
+    "leader killed, the others wait for the next": (
+        {
+            0: [(0, LOST), (0, DEAD)],
+            1: [(LEADER_AT_S, DONE)],
+            2: [(LEADER_AT_S, DONE)],
+        },
+        LEADER_AT_S,
+        4,
+        True,
+    ),
+    "leader frozen, the others wait for the next": (
+        {0: [(SILENT, DONE)], 1: [(LEADER_AT_S, DONE)], 2: [(LEADER_AT_S, DONE)]},
+        LEADER_AT_S,
+        3,
+        True,
+    ),
+    "one without a leader": (
+        {0: [(0, NO_LEADER)], 1: [(0, DONE)], 2: [(0, DONE)]},
+        0.0,
+        2,
+        False,
+    ),
+    "answer lost": (
+        {0: [(0, LOST), (0, DONE)], 1: [(SILENT, DONE)], 2: [(SILENT, DONE)]},
+        RESEND_PAUSE_S,
+        2,
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+async def test_submit_widely(name, autojump_clock):
+    script, took_s, asks, delayed = CASES[name]
+    links = FakeLinks(script)
+    delays = []
+    client = ControlClient(links, VMS)
+    result = await client.submit_widely(NoOp(), lambda: delays.append(True))
+    assert result == Success(NoReply())
+    assert trio.current_time() == pytest.approx(took_s)
+    assert (links.asks, bool(delays)) == (asks, delayed)
+
+
+async def test_all_dead_is_refused_at_once(autojump_clock):
+    links = FakeLinks(ALL_DEAD)
+    result = await ControlClient(links, VMS).submit_widely(NoOp(), lambda: None)
+    assert result.failure().ran is Ran.NO
+    assert (trio.current_time(), links.asks) == (0, len(VMS))
+
+
+async def test_a_silent_control_vm_is_asked_last(autojump_clock):
+    script = {0: [(SILENT, DONE)], 1: [(0, DONE)], 2: [(0, DONE)]}
+    links = FakeLinks(script)
+    client = ControlClient(links, VMS)
+    await client.submit_widely(NoOp(), lambda: None)
+    asks = links.asks
+    await client.submit_widely(NoOp(), lambda: None)
+    assert (trio.current_time(), links.asks) == (SILENCE_S, asks + 1)
--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -2,14 +2,14 @@
 
 import itertools
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.call.messages import Call
-from persimmonhall.control.client import ControlClient
+from persimmonhall.control.client import SILENCE_S, ControlClient
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.http.messages import HttpAnswer
 from persimmonhall.ids import ClaimId, Fingerprint, NodeName
@@ -25,15 +25,19 @@
     LoseClaims,
     ReleaseKey,
 )
-from persimmonhall.once.quorum import QuorumBreaker
+from persimmonhall.once.quorum import QuorumWatch
 from persimmonhall.once.settler import Settler
+from persimmonhall.once.slot import Slot
 
 CALLER_KEY_KEEP_MS = 24 * 3600 * 1000
 DERIVED_KEY_KEEP_MS = 10 * 60 * 1000
 CLAIM_TIMEOUT_S = 2.0
-TRY_TIMEOUT_S = 0.35
-PAUSE_S = 0.02
-CLAIM_SHARE_OF_TIME_LEFT = 0.5
+RELEASE_TIMEOUT_S = 0.35
+MAX_WITHOUT_SLOT = 1000
+RUN_TIME_MARGIN = 1.2
+LEAST_WAIT_S = 0.25
+LEAST_SHARE_OF_TIME_LEFT = 0.5
+NO_QUORUM_RETRY_AFTER_S = 1.0
 
 Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
 
@@ -54,13 +58,15 @@
         holder: Holder,
         control: ControlClient,
         settler: Settler,
+        quorum: QuorumWatch,
         is_live: IsLive,
     ):
         self._holder = holder
         self._control = control
         self._settler = settler
         self._is_live = is_live
-        self._breaker = QuorumBreaker()
+        self._quorum = quorum
+        self._waiting = _Waiting()
         self._ids = itertools.count(1)
 
     def lose_earlier_runs(self) -> None:
@@ -69,21 +75,25 @@
         self._settler.settle(ending)
 
     async def run(
-        self, call: Call, fingerprint: Fingerprint, send: Send
+        self, call: Call, fingerprint: Fingerprint, slot: Slot, send: Send
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request if its key is granted to this attempt."""
         command = self._make_claim(call, fingerprint)
-        match await self._claim(command):
+        result = await self._claim(command, slot)
+        if result.map(_is_withdrawn).value_or(False):
+            # A later claim of this node was withdrawn before this one arrived.
+            command = self._make_claim(call, fingerprint)
+            result = await self._claim(command, slot)
+        match result:
             case Failure() as failure:
                 return failure
             case Success(reply):
                 _log_claim(call, reply)
-        if reply.outcome is not ClaimOutcome.GRANTED:
+        if not _is_granted(reply):
             return answer_without_run(reply, self._is_live)
-        if _time_left_s() <= 0:
-            self._release(command)
-            detail = "no time was left after the claim"
-            return Failure(refuse(ErrorKind.DEADLINE_EXCEEDED, detail, ran=Ran.NO))
+        match await self._take_slot(command, slot):
+            case Failure() as failure:
+                return failure
         return await self._run_granted(command, send)
 
     def _make_claim(self, call: Call, fingerprint: Fingerprint) -> ClaimKey:
@@ -99,34 +109,64 @@
             keep_ms=keep_ms + 2 * call.remaining_ms,
         )
 
-    async def _claim(self, command: ClaimKey) -> Result[ClaimReply, Refusal]:
-        if not self._breaker.allow(trio.current_time()):
-            return Failure(_no_quorum("the last claim found no quorum"))
-        timeout_s = min(CLAIM_TIMEOUT_S, CLAIM_SHARE_OF_TIME_LEFT * _time_left_s())
-        result = Failure(_no_quorum("the claim was not answered in time"))
+    async def _claim(
+        self, command: ClaimKey, slot: Slot
+    ) -> Result[ClaimReply, Refusal]:
+        begin = trio.current_time()
+        if self._quorum.is_lost(begin):
+            return Failure(_no_quorum("control has not answered for some time"))
+        wait_s = _longest_wait_s(_time_left_s(), slot.run_s)
+        result = Failure(
+            replace(
+                _no_quorum("the claim was not answered in time"),
+                retry_after_s=NO_QUORUM_RETRY_AFTER_S,
+            )
+        )
         try:
-            with trio.move_on_after(timeout_s):
-                result = await self._submit(command)
-        except trio.Cancelled:
+            with trio.move_on_after(wait_s):
+                result = await self._submit(command, slot)
+        except BaseException:
             self._release(command)
             raise
-        reached = isinstance(result, Success)
-        if reached or timeout_s >= TRY_TIMEOUT_S:
-            self._breaker.record(trio.current_time(), reached=reached)
-        if not reached:
-            # The claim may still be granted, but this attempt will never run.
-            self._release(command)
+        if isinstance(result, Success):
+            self._quorum.answered()
+            return result
+        if wait_s >= SILENCE_S:
+            self._quorum.unanswered(begin)
+        # The claim may still be granted, but this attempt will never run.
+        self._release(command)
         return result
 
-    async def _submit(self, command: ClaimKey) -> Result[ClaimReply, Refusal]:
-        while True:
-            with trio.move_on_after(TRY_TIMEOUT_S):
-                match await self._control.submit(command):
-                    case Success() as success:
-                        return success
-                    case Failure(refusal) if refusal.ran is Ran.NO:
-                        return Failure(_no_quorum(refusal.detail))
-            await trio.sleep(PAUSE_S)
+    async def _submit(
+        self, command: ClaimKey, slot: Slot
+    ) -> Result[ClaimReply, Refusal]:
+        delayed = _Delayed(self._waiting, slot)
+        try:
+            result = await self._control.submit_widely(command, delayed.begin)
+        finally:
+            delayed.end()
+        match result:
+            case Failure(refusal):
+                return Failure(_no_quorum(refusal.detail))
+            case Success(reply) if delayed.begun and not _is_granted(reply):
+                # A copy that comes late would be granted to nobody.
+                self._release(command)
+        return result
+
+    async def _take_slot(self, command: ClaimKey, slot: Slot) -> Result[None, Refusal]:
+        try:
+            result = await slot.take_again()
+        except BaseException:
+            self._release(command)
+            raise
+        if isinstance(result, Failure):
+            # A retry elsewhere needs the key free before this reply.
+            await self._wait_released(command)
+        elif _time_left_s() <= 0:
+            self._release(command)
+            detail = "no time was left after the claim"
+            return Failure(refuse(ErrorKind.DEADLINE_EXCEEDED, detail, ran=Ran.NO))
+        return result
 
     async def _run_granted(
         self, command: ClaimKey, send: Send
@@ -140,9 +180,7 @@
             case Success(answer):
                 self._finish(command, ClaimState.FINISHED, keep_answer(answer))
             case Failure(refusal) if refusal.ran is Ran.NO:
-                # A retry elsewhere needs the key free before this reply.
-                with trio.move_on_after(TRY_TIMEOUT_S):
-                    await self._release(command).wait()
+                await self._wait_released(command)
             case _:
                 self._finish(command, ClaimState.UNKNOWN)
         return result
@@ -152,15 +190,67 @@
             FinishKey(command.claim, command.service, command.key, state, answer)
         )
 
+    async def _wait_released(self, command: ClaimKey) -> None:
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await self._release(command).wait()
+
     def _release(self, command: ClaimKey) -> trio.Event:
         ending = ReleaseKey(command.claim, command.service, command.key)
         return self._settler.settle(ending)
 
 
+@dataclass
+class _Waiting:
+    """Count the claims that wait without a slot."""
+
+    count: int = 0
+
+
+class _Delayed:
+    """Give the slot back once control is late; too many claims keep theirs."""
+
+    def __init__(self, waiting: _Waiting, slot: Slot):
+        self._waiting = waiting
+        self._slot = slot
+        self._counted = False
+        self.begun = False
+
+    def begin(self) -> None:
+        """Take in that control is late."""
+        if self.begun:
+            return
+        self.begun = True
+        if self._waiting.count < MAX_WITHOUT_SLOT:
+            self._waiting.count += 1
+            self._counted = True
+            self._slot.give_back()
+
+    def end(self) -> None:
+        """Take in that the wait is over."""
+        self._waiting.count -= self._counted
+
+
 def _no_quorum(detail: str) -> Refusal:
     return refuse(ErrorKind.NO_QUORUM, f"the key could not be claimed: {detail}")
 
 
+def _longest_wait_s(left_s: float, run_s: float) -> float:
+    """Leave the run the time that it usually takes."""
+    least_s = LEAST_SHARE_OF_TIME_LEFT * left_s
+    if run_s <= 0:
+        return min(CLAIM_TIMEOUT_S, least_s)
+    wait_s = left_s - RUN_TIME_MARGIN * run_s
+    return min(CLAIM_TIMEOUT_S, max(wait_s, min(LEAST_WAIT_S, least_s)))
+
+
+def _is_granted(reply: ClaimReply) -> bool:
+    return reply.outcome is ClaimOutcome.GRANTED
+
+
+def _is_withdrawn(reply: ClaimReply) -> bool:
+    return reply.outcome is ClaimOutcome.WITHDRAWN
+
+
 def _time_left_s() -> float:
     return trio.current_effective_deadline() - trio.current_time()
 
--- a/persimmonhall/once/quorum.py
+++ b/persimmonhall/once/quorum.py
@@ -1,25 +1,48 @@
-"""Keep claims from waiting for a quorum that is known to be missing."""
+"""Keep claims from waiting for a quorum that has been missing for long."""
 
-PROBE_INTERVAL_S = 0.5
+import trio
+from returns.result import Success
 
+from persimmonhall.control.client import ControlClient
+from persimmonhall.control.messages import NoOp
 
-class QuorumBreaker:
-    """Let one claim in each interval through while claims fail."""
+PATIENCE_S = 2.0
+PROBE_TIMEOUT_S = 0.5
+PROBE_PAUSE_S = 0.1
 
-    def __init__(self):
-        self._failing = False
-        self._next_probe = 0.0
 
-    def allow(self, now: float) -> bool:
-        """Tell whether a claim may be tried."""
-        if not self._failing:
-            return True
-        if now < self._next_probe:
-            return False
-        self._next_probe = now + PROBE_INTERVAL_S
-        return True
+class QuorumWatch:
+    """Probe for a missing quorum, so that no claim has to wait to find it back."""
 
-    def record(self, now: float, *, reached: bool) -> None:
-        """Take in whether the quorum answered a claim."""
-        self._failing = not reached
-        self._next_probe = now + PROBE_INTERVAL_S
+    def __init__(self, control: ControlClient, nursery: trio.Nursery):
+        self._control = control
+        self._nursery = nursery
+        self._missing_since: float | None = None
+        self._probing = False
+
+    def is_lost(self, now: float) -> bool:
+        """Tell whether the quorum is missing for longer than an election takes."""
+        since = self._missing_since
+        return since is not None and now >= since + PATIENCE_S
+
+    def answered(self) -> None:
+        """Take in that the quorum answered."""
+        self._missing_since = None
+
+    def unanswered(self, since: float) -> None:
+        """Take in that a claim was not answered, and probe until one is."""
+        if self._missing_since is None:
+            self._missing_since = since
+        if not self._probing:
+            self._probing = True
+            self._nursery.start_soon(self._probe)
+
+    async def _probe(self) -> None:
+        while self._missing_since is not None:
+            with trio.move_on_after(PROBE_TIMEOUT_S):
+                match await self._control.submit(NoOp()):
+                    case Success():
+                        self.answered()
+                        break
+            await trio.sleep(PROBE_PAUSE_S)
+        self._probing = False
--- a/persimmonhall/once/runner.py
+++ b/persimmonhall/once/runner.py
@@ -12,6 +12,7 @@
 from persimmonhall.once.claimer import Claimer
 from persimmonhall.once.crash_watch import CrashWatch
 from persimmonhall.once.fingerprint import fingerprint_of
+from persimmonhall.once.slot import Slot
 
 Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
 
@@ -23,7 +24,7 @@
         """Return why the call must not run at all."""
 
     async def run(
-        self, call: Call, address: Address, send: Send
+        self, call: Call, address: Address, slot: Slot, send: Send
     ) -> Result[HttpAnswer, Refusal]:
         """Send the call, or answer it without a run."""
 
@@ -36,7 +37,7 @@
         return None
 
     async def run(
-        self, call: Call, address: Address, send: Send
+        self, call: Call, address: Address, slot: Slot, send: Send
     ) -> Result[HttpAnswer, Refusal]:
         """Send the call."""
         return await send()
@@ -54,7 +55,7 @@
         return self._crashes.refusal(_fingerprint(call))
 
     async def run(
-        self, call: Call, address: Address, send: Send
+        self, call: Call, address: Address, slot: Slot, send: Send
     ) -> Result[HttpAnswer, Refusal]:
         """Send the call unless its key was claimed before."""
         fingerprint = _fingerprint(call)
@@ -64,7 +65,7 @@
 
         if call.idempotent:
             return await run_watched()
-        return await self._claimer.run(call, fingerprint, run_watched)
+        return await self._claimer.run(call, fingerprint, slot, run_watched)
 
 
 def _fingerprint(call: Call):
--- a/persimmonhall/once/service.py
+++ b/persimmonhall/once/service.py
@@ -12,6 +12,7 @@
 from persimmonhall.once.claimer import Claimer, Holder
 from persimmonhall.once.crash_watch import CrashWatch
 from persimmonhall.once.quarantine import Quarantine
+from persimmonhall.once.quorum import QuorumWatch
 from persimmonhall.once.runner import OnceRunner
 from persimmonhall.once.settler import Settler
 from persimmonhall.once.spread import SuspectSpreader
@@ -46,7 +47,8 @@
         return members.get(node) is not None
 
     settler = Settler(control, nursery)
-    claimer = Claimer(own, control, settler, is_live)
+    quorum = QuorumWatch(control, nursery)
+    claimer = Claimer(own, control, settler, quorum, is_live)
     claimer.lose_earlier_runs()
     suspects = SuspectTable()
     spreader = SuspectSpreader(suspects, members, links, nursery, rng)
--- /dev/null
+++ b/tests/key_trial.py
@@ -0,0 +1,100 @@
+"""Send one key again and again and count what the backend servers ran."""
+
+import json
+from dataclasses import dataclass, field
+
+import trio
+from returns.result import Success
+
+from harness.system import System
+from persimmonhall.errors import ErrorKind
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+
+ENTRY, GATE, FAR_GATE = "suva-cue-1", "suva-cue-2", "nadi-cue-1"
+NODES = {ENTRY: "suva", GATE: "suva", FAR_GATE: "nadi"}
+GATES = (GATE, FAR_GATE)
+RESENDS = 3
+KNOWN_OR_UNKNOWN = {"200", "outcomeUnknown"}
+
+
+@dataclass
+class Trial:
+    """Send one key and keep what came back."""
+
+    system: System
+    key: str
+    answers: list[str] = field(default_factory=list)
+    overloaded: int = 0
+
+    async def send_admitted(self, node: str) -> None:
+        """Send the key until the gate has room for it; count the refusals."""
+
+        async def admitted() -> bool:
+            if await self.send(node) != ErrorKind.OVERLOADED.value:
+                return True
+            self.overloaded += 1
+            self.answers.remove(ErrorKind.OVERLOADED.value)
+            return False
+
+        await self.system.wait_until(admitted, f"room: {self.answers[-3:]}")
+
+    async def send(self, node: str, body: bytes = b"warning") -> str:
+        """Send the key to a node and return the status or kind of problem."""
+        headers = (
+            (b"persimmonhall-service", b"cue"),
+            (b"idempotency-key", self.key.encode()),
+        )
+        request = HttpRequest("POST", "/publish/warnings", headers, body)
+        match await self.system.send(node, request):
+            case Success(answer):
+                outcome = outcome_of(answer)
+            case failure:
+                outcome = failure.failure().kind.value
+        self.answers.append(outcome)
+        return outcome
+
+    async def send_everywhere(self) -> None:
+        """Send the key to every node at once."""
+        async with trio.open_nursery() as nursery:
+            for node in NODES:
+                nursery.start_soon(self.send, node)
+
+    async def resend(self) -> None:
+        """Send the key to every node, several times."""
+        for _ in range(RESENDS):
+            async with trio.open_nursery() as nursery:
+                for node in NODES:
+                    nursery.start_soon(self.send_admitted, node)
+
+    async def settle(self) -> None:
+        """Send the key until no node calls it running or refuses it."""
+
+        async def settled() -> bool:
+            return {await self.send(node) for node in NODES} <= KNOWN_OR_UNKNOWN
+
+        await self.system.wait_until(settled, f"settled: {self.answers[-3:]}")
+
+    async def wait_for_run(self) -> str:
+        """Wait until a backend server has started the key; return its node."""
+
+        async def started() -> bool:
+            return any(self.runs().values())
+
+        await self.system.wait_until(started, "a run")
+        return next(node for node, count in self.runs().items() if count)
+
+    def runs(self) -> dict[str, int]:
+        """Count the runs of the key at each backend server, killed or not."""
+        counts = {}
+        for node in GATES:
+            log = self.system.folder / f"{node}.runs"
+            lines = log.read_text().splitlines() if log.exists() else []
+            counts[node] = sum(line.split()[0] == self.key for line in lines)
+        return counts
+
+
+def outcome_of(answer: HttpAnswer) -> str:
+    """Return the kind of a problem, or else the status."""
+    if answer.header(b"content-type") == "application/problem+json":
+        return json.loads(answer.body)["type"].rpartition(":")[2]
+    return str(answer.status)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,26 +1,28 @@
 """Check with real processes that a key runs at most once around faults."""
 
 import itertools
-import json
-from dataclasses import dataclass, field
 
 import pytest
 import trio
 from pytest_bdd import given, parsers, scenarios, then, when
-from returns.result import Success
 
 from harness.system import System
-from persimmonhall.errors import ErrorKind
-from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.messages import HttpRequest
+from tests.key_trial import (
+    ENTRY,
+    GATE,
+    GATES,
+    KNOWN_OR_UNKNOWN,
+    NODES,
+    RESENDS,
+    Trial,
+    outcome_of,
+)
 from tests.portal import open_running
 
 scenarios("features/at_most_once.feature")
 
-ENTRY, GATE, FAR_GATE = "suva-cue-1", "suva-cue-2", "nadi-cue-1"
-NODES = {ENTRY: "suva", GATE: "suva", FAR_GATE: "nadi"}
-GATES = (GATE, FAR_GATE)
 FROZEN_S = 1.6
-RESENDS = 3
 QUICK_MS, SLOW_MS = 20, 700
 DOCUMENT = """\
 service = "cue"
@@ -36,94 +38,10 @@
 path = "/segments/*"
 idempotent = true
 """
-KNOWN_OR_UNKNOWN = {"200", "outcomeUnknown"}
 
 _numbers = itertools.count(1)
 
 
-@dataclass
-class Trial:
-    """Send one key and keep what came back."""
-
-    system: System
-    key: str
-    answers: list[str] = field(default_factory=list)
-    overloaded: int = 0
-
-    async def send_admitted(self, node: str) -> None:
-        """Send the key until the gate has room for it; count the refusals."""
-
-        async def admitted() -> bool:
-            if await self.send(node) != ErrorKind.OVERLOADED.value:
-                return True
-            self.overloaded += 1
-            self.answers.remove(ErrorKind.OVERLOADED.value)
-            return False
-
-        await self.system.wait_until(admitted, f"room: {self.answers[-3:]}")
-
-    async def send(self, node: str, body: bytes = b"warning") -> str:
-        """Send the key to a node and return the status or kind of problem."""
-        headers = (
-            (b"persimmonhall-service", b"cue"),
-            (b"idempotency-key", self.key.encode()),
-        )
-        request = HttpRequest("POST", "/publish/warnings", headers, body)
-        match await self.system.send(node, request):
-            case Success(answer):
-                outcome = outcome_of(answer)
-            case failure:
-                outcome = failure.failure().kind.value
-        self.answers.append(outcome)
-        return outcome
-
-    async def send_everywhere(self) -> None:
-        """Send the key to every node at once."""
-        async with trio.open_nursery() as nursery:
-            for node in NODES:
-                nursery.start_soon(self.send, node)
-
-    async def resend(self) -> None:
-        """Send the key to every node, several times."""
-        for _ in range(RESENDS):
-            async with trio.open_nursery() as nursery:
-                for node in NODES:
-                    nursery.start_soon(self.send_admitted, node)
-
-    async def settle(self) -> None:
-        """Send the key until no node calls it running or refuses it."""
-
-        async def settled() -> bool:
-            return {await self.send(node) for node in NODES} <= KNOWN_OR_UNKNOWN
-
-        await self.system.wait_until(settled, f"settled: {self.answers[-3:]}")
-
-    async def wait_for_run(self) -> str:
-        """Wait until a backend server has started the key; return its node."""
-
-        async def started() -> bool:
-            return any(self.runs().values())
-
-        await self.system.wait_until(started, "a run")
-        return next(node for node, count in self.runs().items() if count)
-
-    def runs(self) -> dict[str, int]:
-        """Count the runs of the key at each backend server, killed or not."""
-        counts = {}
-        for node in GATES:
-            log = self.system.folder / f"{node}.runs"
-            lines = log.read_text().splitlines() if log.exists() else []
-            counts[node] = sum(line.split()[0] == self.key for line in lines)
-        return counts
-
-
-def outcome_of(answer: HttpAnswer) -> str:
-    """Return the kind of a problem, or else the status."""
-    if answer.header(b"content-type") == "application/problem+json":
-        return json.loads(answer.body)["type"].rpartition(":")[2]
-    return str(answer.status)
-
-
 async def _set_speed(system: System, service_ms: float) -> None:
     for node in GATES:
         await system.behave(node, service_ms=service_ms)
