Stop waiting for a silent leader when another one leads

Cause: a control VM that had forwarded a command to a frozen leader waited for it for up to 2 s, also after it had heard of a new leader; a claim that waited there was answered late.

Change: the forward ends when the leader that it went to is no longer the leader; the command is sent on as after any lost answer.

--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -7,6 +7,7 @@
 from absl import logging
 from returns.result import Failure, Result, Success
 
+from persimmonhall.address import Address
 from persimmonhall.control.machine import StateMachine
 from persimmonhall.control.messages import (
     COMMAND_REPLIES,
@@ -25,7 +26,7 @@
 )
 from persimmonhall.control.waiting import Waiters
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
-from persimmonhall.ids import LogIndex, NodeName
+from persimmonhall.ids import LogIndex, NodeName, ReplicaId
 from persimmonhall.raft.core import Core
 from persimmonhall.raft.driver import Driver
 from persimmonhall.raft.messages import Entry, EntryKind, Snapshot
@@ -160,7 +161,7 @@
         address = self._peers.address_of(self._core, leader) if leader else None
         if address is None:
             return Failure(refuse(ErrorKind.NO_QUORUM, "no leader is known"))
-        match await self._peers.ask(address, Forward(data), FORWARD_TIMEOUT_S):
+        match await self._forward(leader, address, data):
             case Success(Forwarded(reply)):
                 return Success(COMMAND_REPLIES.decode(reply))
             case Success(Declined(kind, detail, ran)):
@@ -168,6 +169,26 @@
             case failure:
                 return failure
 
+    async def _forward(
+        self, leader: ReplicaId, address: Address, data: bytes
+    ) -> Result:
+        """Ask the leader; stop waiting for one that is silent when another leads."""
+        failure = refuse(ErrorKind.NO_QUORUM, "another leader took over")
+        result: Result = Failure(replace(failure, ran=Ran.UNKNOWN))
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            nursery.start_soon(self._cancel_after_leader, leader, scope)
+            result = await self._peers.ask(address, Forward(data), FORWARD_TIMEOUT_S)
+            scope.cancel()
+        return result
+
+    async def _cancel_after_leader(
+        self, leader: ReplicaId, scope: trio.CancelScope
+    ) -> None:
+        while self._core.leader_id == leader:
+            await self._driver.changed.wait()
+        scope.cancel()
+
     async def _ask_read_index(self) -> LogIndex | None:
         leader = self._core.leader_id
         address = self._peers.address_of(self._core, leader) if leader else None
