Prove at most once on both sides of a zone cut

Six keys run in both zones when suva is cut off from nadi and control, half of their callers leave; all are sent again to every node during the cut, with six new ones, and after it. Copies of claims and endings wait in the relays and come when the cut heals. No key ran twice; new keys ran in nadi and were refused in suva, not run; requests without a key were served in both.

--- a/tests/features/zone_cut.feature
+++ b/tests/features/zone_cut.feature
@@ -17,3 +17,10 @@
     Then within 20 s the nodes of each zone know 4 servers of cue
     And within 10 s suva-cue-2 has revision 2 of cue
     And callers of every node get whole answers
+
+  Scenario: A key is sent on both sides of a cut
+    When keys are sent in both zones while suva is cut off
+    Then new keys ran in nadi and were refused as noQuorum, not run, in suva
+    And callers of every node get whole answers
+    When the cut heals
+    Then every key has an outcome and ran at most once
--- a/tests/key_trial.py
+++ b/tests/key_trial.py
@@ -23,6 +23,8 @@
 
     system: System
     key: str
+    nodes: tuple[str, ...] = tuple(NODES)
+    gates: tuple[str, ...] = GATES
     answers: list[str] = field(default_factory=list)
     overloaded: int = 0
 
@@ -56,21 +58,21 @@
     async def send_everywhere(self) -> None:
         """Send the key to every node at once."""
         async with trio.open_nursery() as nursery:
-            for node in NODES:
+            for node in self.nodes:
                 nursery.start_soon(self.send, node)
 
     async def resend(self) -> None:
         """Send the key to every node, several times."""
         for _ in range(RESENDS):
             async with trio.open_nursery() as nursery:
-                for node in NODES:
+                for node in self.nodes:
                     nursery.start_soon(self.send_admitted, node)
 
     async def settle(self) -> None:
         """Send the key until no node calls it running or refuses it."""
 
         async def settled() -> bool:
-            return {await self.send(node) for node in NODES} <= KNOWN_OR_UNKNOWN
+            return {await self.send(node) for node in self.nodes} <= KNOWN_OR_UNKNOWN
 
         await self.system.wait_until(settled, f"settled: {self.answers[-3:]}")
 
@@ -86,7 +88,7 @@
     def runs(self) -> dict[str, int]:
         """Count the runs of the key at each backend server, killed or not."""
         counts = {}
-        for node in GATES:
+        for node in self.gates:
             log = self.system.folder / f"{node}.runs"
             lines = log.read_text().splitlines() if log.exists() else []
             counts[node] = sum(line.split()[0] == self.key for line in lines)
--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -1,7 +1,8 @@
 """Check a zone cut with real processes behind relays."""
 
+import math
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pytest
 import trio
@@ -11,6 +12,7 @@
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.ids import ZoneName
 from tests.builders import CUE_DOCUMENT
+from tests.key_trial import KNOWN_OR_UNKNOWN, Trial
 from tests.portal import open_portal
 from tests.zone_relay import Cuts, ZoneRelay
 
@@ -22,6 +24,10 @@
 NODES = {"nadi-cue-1": NADI, "nadi-cue-2": NADI, "suva-cue-1": SUVA, "suva-cue-2": SUVA}
 DOCUMENT = CUE_DOCUMENT.replace("publishing", "operators")
 CALLS = 5
+SLOTS = 32
+KEYS = 6
+SLOW_MS, QUICK_MS = 300, 5
+GIVE_UP_S = 0.1
 
 
 @dataclass
@@ -31,6 +37,14 @@
     system: System
     cuts: Cuts
     relays: dict[str, ZoneRelay]
+    trials: list[Trial] = field(default_factory=list)
+    fresh: list[Trial] = field(default_factory=list)
+
+    def make_trials(self, name: str) -> list[Trial]:
+        """Make keys that are sent to all nodes."""
+        nodes = tuple(NODES)
+        keys = [f"{name}-{number}" for number in range(KEYS)]
+        return [Trial(self.system, key, nodes, nodes) for key in keys]
 
 
 @asynccontextmanager
@@ -55,7 +69,8 @@
                 advertise=str(relays[node].address),
             )
             relays[node].target = system.nodes[node].addresses["frames"]
-            await system.start_backend(node, "cue")
+            run_log = str(system.folder / f"{node}.runs")
+            await system.start_backend(node, "cue", run_log=run_log, slots=SLOTS)
         await system.put_document("cue", DOCUMENT)
         await system.wait_for_document("cue", 1)
         await system.wait_for_members("cue", len(NODES))
@@ -63,7 +78,7 @@
         nursery.cancel_scope.cancel()
 
 
-@pytest.fixture
+@pytest.fixture(scope="module")
 def running():
     with open_portal(open_cluster) as (portal, cluster):
         yield portal, cluster
@@ -168,3 +183,60 @@
     portal, cluster = running
     status = portal.run(cluster.system.status, "suva-cue-1")
     assert status["documents"] == {"cue": 1}
+
+
+async def _send_around_cut(cluster: Cluster) -> None:
+    """Cut suva off while keys run, of callers who left and who wait; send again."""
+    for node in NODES:
+        await cluster.system.behave(node, service_ms=SLOW_MS)
+    cluster.trials = cluster.make_trials("sent-before")
+    cluster.fresh = cluster.make_trials("sent-in-cut")
+    async with trio.open_nursery() as nursery:
+        for number, trial in enumerate(cluster.trials):
+            nursery.start_soon(_send_once, trial, number % 2 == 0)
+        await trio.sleep(GIVE_UP_S)
+        cluster.cuts.cut(SUVA, NADI)
+        cluster.cuts.cut(NADI, SUVA)
+        for trial in (*cluster.trials, *cluster.fresh):
+            nursery.start_soon(trial.send_everywhere)
+    for node in NODES:
+        await cluster.system.behave(node, service_ms=QUICK_MS)
+
+
+async def _send_once(trial: Trial, leaves: bool) -> None:
+    with trio.move_on_after(GIVE_UP_S if leaves else math.inf):
+        await trial.send_everywhere()
+
+
+@when("keys are sent in both zones while suva is cut off")
+def _(running):
+    portal, cluster = running
+    portal.run(_send_around_cut, cluster)
+
+
+@then("new keys ran in nadi and were refused as noQuorum, not run, in suva")
+def _(running):
+    portal, cluster = running
+    for trial in cluster.fresh:
+        outcomes = {node: portal.run(trial.send, node) for node in NODES}
+        assert outcomes == {
+            node: "200" if zone == NADI else "noQuorum" for node, zone in NODES.items()
+        }
+        runs = trial.runs()
+        assert runs["nadi-cue-1"] + runs["nadi-cue-2"] == 1
+        assert runs["suva-cue-1"] + runs["suva-cue-2"] == 0
+
+
+async def _settle(trials: list[Trial]) -> None:
+    async with trio.open_nursery() as nursery:
+        for trial in trials:
+            nursery.start_soon(trial.settle)
+
+
+@then("every key has an outcome and ran at most once")
+def _(running):
+    portal, cluster = running
+    portal.run(_settle, [*cluster.trials, *cluster.fresh])
+    for trial in (*cluster.trials, *cluster.fresh):
+        assert set(trial.answers[-len(NODES) :]) <= KNOWN_OR_UNKNOWN, trial.answers
+        assert sum(trial.runs().values()) <= 1, trial.answers
