--- a/persimmonhall/once/quorum.py
+++ b/persimmonhall/once/quorum.py
@@ -1,6 +1,7 @@
 """Keep claims from waiting for a quorum that has been missing for long."""
 
 import trio
+from absl import logging
 from returns.result import Success
 
 from persimmonhall.control.client import ControlClient
@@ -27,12 +28,17 @@
 
     def answered(self) -> None:
         """Take in that the quorum answered."""
+        if self._missing_since is None:
+            return
+        missing_s = trio.current_time() - self._missing_since
+        logging.info("quorum answers again missing_s=%.2f", missing_s)
         self._missing_since = None
 
     def unanswered(self, since: float) -> None:
         """Take in that a claim was not answered, and probe until one is."""
         if self._missing_since is None:
             self._missing_since = since
+            logging.warning("no quorum answered a claim, probing")
         if not self._probing:
             self._probing = True
             self._nursery.start_soon(self._probe)
