Let the document bound how long a key is known

Change: resend_window_s of a request in the document, 60 s to 24 h, 24 h unless given. It travels with the call; a gate that hears none from an older entry takes 24 h. Derived keys take the shorter of it and 10 min.

Not built: a bound a service, so one service can fill the table for all.

--- /dev/null
+++ b/harness/claim_rate.py
@@ -0,0 +1,104 @@
+"""Measure at which rate of keyed requests the table of claims stays within bounds.
+
+Time is that of the log: it advances by ticks and is not waited for.
+"""
+
+import json
+import sys
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from persimmonhall.ids import (
+    ClaimId,
+    Fingerprint,
+    IdempotencyKey,
+    NodeName,
+    ServiceName,
+)
+from persimmonhall.once.claims import ClaimTable
+from persimmonhall.once.log_clock import TICK_S
+from persimmonhall.once.messages import (
+    ClaimKey,
+    ClaimOutcome,
+    ClaimState,
+    ElapseTime,
+    FinishKey,
+    KeptAnswer,
+)
+
+WINDOWS_S = (24 * 3600, 600, 300)
+RATES_PER_S = (2, 100, 400, 650)
+WINDOWS_RUN = 1.5
+ANSWER = KeptAnswer(200, (), bytes(200), 200, 1, whole=True)
+RESULT = Path("results/claim_rate.json")
+
+
+@dataclass(frozen=True)
+class Row:
+    """Hold what one rate of keys of one resend window came to."""
+
+    window_s: int
+    per_s: int
+    seconds: int
+    most_held: int
+    full: bool
+    us_per_request: float
+
+
+def run_rate(window_s: int, per_s: int) -> Row:
+    """Claim and finish keys for longer than they are kept, or until it is full."""
+    table = ClaimTable()
+    most_held = number = 0
+    full = False
+    begin = time.perf_counter()
+    while number < WINDOWS_RUN * window_s * per_s and not full:
+        for _ in range(int(per_s * TICK_S)):
+            number += 1
+            claim = _make_claim(number, window_s)
+            full = table.claim(claim).outcome is ClaimOutcome.FULL
+            if full:
+                break
+            table.finish(_make_finish(claim))
+        most_held = max(most_held, table.count)
+        table.elapse(ElapseTime(int(TICK_S * 1000)))
+    spent_s = time.perf_counter() - begin
+    return Row(
+        window_s=window_s,
+        per_s=per_s,
+        seconds=number // per_s,
+        most_held=most_held,
+        full=full,
+        us_per_request=round(spent_s / number * 1e6, 1),
+    )
+
+
+def _make_claim(number: int, window_s: int) -> ClaimKey:
+    return ClaimKey(
+        claim=ClaimId(f"suva-cue-1/1796336209451/{number}"),
+        service=ServiceName("cue"),
+        key=IdempotencyKey(f"caller:7f3c5df9-13e8-4f3c-9df9-{number:012}"),
+        fingerprint=Fingerprint(number),
+        holder=NodeName("suva-cue-1"),
+        incarnation=1796336209451,
+        keep_ms=window_s * 1000,
+    )
+
+
+def _make_finish(claim: ClaimKey) -> FinishKey:
+    state = ClaimState.FINISHED
+    return FinishKey(claim.claim, claim.service, claim.key, state, ANSWER)
+
+
+def main() -> int:
+    """Print and save a row for each window and rate."""
+    rows = [run_rate(window, rate) for window in WINDOWS_S for rate in RATES_PER_S]
+    for row in rows:
+        print("  ".join(f"{k}={v}" for k, v in asdict(row).items()))
+    RESULT.parent.mkdir(exist_ok=True)
+    RESULT.write_text(json.dumps([asdict(row) for row in rows], indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/persimmonhall/call/messages.capnp
+++ b/persimmonhall/call/messages.capnp
@@ -14,6 +14,7 @@
   idempotent @10 :Bool;
   key @11 :Text;
   maxAnswerBytes @12 :UInt32;
+  resendWindowS @13 :UInt32;
 }
 
 struct Load {
--- a/persimmonhall/call/messages.py
+++ b/persimmonhall/call/messages.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True)
 class Call:
-    """Carry one request to a gate; headers alternate name and value."""
+    """Carry one request to a gate; headers alternate name and value.
+
+    A resend window of 0 comes from an entry that does not know of it.
+    """
 
     service: ServiceName
     method: str
@@ -30,6 +33,7 @@
     idempotent: bool
     key: IdempotencyKey
     max_answer_bytes: int
+    resend_window_s: int = 0
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/call/plan.py
+++ b/persimmonhall/call/plan.py
@@ -159,4 +159,5 @@
         idempotent=plan.rule.idempotent,
         key=plan.idempotency_key,
         max_answer_bytes=plan.rule.max_answer_bytes,
+        resend_window_s=plan.rule.resend_window_s,
     )
--- /dev/null
+++ b/persimmonhall/call/tests/test_plan.py
@@ -0,0 +1,26 @@
+"""Check what a call takes over from the document of its service."""
+
+from persimmonhall.call.messages import decode_call, encode_call
+from persimmonhall.call.plan import Listener, make_call, make_plan
+from persimmonhall.document.in_force import DocumentsInForce
+from persimmonhall.document.schema import DAY_S
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.ids import NodeName
+from tests.builders import CUE_DOCUMENT, make_held
+
+WINDOW = "deadline_ms = 3000\nresend_window_s = 300"
+
+
+def test_call_carries_the_resend_window_of_its_rule():
+    for text, window_s in (
+        (CUE_DOCUMENT, DAY_S),
+        (CUE_DOCUMENT.replace("deadline_ms = 3000", WINDOW), 300),
+    ):
+        documents = DocumentsInForce()
+        documents.apply(make_held(text=text))
+        headers = ((b"host", b"cue"),)
+        request = HttpRequest("POST", "/publish/warnings", headers, b"warning")
+        node = NodeName("suva-cue-1")
+        plan = make_plan(request, Listener.CALLERS, node, documents).unwrap()
+        call = decode_call(encode_call(make_call(request, plan, 1000)))
+        assert call.resend_window_s == window_s
--- a/persimmonhall/document/schema.py
+++ b/persimmonhall/document/schema.py
@@ -13,6 +13,8 @@
 PATH_PATTERN = r"/[^\s?#]*"
 METHOD_PATTERN = r"\*|[A-Z]{1,16}"
 DAY_MS = 24 * 3600 * 1000
+DAY_S = 24 * 3600
+LEAST_RESEND_WINDOW_S = 60
 MAX_RETRIES = 5
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -44,6 +46,7 @@
     idempotent: bool = False
     deadline_ms: int = bounded(2000, least=10, most=DAY_MS)
     retries: int = bounded(1, least=0, most=MAX_RETRIES)
+    resend_window_s: int = bounded(DAY_S, least=LEAST_RESEND_WINDOW_S, most=DAY_S)
     max_answer_bytes: int = bounded(16 * 1024 * 1024, least=1, most=MAX_ANSWER_BYTES)
 
     def matches(self, method: str, path: str) -> bool:
--- a/persimmonhall/document/tests/test_schema.py
+++ b/persimmonhall/document/tests/test_schema.py
@@ -23,6 +23,12 @@
         ('team = "publishing"', 'team = "publishing"\nsurprise = 1', 3, "surprise"),
         ('worth = "critical"', 'worth = "vital"', 7, "requests.0.worth"),
         ("deadline_ms = 3000", "deadline_ms = 0", 8, "requests.0.deadline_ms"),
+        (
+            "deadline_ms = 3000",
+            "resend_window_s = 59",
+            8,
+            "requests.0.resend_window_s",
+        ),
         ('path = "/segments/*"', 'path = "segments"', 11, "requests.1.path"),
         ('path = "/segments/*"', "", 10, "requests.1.path"),
         (
--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -29,8 +29,8 @@
 from persimmonhall.once.settler import Settler
 from persimmonhall.once.slot import Slot
 
-CALLER_KEY_KEEP_MS = 24 * 3600 * 1000
-DERIVED_KEY_KEEP_MS = 10 * 60 * 1000
+DEFAULT_RESEND_WINDOW_S = 24 * 3600
+DERIVED_KEY_WINDOW_S = 10 * 60
 CLAIM_TIMEOUT_S = 2.0
 RELEASE_TIMEOUT_S = 0.35
 MAX_WITHOUT_SLOT = 1000
@@ -98,7 +98,6 @@
 
     def _make_claim(self, call: Call, fingerprint: Fingerprint) -> ClaimKey:
         holder = self._holder
-        keep_ms = DERIVED_KEY_KEEP_MS if is_derived(call.key) else CALLER_KEY_KEEP_MS
         return ClaimKey(
             claim=ClaimId(f"{holder.node}/{holder.incarnation}/{next(self._ids)}"),
             service=call.service,
@@ -106,7 +105,7 @@
             fingerprint=fingerprint,
             holder=holder.node,
             incarnation=holder.incarnation,
-            keep_ms=keep_ms + 2 * call.remaining_ms,
+            keep_ms=_window_s(call) * 1000 + 2 * call.remaining_ms,
         )
 
     async def _claim(
@@ -234,6 +233,11 @@
     return refuse(ErrorKind.NO_QUORUM, f"the key could not be claimed: {detail}")
 
 
+def _window_s(call: Call) -> int:
+    window_s = call.resend_window_s or DEFAULT_RESEND_WINDOW_S
+    return min(window_s, DERIVED_KEY_WINDOW_S) if is_derived(call.key) else window_s
+
+
 def _longest_wait_s(left_s: float, run_s: float) -> float:
     """Leave the run the time that it usually takes."""
     least_s = LEAST_SHARE_OF_TIME_LEFT * left_s
--- a/persimmonhall/once/tests/test_claimer.py
+++ b/persimmonhall/once/tests/test_claimer.py
@@ -15,6 +15,7 @@
     ClaimKey,
     ClaimOutcome,
     ClaimState,
+    ElapseTime,
     FinishKey,
     ReleaseKey,
 )
@@ -179,6 +180,32 @@
     assert control.table.get(SERVICE, KEY).state is ClaimState.RELEASED
 
 
+WINDOWS = {
+    "caller's key": (KEY, 300, 300),
+    "caller's key without a window": (KEY, 0, 24 * 3600),
+    "derived key": ("root:1:2", 24 * 3600, 600),
+    "derived key of a short window": ("root:1:2", 300, 300),
+}
+
+
+@pytest.mark.parametrize("name", WINDOWS)
+async def test_key_is_kept_for_its_resend_window(name, nursery, autojump_clock):
+    key, window_s, kept_s = WINDOWS[name]
+    control = FakeControl([])
+    claimer, settler = make_claimer(control, nursery)
+    call = make_call(idempotent=False, key=key, resend_window_s=window_s)
+
+    async def send():
+        return DONE
+
+    await claimer.run(call, Fingerprint(7), FakeSlot(), send)
+    await settler.wait_idle(DEADLINE_S)
+    control.table.elapse(ElapseTime(kept_s * 1000))
+    assert control.table.get(SERVICE, key) is not None
+    control.table.elapse(ElapseTime(2 * call.remaining_ms))
+    assert control.table.get(SERVICE, key) is None
+
+
 async def test_late_copy_of_a_refused_claim_is_not_granted(nursery, autojump_clock):
     control = FakeControl(["copied"])
     claimer, settler = make_claimer(control, nursery)
