--- a/persimmonhall/control/client.py
+++ b/persimmonhall/control/client.py
@@ -1,5 +1,7 @@
 """Speak to the control VMs from a node."""
 
+from collections.abc import Callable
+
 import trio
 from returns.result import Failure, Result, Success
 
@@ -24,6 +26,11 @@
 
 TRY_TIMEOUT_S = 1.5
 SUBMIT_TIMEOUT_S = 5.0
+SILENCE_S = 0.35
+RESEND_PAUSE_S = 0.02
+MAX_OPEN_ASKS = 2
+SILENT_ANSWERS = 2
+ANSWER_GAIN = 0.5
 
 
 class ControlClient:
@@ -32,6 +39,7 @@
     def __init__(self, links: LinkPool, addresses: tuple[Address, ...]):
         self._links = links
         self._addresses = list(addresses)
+        self._answer_s = 0.0
 
     async def fetch_documents(self, after: LogIndex) -> Result[Documents, Refusal]:
         """Return the documents accepted after an index, current ones if possible."""
@@ -62,19 +70,75 @@
                         break
         return Failure(refusal)
 
+    async def submit_widely(
+        self, command: Command, on_delay: Callable[[], None]
+    ) -> Result[CommandReply, Refusal]:
+        """Submit an idempotent command; ask one more control VM if one is silent.
+
+        Silent is longer than the latest answers took, as more asks would only make
+        slow control VMs slower. An ask that may have been lost is sent again; the
+        caller bounds the time.
+        """
+        payload = ASKS.encode(Submit(COMMANDS.encode(command)))
+        asking = _Asking(on_delay)
+        async with trio.open_nursery() as nursery:
+            for address in tuple(self._addresses):
+                asking.under_way += 1
+                nursery.start_soon(self._ask_until_settled, address, payload, asking)
+                await self._wait_for_silence(address, asking)
+                await asking.wait_for_fewer(MAX_OPEN_ASKS)
+                if asking.reply is not None:
+                    break
+            await asking.wait_for_fewer(1)
+            nursery.cancel_scope.cancel()
+        if asking.reply is None:
+            return Failure(asking.refusal)
+        return Success(COMMAND_REPLIES.decode(asking.reply.reply))
+
+    async def _wait_for_silence(self, address: Address, asking: "_Asking") -> None:
+        """Wait until an ask came to an end or its control VM is silent."""
+        if await asking.wait(SILENCE_S):
+            return
+        asking.on_delay()
+        longer_s = SILENT_ANSWERS * self._answer_s - SILENCE_S
+        if longer_s <= 0 or not await asking.wait(longer_s):
+            self._demote(address)
+
+    async def _ask_until_settled(
+        self, address: Address, payload: bytes, asking: "_Asking"
+    ) -> None:
+        while True:
+            begin = trio.current_time()
+            match await self._ask(address, payload):
+                case Success(reply):
+                    took_s = trio.current_time() - begin
+                    self._answer_s += ANSWER_GAIN * (took_s - self._answer_s)
+                    self._prefer(address)
+                    asking.finish(reply)
+                    return
+                case Failure(refusal) if refusal.ran is Ran.NO:
+                    self._demote(address)
+                    asking.fail(refusal)
+                    return
+            asking.on_delay()
+            await trio.sleep(RESEND_PAUSE_S)
+
     async def _try(self, address: Address, payload: bytes, timeout_s: float) -> Result:
         self._demote(address)
         with trio.move_on_after(timeout_s):
-            match await self._links.ask(address, Channel.CONTROL, payload):
-                case Success(data):
-                    return _read(REPLIES.decode(data))
-                case Failure(error):
-                    ran = Ran.UNKNOWN if error.sent else Ran.NO
-                    return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+            return await self._ask(address, payload)
         self._links.reset(address)
         detail = f"{address} did not answer in time"
         return Failure(refuse(ErrorKind.NO_QUORUM, detail, ran=Ran.UNKNOWN))
 
+    async def _ask(self, address: Address, payload: bytes) -> Result:
+        match await self._links.ask(address, Channel.CONTROL, payload):
+            case Success(data):
+                return _read(REPLIES.decode(data))
+            case Failure(error):
+                ran = Ran.UNKNOWN if error.sent else Ran.NO
+                return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+
     def _prefer(self, address: Address) -> None:
         self._addresses.remove(address)
         self._addresses.insert(0, address)
@@ -85,6 +149,43 @@
         self._addresses.append(address)
 
 
+class _Asking:
+    """Collect what the asks of one command came to."""
+
+    def __init__(self, on_delay: Callable[[], None]):
+        self.on_delay = on_delay
+        self.under_way = 0
+        self.reply: Submitted | None = None
+        self.refusal: Refusal = _no_control().failure()
+        self._changed = trio.Event()
+
+    async def wait(self, timeout_s: float) -> bool:
+        """Tell whether an ask came to an end within the timeout."""
+        with trio.move_on_after(timeout_s) as scope:
+            await self._changed.wait()
+        return not scope.cancelled_caught
+
+    async def wait_for_fewer(self, count: int) -> None:
+        """Wait until there is a reply or fewer asks are under way."""
+        while self.reply is None and self.under_way >= count:
+            await self._changed.wait()
+
+    def finish(self, reply: Submitted) -> None:
+        """Take in the reply."""
+        self.reply = reply
+        self._wake()
+
+    def fail(self, refusal: Refusal) -> None:
+        """Take in that one ask came to nothing."""
+        self.under_way -= 1
+        self.refusal = refusal
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
 def _no_control() -> Result:
     return Failure(refuse(ErrorKind.NO_QUORUM, "no control VM is configured"))
 
