Start the pre-vote early when the leader's process has ended

Cause: after a kill the followers wait out 0.9 s plus a spread of up to 0.9 s before the first of them asks for votes; the vote itself takes some milliseconds.

Ruled out: shorter timeouts, which a slow disk or a full loop would reach.

Change: a follower whose connection to the leader was ended by the other side asks the address; if it refuses connections (reset and refused, not a cut or a broken connection), it no longer counts as hearing the leader and asks for pre-votes within 20 to 170 ms. Pre-vote and quorum decide as before; a replica that hears the leader grants nothing.

--- a/harness/bench_control.py
+++ b/harness/bench_control.py
@@ -1,6 +1,8 @@
 """Measure control VMs: changes a second, latency, failover and restart."""
 
+import os
 import time
+from pathlib import Path
 
 import trio
 from returns.result import Success
@@ -15,7 +17,9 @@
 CLIENTS = (1, 32)
 REPLICAS = (1, 3)
 RESTART_CHANGES = (500, 5000)
-KILLS = 3
+KILLS = 10
+STALL_BYTES = 64 * 1024 * 1024
+STALL_SECONDS = 10.0
 TEXT = "x" * 1000
 
 
@@ -98,6 +102,41 @@
     print("new leader after a kill: " + ", ".join(f"{t:.2f} s" for t in times))
 
 
+async def measure_elections_under_load() -> None:
+    """Print whether the term changes under changes while the disk is kept busy."""
+    async with open_system() as system:
+        await system.start_controls(3)
+        leader = await system.wait_for_leader()
+        before = (await system.control_status(leader))["term"]
+        syncs: list[float] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_keep_disk_busy, system.folder / "busy", syncs)
+            latencies = await run_changes(system, 32, STALL_SECONDS, 0)
+            nursery.cancel_scope.cancel()
+        leader = await system.wait_for_leader()
+        after = (await system.control_status(leader))["term"]
+        print(
+            f"elections under load: {after - before} in {STALL_SECONDS:.0f} s, "
+            f"{len(latencies)} changes, longest {max(latencies):.0f} ms, "
+            f"{len(syncs)} syncs of {STALL_BYTES >> 20} MB beside them, "
+            f"longest {max(syncs, default=0.0):.2f} s"
+        )
+
+
+async def _keep_disk_busy(path: Path, syncs: list[float]) -> None:
+    while True:
+        syncs.append(await trio.to_thread.run_sync(_sync_large_file, path))
+
+
+def _sync_large_file(path: Path) -> float:
+    start = time.perf_counter()
+    with path.open("wb") as file:
+        file.write(bytes(STALL_BYTES))
+        file.flush()
+        os.fsync(file.fileno())
+    return time.perf_counter() - start
+
+
 async def measure_restart(changes: int) -> None:
     """Print how long a replica alone takes to lead again after many changes."""
     async with open_system() as system:
@@ -121,6 +160,7 @@
     for replicas in REPLICAS:
         await measure_changes(replicas)
     await measure_failover()
+    await measure_elections_under_load()
     for changes in RESTART_CHANGES:
         await measure_restart(changes)
 
--- a/harness/explorer/replica.py
+++ b/harness/explorer/replica.py
@@ -38,9 +38,10 @@
     disk: type[Disk] = Disk
     new_id_after_disk_loss: bool = True
     slow_snapshots: bool = False
+    hints: bool = False
 
 
-FULL = Variant(core=SmallChunkCore, slow_snapshots=True)
+FULL = Variant(core=SmallChunkCore, slow_snapshots=True, hints=True)
 
 
 @dataclass
--- a/harness/explorer/schedule.py
+++ b/harness/explorer/schedule.py
@@ -11,6 +11,7 @@
 QUIET_S = 8.0
 CHANGES = 120
 MAX_REPLICAS = 5
+MAX_FALSE_HINTS = 10
 
 
 @dataclass(frozen=True)
@@ -26,9 +27,12 @@
 
 def run_seed(seed: int, variant: Variant | None = None) -> Outcome:
     """Run one schedule and check it."""
-    world = World(seed, variant or FULL)
+    variant = variant or FULL
+    world = World(seed, variant)
     rng = random.Random(seed + 1)
     faults = _draw(world, rng)
+    if variant.hints:
+        faults += _draw_false_hints(world, random.Random(seed + 3))
     try:
         world.run_until(FAULTS_S)
         world.heal()
@@ -57,6 +61,13 @@
     return count
 
 
+def _draw_false_hints(world: World, rng: random.Random) -> int:
+    count = rng.randint(0, MAX_FALSE_HINTS)
+    for _ in range(count):
+        world.at(rng.random() * FAULTS_S, world.hint_falsely)
+    return count
+
+
 def _pick(world: World, rng: random.Random) -> str:
     leader = world.leader
     if leader is not None and rng.random() < 0.4:
--- a/harness/explorer/world.py
+++ b/harness/explorer/world.py
@@ -27,6 +27,8 @@
 FREEZE_STEP_S = 0.05
 MAX_STEPS = 50_000
 SLOW_SYNC_SHARE = 0.05
+HINT_SHARE = 0.8
+HINT_SPREAD_S = 0.05
 CLUSTER = "explorer"
 
 
@@ -45,6 +47,7 @@
 
     def __init__(self, seed: int, variant: Variant, voters: int = 3):
         self.rng = random.Random(seed)
+        self._hint_rng = random.Random(seed + 2)
         self.now = 0.0
         self.steps = 0
         self.checker = Checker()
@@ -145,8 +148,29 @@
         replica = self.replicas[name]
         if replica.up:
             stored = replica.crash()
+            self._hint_at_crash(replica)
             self.at(self.now + down_s, self._restart, replica, stored)
 
+    def hint(self, replica: SimReplica, gone: ReplicaId) -> None:
+        """Tell a replica, rightly or not, that the process of another has ended."""
+        if replica.up and not replica.frozen:
+            replica.core.lost(gone, self.now)
+            self.after_input(replica)
+
+    def hint_falsely(self) -> None:
+        """Tell some replica that its leader has ended."""
+        replica = self._hint_rng.choice(list(self.replicas.values()))
+        if replica.up and replica.core.leader_id is not None:
+            self.hint(replica, replica.core.leader_id)
+
+    def _hint_at_crash(self, gone: SimReplica) -> None:
+        if not self._variant.hints:
+            return
+        for other in self.replicas.values():
+            if other is not gone and self._hint_rng.random() < HINT_SHARE:
+                later = self.now + self._hint_rng.random() * HINT_SPREAD_S
+                self.at(later, self.hint, other, gone.replica_id)
+
     def freeze(self, name: str, seconds: float) -> None:
         """Stop a replica from acting for a while."""
         replica = self.replicas[name]
--- a/persimmonhall/control/peers.py
+++ b/persimmonhall/control/peers.py
@@ -1,6 +1,7 @@
 """Carry messages between the control VMs."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result, Success
@@ -16,6 +17,9 @@
 
 MAX_UNDER_WAY = 64
 DELIVERY_TIMEOUT_S = 1.0
+PROBES = 3
+PROBE_INTERVAL_S = 0.02
+PROBE_TIMEOUT_S = 0.2
 
 
 class Peers:
@@ -27,6 +31,12 @@
         self._own = own
         self._addresses: dict[ReplicaId, str] = {}
         self._under_way: Counter[Address] = Counter()
+        self._on_gone: Callable[[Address], None] = lambda _: None
+        links.watch(self._on_ended)
+
+    def watch(self, on_gone: Callable[[Address], None]) -> None:
+        """Name what to call when the process of a peer has ended."""
+        self._on_gone = on_gone
 
     def learn(self, packet: Packet) -> None:
         """Remember where a sender can be reached."""
@@ -63,6 +73,17 @@
         self._links.reset(address)
         return Failure(Refusal(failure.kind, failure.detail, Ran.UNKNOWN))
 
+    def _on_ended(self, address: Address) -> None:
+        self._nursery.start_soon(self._check, address)
+
+    async def _check(self, address: Address) -> None:
+        """Tell a process that has ended from a connection that broke."""
+        for _ in range(PROBES):
+            if await _refuses(address):
+                self._on_gone(address)
+                return
+            await trio.sleep(PROBE_INTERVAL_S)
+
     async def _deliver(self, address: Address, payload: bytes) -> None:
         self._under_way[address] += 1
         try:
@@ -75,6 +96,25 @@
             self._under_way[address] -= 1
 
 
+async def _refuses(address: Address) -> bool:
+    """Tell whether nothing listens on an address; a silent cut is no answer."""
+    with trio.move_on_after(PROBE_TIMEOUT_S):
+        try:
+            stream = await trio.open_tcp_stream(address.host, address.port)
+        except OSError as error:
+            return _is_refusal(error)
+        await stream.aclose()
+    return False
+
+
+def _is_refusal(error: BaseException | None) -> bool:
+    if isinstance(error, BaseExceptionGroup):
+        return all(map(_is_refusal, error.exceptions))
+    if isinstance(error, ConnectionRefusedError):
+        return True
+    return error is not None and _is_refusal(error.__cause__)
+
+
 def _read(result: Result) -> Result:
     match result:
         case Success(data):
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -4,8 +4,10 @@
 from dataclasses import replace
 
 import trio
+from absl import logging
 from returns.result import Failure, Result, Success
 
+from persimmonhall.address import Address
 from persimmonhall.control.applier import Applier
 from persimmonhall.control.machine import StateMachine
 from persimmonhall.control.messages import (
@@ -52,6 +54,7 @@
         self._numbers = itertools.count(1)
         self._applier = Applier(core, self._waiters, self._wake, snapshot_entries)
         self._driver = Driver(core, storage, self._send, self._applier.apply)
+        peers.watch(self._on_gone)
 
     @property
     def machine(self) -> StateMachine:
@@ -189,6 +192,13 @@
         while self.machine.index < index:
             await self._driver.changed.wait()
 
+    def _on_gone(self, address: Address) -> None:
+        leader = self._core.leader_id
+        if leader and self._peers.address_of(self._core, leader) == address:
+            logging.info("leader gone id=%s address=%s", leader, address)
+            self._core.lost(leader, trio.current_time())
+            self._wake()
+
     def _wake(self) -> None:
         self._driver.wake()
 
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -21,7 +21,12 @@
 from persimmonhall.raft.outbox import Ready
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import ReplicaState, Stored
-from persimmonhall.raft.timing import ELECTION_S, ELECTION_SPREAD_S
+from persimmonhall.raft.timing import (
+    ELECTION_S,
+    ELECTION_SPREAD_S,
+    LOST_LEADER_S,
+    LOST_LEADER_SPREAD_S,
+)
 
 
 class Core:
@@ -131,6 +136,16 @@
             return
         self._on_current(sender, message, now)
 
+    def lost(self, peer: ReplicaId, now: float) -> None:
+        """Take it as a hint that the process of a peer has ended."""
+        if self._leader is not None or peer != self._leader_id:
+            return
+        # The votes still decide: a replica that hears the leader gives none.
+        self._leader_id = None
+        self._heard_at = -ELECTION_S
+        spread = self._rng.random() * LOST_LEADER_SPREAD_S
+        self._election_at = min(self._election_at, now + LOST_LEADER_S + spread)
+
     def propose(self, data: bytes) -> LogIndex | None:
         """Append a command if this replica leads and return its index."""
         return self._leader.propose(data) if self.accepts_proposals else None
--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -20,6 +20,7 @@
 )
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
+from persimmonhall.raft.timing import ELECTION_S, LOST_LEADER_S, LOST_LEADER_SPREAD_S
 
 LATER = 20.0
 
@@ -103,3 +104,35 @@
     core.take(LATER)
     core.step("c", Vote(3, 9, 2), LATER + 0.1)
     assert core.term == 2
+
+
+def test_lost_leader_brings_the_election_forward():
+    core = make_core("a", "a", "b", "c")
+    core.step("b", Append(2, 1, 1, (), 1, 0), LATER)
+    core.lost("c", LATER)
+    assert core.next_tick >= LATER + ELECTION_S
+    core.lost("b", LATER)
+    assert core.next_tick <= LATER + LOST_LEADER_S + LOST_LEADER_SPREAD_S
+    core.tick(core.next_tick)
+    assert core.role is Role.PRE_CANDIDATE
+
+
+@pytest.mark.parametrize(("lost", "granted"), [("b", True), ("c", False)])
+def test_pre_vote_is_granted_early_only_by_who_lost_the_leader(lost, granted):
+    core = make_core("a", "a", "b", "c")
+    core.step("b", Append(1, 1, 1, (), 1, 0), LATER)
+    core.take(LATER)
+    core.lost(lost, LATER)
+    core.step("c", Vote(2, 1, 1, pre=True), LATER)
+    replies = [m.message for m in core.take(LATER).messages]
+    assert replies == ([VoteReply(2, True, True)] if granted else [])
+
+
+def test_leader_that_is_still_there_stays_after_a_wrong_hint():
+    core = make_core("a", "a", "b", "c")
+    heartbeat = Append(1, 1, 1, (), 1, 0)
+    core.step("b", heartbeat, LATER)
+    core.lost("b", LATER)
+    core.step("b", heartbeat, LATER)
+    assert core.leader_id == "b"
+    assert core.next_tick >= LATER + ELECTION_S
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -1,6 +1,7 @@
 """Run many exchanges at once over one TCP connection a pair of processes."""
 
 import itertools
+from collections.abc import Callable
 
 import trio
 from returns.result import Failure, Result, Success
@@ -68,6 +69,11 @@
         """Tell whether the connection is open."""
         return self._ready.is_set() and not self.closed
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Tell whether the connection was open and this side did not end it."""
+        return self._writer is not None and not self._scope.cancel_called
+
     def drop(self) -> None:
         """End the connection, as a peer that is cut off silently never does."""
         self._scope.cancel()
@@ -168,6 +174,11 @@
         self._nursery = nursery
         self._local_host = local_host
         self._links: dict[Address, Link] = {}
+        self._on_ended: Callable[[Address], None] = lambda _: None
+
+    def watch(self, on_ended: Callable[[Address], None]) -> None:
+        """Name what to call when a peer has ended a connection."""
+        self._on_ended = on_ended
 
     async def ask(
         self, address: Address, channel: Channel, payload: bytes
@@ -176,9 +187,14 @@
         link = self._links.get(address)
         if link is None or link.closed:
             link = self._links[address] = Link(address, self._local_host)
-            self._nursery.start_soon(link.run)
+            self._nursery.start_soon(self._run, address, link)
         return await link.ask(channel, payload)
 
+    async def _run(self, address: Address, link: Link) -> None:
+        await link.run()
+        if link.ended_by_peer:
+            self._on_ended(address)
+
     def retire(self, address: Address) -> None:
         """Use a new connection to a peer from now on."""
         # One that a cut made silent may stay so for minutes after the heal.
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -8,7 +8,7 @@
 from harness.explorer.__main__ import main
 from harness.explorer.checker import ViolationError
 from harness.explorer.disk import ForgetfulDisk
-from harness.explorer.replica import Variant
+from harness.explorer.replica import FULL, Variant
 from harness.explorer.schedule import run_seed
 from harness.explorer.world import World
 from persimmonhall.raft.core import Core
@@ -24,6 +24,12 @@
 from persimmonhall.raft.outbox import ReadReady
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
+from persimmonhall.raft.timing import (
+    ELECTION_S,
+    ELECTION_SPREAD_S,
+    LOST_LEADER_S,
+    LOST_LEADER_SPREAD_S,
+)
 
 SEEDS = 150
 SEEDS_OF_BROKEN_RULE = 60
@@ -31,6 +37,7 @@
 SEED_OF_LOST_MAJORITY = 20145
 SEED_OF_REMOVED_LEADER = 20990
 CUT_S = 30.0
+SLOW_SYNC_S = 1.0
 
 
 class EagerLeader(Leader):
@@ -162,6 +169,37 @@
     assert _terms_after_cut(CoreWithoutPreVote) > CUT_S / 2
 
 
+def _new_leader_after_s(seed: int) -> float:
+    """Crash the leader and return how long until the next one leads."""
+    world = World(seed, FULL)
+    world.run_until(5.0)
+    first = world.leader
+    world.crash(first.name, CUT_S)
+    while world.leader is None:
+        world.run_until(world.now + 0.01)
+    return world.now - 5.0
+
+
+def test_hint_of_an_ended_leader_shortens_the_election():
+    times = sorted(_new_leader_after_s(seed) for seed in range(20))
+    assert times[10] < LOST_LEADER_S + LOST_LEADER_SPREAD_S
+    assert times[-1] < 2 * (ELECTION_S + ELECTION_SPREAD_S)
+
+
+def test_wrong_hint_at_a_minority_and_slow_disks_cost_no_term():
+    world = World(1, FULL)
+    world.run_until(5.0)
+    before = world.leader.core.term
+    follower = next(r for r in world.replicas.values() if r is not world.leader)
+    for replica in world.replicas.values():
+        replica.sync_s = SLOW_SYNC_S
+    for number in range(100):
+        world.at(5.0 + number / 10, world.hint, follower, world.leader.replica_id)
+        world.at(5.0 + number / 10, world.client_change, number)
+    world.run_until(20.0)
+    assert world.leader.core.term == before
+
+
 def _deliver(source: Core, target: Core, now: float) -> list:
     """Sync all writes of a replica, then hand its messages to another."""
     committed = []
