Direct schedules at overlapping set changes and at old-term commits

Tests changed: test_broken_rule_is_found runs each case twice, plain as before and with the new faults.

--- /dev/null
+++ b/harness/explorer/directed.py
@@ -0,0 +1,85 @@
+"""Run schedules directed at one rule each, which random faults seldom reach."""
+
+import random
+from collections.abc import Callable
+
+from harness.explorer.checker import ViolationError
+from harness.explorer.replica import SimReplica, Variant
+from harness.explorer.schedule import Outcome, check_progress
+from harness.explorer.world import World
+from persimmonhall.raft.role import Role
+
+START_S = 5.0
+SPLIT_S = 6.0
+ROUNDS = 40
+POLL_S = 0.001
+LONGEST_LEAD_S = 0.03
+LONGEST_DOWN_S = 2.5
+QUIET_S = 8.0
+VOTERS_OF_SPLIT = 5
+REMOVED = 2
+
+Schedule = Callable[[World, random.Random], None]
+
+
+def run_directed(schedule: Schedule, seed: int, variant: Variant) -> Outcome:
+    """Run one directed schedule and check it."""
+    voters = VOTERS_OF_SPLIT if schedule is overlapping_changes else 3
+    world = World(seed, variant, voters)
+    violation = ""
+    try:
+        schedule(world, random.Random(seed + 1))
+        world.heal()
+        world.run_until(world.now + QUIET_S)
+        world.check_end()
+        check_progress(world)
+    except (ViolationError, AssertionError) as error:
+        violation = f"{type(error).__name__}: {error}"
+    return Outcome(seed, world.steps, 0, len(world.checker.answers), violation)
+
+
+def overlapping_changes(world: World, rng: random.Random) -> None:
+    """Let a leader in the minority remove voters of the other side at once."""
+    world.run_until(START_S)
+    leader = world.leader
+    others = [r for r in world.replicas.values() if r is not leader]
+    partner = rng.choice(others)
+    far = [r for r in others if r is not partner]
+    _split(world, [leader, partner], far)
+    for removed in rng.sample(far, REMOVED):
+        leader.core.remove(removed.replica_id, world.now)
+        world.after_input(leader)
+    for number in range(ROUNDS):
+        at = world.now + rng.random() * SPLIT_S
+        world.at(at, world.client_change, number)
+    world.run_until(START_S + SPLIT_S)
+
+
+def short_leaders(world: World, rng: random.Random) -> None:
+    """End each leader shortly after it began, with changes under way."""
+    for number in range(ROUNDS):
+        leader = _next_leader(world)
+        if rng.random() < 0.5:
+            _cut_one(world, leader, rng)
+        leader.propose(f"c{number}", f"k{number}", 0)
+        world.after_input(leader)
+        world.run_until(world.now + rng.random() * LONGEST_LEAD_S)
+        world.crash(leader.name, rng.random() * LONGEST_DOWN_S)
+        world.cuts.clear()
+
+
+def _split(world: World, near: list[SimReplica], far: list[SimReplica]) -> None:
+    pairs = [(a.name, b.name) for a in near for b in far]
+    world.cuts.update(pairs)
+    world.cuts.update((b, a) for a, b in pairs)
+
+
+def _cut_one(world: World, leader: SimReplica, rng: random.Random) -> None:
+    others = [r for r in world.replicas.values() if r is not leader]
+    _split(world, [leader], [rng.choice(others)])
+
+
+def _next_leader(world: World) -> SimReplica:
+    while (leader := world.leader) is None or leader.core.role is not Role.LEADER:
+        world.run_until(world.now + POLL_S)
+    return leader
--- a/harness/explorer/schedule.py
+++ b/harness/explorer/schedule.py
@@ -38,14 +38,15 @@
         world.heal()
         world.run_until(FAULTS_S + QUIET_S)
         world.check_end()
-        _check_progress(world)
+        check_progress(world)
     except (ViolationError, AssertionError) as error:
         text = f"{type(error).__name__}: {error}"
         return Outcome(seed, world.steps, faults, len(world.checker.answers), text)
     return Outcome(seed, world.steps, faults, len(world.checker.answers))
 
 
-def _check_progress(world: World) -> None:
+def check_progress(world: World) -> None:
+    """Check that a change is accepted after all faults ended."""
     world.client_change(CHANGES, leader_share=1.0)
     world.run_until(world.now + QUIET_S)
     if f"c{CHANGES}" not in world.checker.answers:
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -7,6 +7,11 @@
 
 from harness.explorer.__main__ import main
 from harness.explorer.checker import ViolationError
+from harness.explorer.directed import (
+    overlapping_changes,
+    run_directed,
+    short_leaders,
+)
 from harness.explorer.disk import ForgetfulDisk
 from harness.explorer.replica import FULL, Variant
 from harness.explorer.schedule import run_seed
@@ -53,6 +58,45 @@
     leader_class = EagerLeader
 
 
+class OneEntryLeader(Leader):
+    """Send one entry at a time, so that an old one can arrive alone."""
+
+    max_append_bytes = 1
+
+
+class OneEntryCore(Core):
+    """Lead entry by entry."""
+
+    leader_class = OneEntryLeader
+
+
+class EagerOneEntryLeader(EagerLeader, OneEntryLeader):
+    """Commit entries of older terms by counting replicas, one at a time."""
+
+
+class EagerOneEntryCore(Core):
+    """Lead eagerly, entry by entry."""
+
+    leader_class = EagerOneEntryLeader
+
+
+class OverlappingLeader(Leader):
+    """Change the replica set while another change is under way."""
+
+    def _set_replicas(self, replicas, now):
+        if not self._would_have_quorum(replicas, now):
+            return False
+        self._append(EntryKind.REPLICAS, encode_replicas(replicas))
+        self._follow_members(now)
+        return True
+
+
+class OverlappingCore(Core):
+    """Lead with overlapping changes."""
+
+    leader_class = OverlappingLeader
+
+
 class HastyLeader(Leader):
     """Count the own log before it is synced."""
 
@@ -126,6 +170,7 @@
     assert "replay with: make explore SEED=" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("full", [False, True], ids=["plain", "full"])
 @pytest.mark.parametrize(
     ("broken", "first_seed", "found"),
     [
@@ -143,12 +188,29 @@
         "vote for a log that is behind",
     ],
 )
-def test_broken_rule_is_found(broken, first_seed, found):
+def test_broken_rule_is_found(broken, first_seed, found, full):
+    broken = replace(broken, hints=full, slow_snapshots=full)
     seeds = range(first_seed, first_seed + SEEDS_OF_BROKEN_RULE)
     violations = (run_seed(seed, broken).violation for seed in seeds)
     assert any(found in violation for violation in violations)
 
 
+@pytest.mark.parametrize(
+    ("schedule", "seeds", "core", "broken"),
+    [
+        (overlapping_changes, range(3), Core, OverlappingCore),
+        (short_leaders, (8, 32, 79), OneEntryCore, EagerOneEntryCore),
+    ],
+    ids=["overlapping replica set changes", "old entry committed by counting"],
+)
+def test_directed_schedule_finds_a_broken_rule(schedule, seeds, core, broken):
+    for seed in seeds:
+        sound = run_directed(schedule, seed, Variant(core=core))
+        assert sound.violation == ""
+        found = run_directed(schedule, seed, Variant(core=broken))
+        assert "applied another entry" in found.violation
+
+
 def _terms_after_cut(core: type[Core]) -> int:
     """Cut one follower off for long and return how many terms that cost."""
     world = World(1, Variant(core=core))
