Note a leader that a message took away when it happens

Cause: the driver compared the role before and after its own step only, so a leader lost through a message (a vote for another, a hint) was never noted: leaderless_since stayed at the start of the process, and a replica more than 2 s old refused changes with noQuorum at once during an election instead of trying for 2 s. Role changes by messages were not logged either.

Change: compare with what was seen at the last step.

--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -1,11 +1,12 @@
 """Run a replication core: its clock, its disk and its messages."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from absl import logging
 
-from persimmonhall.ids import LogIndex, ReplicaId
+from persimmonhall.ids import LogIndex, ReplicaId, Term
 from persimmonhall.raft.core import Core
 from persimmonhall.raft.messages import Entry, Message, Snapshot
 from persimmonhall.raft.outbox import Persist
@@ -18,6 +19,19 @@
 ApplyItems = Callable[[tuple[Entry | Snapshot, ...]], None]
 
 
+@dataclass(frozen=True)
+class _Seen:
+    """Hold what is noted when it changes."""
+
+    role: Role
+    term: Term
+    leader: ReplicaId | None
+
+    @classmethod
+    def of(cls, core: Core) -> "_Seen":
+        return cls(core.role, core.term, core.leader_id)
+
+
 class Driver:
     """Carry out what the core asks for after each input."""
 
@@ -32,7 +46,9 @@
         self._wake = trio.Event()
         self._written = trio.Event()
         self._full = ""
+        self._elections = 0
         self._leader_known_at = trio.current_time()
+        self._seen = _Seen.of(core)
         self._reads: dict[int, LogIndex | None] = {}
         self.changed = trio.Event()
 
@@ -44,10 +60,15 @@
     @property
     def leaderless_since(self) -> float:
         """Return when a leader was last known."""
-        if self._core.leader_id is not None:
+        if self._core.leader_id is not None or self._seen.leader is not None:
             return trio.current_time()
         return self._leader_known_at
 
+    @property
+    def elections(self) -> int:
+        """Return how many elections this replica has started."""
+        return self._elections
+
     def wake(self) -> None:
         """Carry out what the core asks for after an input."""
         self._wake.set()
@@ -81,7 +102,6 @@
 
     def _take(self) -> None:
         now = trio.current_time()
-        before = (self._core.role, self._core.term, self._core.leader_id)
         if now >= self._core.next_tick:
             self._core.tick(now)
         ready = self._core.take(now)
@@ -94,16 +114,20 @@
         for read in ready.reads:
             if read.number in self._reads:
                 self._reads[read.number] = read.index
-        self._log_role(before)
+        self._note_role()
         self.changed.set()
         self.changed = trio.Event()
 
-    def _log_role(self, before: tuple) -> None:
+    def _note_role(self) -> None:
+        # Messages change the role too, so compare with what was seen last.
         core = self._core
-        if before[2] is not None and core.leader_id is None:
-            self._leader_known_at = trio.current_time()
-        if (core.role, core.term, core.leader_id) == before:
+        before, self._seen = self._seen, _Seen.of(core)
+        if self._seen == before:
             return
+        if before.leader is not None and core.leader_id is None:
+            self._leader_known_at = trio.current_time()
+        if core.role is Role.CANDIDATE:
+            self._elections += 1
         logging.info(
             "replica role=%s term=%d leader=%s commit=%d",
             core.role.value,
