Give control VMs a metrics page and a status that shows their counts

GET /-/metrics on the administration port: role, term, commit, applied and

how long the syncs of the log took (p50, p99, p99.9, count). The status table gains claims, documents, elections and the p99 of a sync.

The histogram of durations moves out of the admission slice, as the log records one too. Test changed: the status scenario has one more step.

--- a/persimmonhall/admission/admission.py
+++ b/persimmonhall/admission/admission.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.admission.core import AdmissionCore
-from persimmonhall.admission.counters import GateCounters, Refused, record_seconds
+from persimmonhall.admission.counters import GateCounters, Refused
 from persimmonhall.admission.messages import (
     Outcome,
     Refuse,
@@ -20,6 +20,7 @@
 )
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import Refusal
+from persimmonhall.histogram import record_seconds
 from persimmonhall.ids import RootId, TicketId
 
 REFUSAL_LOG_INTERVAL_S = 1.0
--- a/persimmonhall/admission/counters.py
+++ b/persimmonhall/admission/counters.py
@@ -7,10 +7,7 @@
 
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import ErrorKind
-
-LOWEST_US = 1
-HIGHEST_US = 3600 * 1_000_000
-DIGITS = 2
+from persimmonhall.histogram import new_histogram
 
 
 @dataclass(frozen=True)
@@ -21,10 +18,6 @@
     worth: Worth
 
 
-def _new_histogram() -> HdrHistogram:
-    return HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-
-
 @dataclass
 class GateCounters:
     """Hold the counts since the start; histograms in microseconds."""
@@ -33,11 +26,5 @@
     refused: Counter[Refused] = field(default_factory=Counter)
     cancelled: Counter[Worth] = field(default_factory=Counter)
     demoted: int = 0
-    queue_wait_us: HdrHistogram = field(default_factory=_new_histogram)
-    service_us: HdrHistogram = field(default_factory=_new_histogram)
-
-
-def record_seconds(histogram: HdrHistogram, seconds: float) -> None:
-    """Record a duration, kept within the range of the histogram."""
-    micros = int(seconds * 1_000_000)
-    histogram.record_value(min(HIGHEST_US, max(LOWEST_US, micros)))
+    queue_wait_us: HdrHistogram = field(default_factory=new_histogram)
+    service_us: HdrHistogram = field(default_factory=new_histogram)
--- a/persimmonhall/cli/operator_status.py
+++ b/persimmonhall/cli/operator_status.py
@@ -5,7 +5,20 @@
 from persimmonhall.control.admin_client import AdminClient
 from persimmonhall.errors import ErrorKind, Refusal, refuse
 
-COLUMNS = ("name", "role", "term", "index", "commit", "snapshot", "match", "storage")
+COLUMNS = (
+    "name",
+    "role",
+    "term",
+    "index",
+    "commit",
+    "snapshot",
+    "match",
+    "claims",
+    "documents",
+    "elections",
+    "sync_p99_ms",
+    "storage",
+)
 
 
 async def gather_status(client: AdminClient) -> Result[list[dict], Refusal]:
--- a/persimmonhall/control/admin.py
+++ b/persimmonhall/control/admin.py
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.control.replica import Replica
-from persimmonhall.control.status import replicas_of, status_of
+from persimmonhall.control.status import metrics_of, replicas_of, status_of
 from persimmonhall.document.messages import (
     HeldDocument,
     PutDocument,
@@ -24,6 +24,7 @@
 from persimmonhall.ids import ChangeId, NodeName, Revision, ServiceName
 from persimmonhall.settings import TeamSection
 
+TEXT_TYPE = (b"content-type", b"text/plain; charset=utf-8")
 JSON_TYPE = (b"content-type", b"application/json")
 
 
@@ -53,6 +54,9 @@
         match (request.method, *parts):
             case ("GET", "status"):
                 return Success(json_answer(200, status_of(self._replica)))
+            case ("GET", "-", "metrics"):
+                page = metrics_of(self._replica)
+                return Success(HttpAnswer(200, (TEXT_TYPE,), page))
             case ("GET", "replicas"):
                 return Success(json_answer(200, replicas_of(self._replica)))
             case ("DELETE", "replicas", name):
--- a/persimmonhall/metrics.py
+++ b/persimmonhall/metrics.py
@@ -1,6 +1,7 @@
 """Write counters and histograms as a page of text."""
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
@@ -11,6 +12,24 @@
 PERCENTILES = (50.0, 99.0, 99.9)
 
 
+@dataclass(frozen=True)
+class ReplicaFigures:
+    """Hold what a replica counts."""
+
+    role: str
+    term: int
+    commit: int
+    applied: int
+    snapshot: int
+    log_bytes: int
+    claims: int
+    documents: int
+    voters: int
+    leader_known: bool
+    storage_full: bool
+    elections: int
+
+
 def gate_page(counters: GateCounters, load: Load) -> bytes:
     """Write the metrics of a gate, one a line."""
     lines = [
@@ -24,6 +43,30 @@
         *_histogram("queue_wait_us", counters.queue_wait_us),
         *_histogram("service_us", counters.service_us),
     ]
+    return _page(lines)
+
+
+def replica_page(figures: ReplicaFigures, sync_us: HdrHistogram) -> bytes:
+    """Write the metrics of a replica, one a line."""
+    lines = [
+        f'{PREFIX}role{{role="{figures.role}"}} 1',
+        *_gauge("term", figures.term),
+        *_gauge("commit_index", figures.commit),
+        *_gauge("applied_index", figures.applied),
+        *_gauge("snapshot_index", figures.snapshot),
+        *_gauge("log_bytes", figures.log_bytes),
+        *_gauge("claims", figures.claims),
+        *_gauge("documents", figures.documents),
+        *_gauge("voters", figures.voters),
+        *_gauge("leader_known", int(figures.leader_known)),
+        *_gauge("storage_full", int(figures.storage_full)),
+        *_gauge("elections_total", figures.elections),
+        *_histogram("sync_us", sync_us),
+    ]
+    return _page(lines)
+
+
+def _page(lines: list[str]) -> bytes:
     return ("\n".join(lines) + "\n").encode()
 
 
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -5,6 +5,7 @@
 
 import trio
 from absl import logging
+from hdrh.histogram import HdrHistogram
 
 from persimmonhall.ids import LogIndex, ReplicaId, Term
 from persimmonhall.raft.core import Core
@@ -57,6 +58,16 @@
         """Return why the disk takes no more, or an empty text."""
         return self._full
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log file."""
+        return self._storage.log_bytes
+
+    @property
+    def sync_us(self) -> HdrHistogram:
+        """Return how long the syncs of the log took since the start."""
+        return self._storage.sync_us
+
     @property
     def leaderless_since(self) -> float:
         """Return when a leader was last known."""
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -2,12 +2,15 @@
 
 import errno
 import os
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
+from hdrh.histogram import HdrHistogram
 from returns.result import Failure, Result, Success
 
+from persimmonhall.histogram import new_histogram, record_seconds
 from persimmonhall.ids import ReplicaId, Term
 from persimmonhall.raft.files import (
     FileSystem,
@@ -63,8 +66,19 @@
         self._end = end
         self._batch = batch
         self._written = 0
+        self._sync_us = new_histogram()
         self._descriptor = _open_log(folder)
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log file."""
+        return self._end
+
+    @property
+    def sync_us(self) -> HdrHistogram:
+        """Return how long the syncs of the log took since the start."""
+        return self._sync_us
+
     def write(self, persists: tuple[Persist, ...]) -> None:
         """Write and sync; raise NoSpaceError on a full disk, after which to retry."""
         try:
@@ -119,11 +133,13 @@
         os.lseek(self._descriptor, self._end, os.SEEK_SET)
 
     def _sync(self) -> None:
+        started = time.perf_counter()
         try:
             self._files.sync(self._descriptor)
         except OSError as error:
             # The system may have dropped the unwritten pages: a retry proves nothing.
             raise DiskFailedError(f"{self._folder}: sync failed: {error}") from error
+        record_seconds(self._sync_us, time.perf_counter() - started)
 
     def _write_snapshot(self, persist: Persist) -> None:
         pieces = frame_each(_snapshot_records(persist.snapshot), FIRST_BATCH)
--- a/tests/features/administration.feature
+++ b/tests/features/administration.feature
@@ -22,6 +22,7 @@
 
   Scenario: Status shows the leader and how far each log matches
     Then status shows 3 control VMs, one leader and a match for each
+    And the metrics of each show its role and its syncs
     When one follower is killed
     Then status shows that it does not answer
 
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+from urllib.request import urlopen
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -99,6 +100,23 @@
     assert f"leader: {scene.leader}" in table
 
 
+@then("the metrics of each show its role and its syncs")
+def _(stage):
+    _, scene = stage
+    for name, running in scene.system.control.items():
+        address = running.addresses["admin"]
+        with urlopen(f"http://{address}/-/metrics", timeout=RUN_TIMEOUT_S) as answer:
+            assert answer.headers["content-type"].startswith("text/plain")
+            page = dict(
+                line.rsplit(" ", 1) for line in answer.read().decode().split("\n")[:-1]
+            )
+        role = "leader" if name == scene.leader else "follower"
+        assert page[f'persimmonhall_role{{role="{role}"}}'] == "1"
+        assert page["persimmonhall_documents"] == "1"
+        assert int(page["persimmonhall_log_bytes"]) > 0
+        assert int(page["persimmonhall_sync_us_count"]) > 0
+
+
 @when("one follower is killed")
 def _(stage, context):
     portal, scene = stage
