--- a/harness/bench_snapshots.py
+++ b/harness/bench_snapshots.py
@@ -128,11 +128,28 @@
 async def _save(bench: Bench, index: LogIndex) -> None:
     before = bench.core.snapshot_index
     bench.applier.machine.skip(index)
-    bench.applier.begin_snapshot()
-    await bench.wait_until(lambda: bench.core.snapshot_index > before)
-    synced = bench.core.propose(COMMANDS.encode(make_claim(0)))
+    longest = [0.0]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_change, bench, longest)
+        bench.applier.begin_snapshot()
+        await bench.wait_until(lambda: bench.core.snapshot_index > before)
+        longest[0] = max(longest[0], await _commit_one(bench))
+        nursery.cancel_scope.cancel()
+    print(f"longest change while saving {longest[0] * 1000:.0f} ms")
+
+
+async def _change(bench: Bench, longest: list[float]) -> None:
+    while True:
+        longest[0] = max(longest[0], await _commit_one(bench))
+        await trio.sleep(TICK_S)
+
+
+async def _commit_one(bench: Bench) -> float:
+    started = time.perf_counter()
+    index = bench.core.propose(COMMANDS.encode(make_claim(0)))
     bench.wake()
-    await bench.wait_until(lambda: bench.core.commit >= synced)
+    await bench.wait_until(lambda: bench.core.commit >= index)
+    return time.perf_counter() - started
 
 
 async def _restore(bench: Bench, snapshot: Snapshot) -> None:
