--- a/harness/explorer/directed.py
+++ b/harness/explorer/directed.py
@@ -16,7 +16,7 @@
 LONGEST_LEAD_S = 0.03
 LONGEST_DOWN_S = 2.5
 QUIET_S = 8.0
-VOTERS_OF_SPLIT = 5
+VOTERS = {"overlapping_changes": 5, "early_change": 4}
 REMOVED = 2
 
 Schedule = Callable[[World, random.Random], None]
@@ -24,8 +24,7 @@
 
 def run_directed(schedule: Schedule, seed: int, variant: Variant) -> Outcome:
     """Run one directed schedule and check it."""
-    voters = VOTERS_OF_SPLIT if schedule is overlapping_changes else 3
-    world = World(seed, variant, voters)
+    world = World(seed, variant, VOTERS.get(schedule.__name__, 3))
     violation = ""
     try:
         schedule(world, random.Random(seed + 1))
@@ -55,6 +54,37 @@
     world.run_until(START_S + SPLIT_S)
 
 
+def early_change(world: World, rng: random.Random) -> None:
+    """Let a new leader change the set before it committed an entry of its own."""
+    world.run_until(START_S)
+    old = world.leader
+    others = [r for r in world.replicas.values() if r is not old]
+    joined = _catch_up_learner(world, old)
+    _split(world, [old, joined], others)
+    while (new := _next_leader(world)) is old:
+        world.run_until(world.now + POLL_S)
+    partner, late = rng.sample([r for r in others if r is not new], 2)
+    _split(world, [new, partner], [late])
+    world.run_until(world.now + rng.uniform(0.01, LONGEST_LEAD_S))
+    new.core.remove(old.replica_id, world.now)
+    world.after_input(new)
+    for number in range(ROUNDS):
+        world.at(world.now + rng.random(), world.client_change, number)
+    world.run_until(world.now + 1.0)
+    world.cuts.clear()
+    _split(world, [new, partner], [old, joined, late])
+    world.run_until(world.now + 2 * SPLIT_S)
+
+
+def _catch_up_learner(world: World, leader: SimReplica) -> SimReplica:
+    """Add a replica and return it just before it gets its vote."""
+    world.add_empty("r5")
+    joined = world.replicas["r5"]
+    while leader.core.matches.get(joined.replica_id, 0) < leader.core.commit:
+        world.run_until(world.now + POLL_S)
+    return joined
+
+
 def short_leaders(world: World, rng: random.Random) -> None:
     """End each leader shortly after it began, with changes under way."""
     for number in range(ROUNDS):
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -8,6 +8,7 @@
 from harness.explorer.__main__ import main
 from harness.explorer.checker import ViolationError
 from harness.explorer.directed import (
+    early_change,
     overlapping_changes,
     run_directed,
     short_leaders,
@@ -97,6 +98,22 @@
     leader_class = OverlappingLeader
 
 
+class EarlyLeader(Leader):
+    """Change the replica set before an entry of the own term is committed."""
+
+    def _set_replicas(self, replicas, now):
+        known, self._own_term_from = self._own_term_from, 0
+        changed = super()._set_replicas(replicas, now)
+        self._own_term_from = known
+        return changed
+
+
+class EarlyCore(Core):
+    """Lead with early changes."""
+
+    leader_class = EarlyLeader
+
+
 class HastyLeader(Leader):
     """Count the own log before it is synced."""
 
@@ -199,9 +216,14 @@
     ("schedule", "seeds", "core", "broken"),
     [
         (overlapping_changes, range(3), Core, OverlappingCore),
+        (early_change, range(1, 4), Core, EarlyCore),
         (short_leaders, (8, 32, 79), OneEntryCore, EagerOneEntryCore),
     ],
-    ids=["overlapping replica set changes", "old entry committed by counting"],
+    ids=[
+        "overlapping replica set changes",
+        "replica set changed before an own entry is committed",
+        "old entry committed by counting",
+    ],
 )
 def test_directed_schedule_finds_a_broken_rule(schedule, seeds, core, broken):
     for seed in seeds:
