--- a/harness/explorer/schedule.py
+++ b/harness/explorer/schedule.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass
 
 from harness.explorer.checker import ViolationError
-from harness.explorer.replica import Variant
+from harness.explorer.replica import FULL, Variant
 from harness.explorer.world import NetworkFaults, World
 
 FAULTS_S = 20.0
 QUIET_S = 8.0
 CHANGES = 120
 MAX_REPLICAS = 5
+MAX_FALSE_HINTS = 10
 
 
 @dataclass(frozen=True)
@@ -26,22 +27,26 @@
 
 def run_seed(seed: int, variant: Variant | None = None) -> Outcome:
     """Run one schedule and check it."""
-    world = World(seed, variant or Variant())
+    variant = variant or FULL
+    world = World(seed, variant)
     rng = random.Random(seed + 1)
     faults = _draw(world, rng)
+    if variant.hints:
+        faults += _draw_false_hints(world, random.Random(seed + 3))
     try:
         world.run_until(FAULTS_S)
         world.heal()
         world.run_until(FAULTS_S + QUIET_S)
         world.check_end()
-        _check_progress(world)
+        check_progress(world)
     except (ViolationError, AssertionError) as error:
         text = f"{type(error).__name__}: {error}"
         return Outcome(seed, world.steps, faults, len(world.checker.answers), text)
     return Outcome(seed, world.steps, faults, len(world.checker.answers))
 
 
-def _check_progress(world: World) -> None:
+def check_progress(world: World) -> None:
+    """Check that a change is accepted after all faults ended."""
     world.client_change(CHANGES, leader_share=1.0)
     world.run_until(world.now + QUIET_S)
     if f"c{CHANGES}" not in world.checker.answers:
@@ -57,6 +62,13 @@
     return count
 
 
+def _draw_false_hints(world: World, rng: random.Random) -> int:
+    count = rng.randint(0, MAX_FALSE_HINTS)
+    for _ in range(count):
+        world.at(rng.random() * FAULTS_S, world.hint_falsely)
+    return count
+
+
 def _pick(world: World, rng: random.Random) -> str:
     leader = world.leader
     if leader is not None and rng.random() < 0.4:
--- a/persimmonhall/control/tests/__init__.py
+++ b/persimmonhall/control/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Test at-most-once runs and quarantine."""
+"""Check the control VMs."""
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -1,11 +1,13 @@
 """Run a replication core: its clock, its disk and its messages."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 from absl import logging
+from hdrh.histogram import HdrHistogram
 
-from persimmonhall.ids import LogIndex, ReplicaId
+from persimmonhall.ids import LogIndex, ReplicaId, Term
 from persimmonhall.raft.core import Core
 from persimmonhall.raft.messages import Entry, Message, Snapshot
 from persimmonhall.raft.outbox import Persist
@@ -15,14 +17,27 @@
 SPACE_RETRY_S = 0.5
 
 SendMessage = Callable[[ReplicaId, Message], None]
-ApplyItem = Callable[[Entry | Snapshot], None]
+ApplyItems = Callable[[tuple[Entry | Snapshot, ...]], None]
+
+
+@dataclass(frozen=True)
+class _Seen:
+    """Hold what is noted when it changes."""
+
+    role: Role
+    term: Term
+    leader: ReplicaId | None
+
+    @classmethod
+    def of(cls, core: Core) -> "_Seen":
+        return cls(core.role, core.term, core.leader_id)
 
 
 class Driver:
     """Carry out what the core asks for after each input."""
 
     def __init__(
-        self, core: Core, storage: Storage, send: SendMessage, apply: ApplyItem
+        self, core: Core, storage: Storage, send: SendMessage, apply: ApplyItems
     ):
         self._core = core
         self._storage = storage
@@ -32,7 +47,9 @@
         self._wake = trio.Event()
         self._written = trio.Event()
         self._full = ""
+        self._elections = 0
         self._leader_known_at = trio.current_time()
+        self._seen = _Seen.of(core)
         self._reads: dict[int, LogIndex | None] = {}
         self.changed = trio.Event()
 
@@ -41,13 +58,28 @@
         """Return why the disk takes no more, or an empty text."""
         return self._full
 
+    @property
+    def log_bytes(self) -> int:
+        """Return the size of the log file."""
+        return self._storage.log_bytes
+
+    @property
+    def sync_us(self) -> HdrHistogram:
+        """Return how long the syncs of the log took since the start."""
+        return self._storage.sync_us
+
     @property
     def leaderless_since(self) -> float:
         """Return when a leader was last known."""
-        if self._core.leader_id is not None:
+        if self._core.leader_id is not None or self._seen.leader is not None:
             return trio.current_time()
         return self._leader_known_at
 
+    @property
+    def elections(self) -> int:
+        """Return how many elections this replica has started."""
+        return self._elections
+
     def wake(self) -> None:
         """Carry out what the core asks for after an input."""
         self._wake.set()
@@ -81,7 +113,6 @@
 
     def _take(self) -> None:
         now = trio.current_time()
-        before = (self._core.role, self._core.term, self._core.leader_id)
         if now >= self._core.next_tick:
             self._core.tick(now)
         ready = self._core.take(now)
@@ -90,21 +121,24 @@
             self._written.set()
         for outgoing in ready.messages:
             self._send(outgoing.to, outgoing.message)
-        for item in ready.committed:
-            self._apply(item)
+        self._apply(ready.committed)
         for read in ready.reads:
             if read.number in self._reads:
                 self._reads[read.number] = read.index
-        self._log_role(before)
+        self._note_role()
         self.changed.set()
         self.changed = trio.Event()
 
-    def _log_role(self, before: tuple) -> None:
+    def _note_role(self) -> None:
+        # Messages change the role too, so compare with what was seen last.
         core = self._core
-        if before[2] is not None and core.leader_id is None:
-            self._leader_known_at = trio.current_time()
-        if (core.role, core.term, core.leader_id) == before:
+        before, self._seen = self._seen, _Seen.of(core)
+        if self._seen == before:
             return
+        if before.leader is not None and core.leader_id is None:
+            self._leader_known_at = trio.current_time()
+        if core.role is Role.CANDIDATE:
+            self._elections += 1
         logging.info(
             "replica role=%s term=%d leader=%s commit=%d",
             core.role.value,
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -7,8 +7,14 @@
 
 from harness.explorer.__main__ import main
 from harness.explorer.checker import ViolationError
+from harness.explorer.directed import (
+    early_change,
+    overlapping_changes,
+    run_directed,
+    short_leaders,
+)
 from harness.explorer.disk import ForgetfulDisk
-from harness.explorer.replica import Variant
+from harness.explorer.replica import FULL, Variant
 from harness.explorer.schedule import run_seed
 from harness.explorer.world import World
 from persimmonhall.raft.core import Core
@@ -24,6 +30,12 @@
 from persimmonhall.raft.outbox import ReadReady
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.state import Stored
+from persimmonhall.raft.timing import (
+    ELECTION_S,
+    ELECTION_SPREAD_S,
+    LOST_LEADER_S,
+    LOST_LEADER_SPREAD_S,
+)
 
 SEEDS = 150
 SEEDS_OF_BROKEN_RULE = 60
@@ -31,6 +43,7 @@
 SEED_OF_LOST_MAJORITY = 20145
 SEED_OF_REMOVED_LEADER = 20990
 CUT_S = 30.0
+SLOW_SYNC_S = 1.0
 
 
 class EagerLeader(Leader):
@@ -46,6 +59,61 @@
     leader_class = EagerLeader
 
 
+class OneEntryLeader(Leader):
+    """Send one entry at a time, so that an old one can arrive alone."""
+
+    max_append_bytes = 1
+
+
+class OneEntryCore(Core):
+    """Lead entry by entry."""
+
+    leader_class = OneEntryLeader
+
+
+class EagerOneEntryLeader(EagerLeader, OneEntryLeader):
+    """Commit entries of older terms by counting replicas, one at a time."""
+
+
+class EagerOneEntryCore(Core):
+    """Lead eagerly, entry by entry."""
+
+    leader_class = EagerOneEntryLeader
+
+
+class OverlappingLeader(Leader):
+    """Change the replica set while another change is under way."""
+
+    def _set_replicas(self, replicas, now):
+        if not self._would_have_quorum(replicas, now):
+            return False
+        self._append(EntryKind.REPLICAS, encode_replicas(replicas))
+        self._follow_members(now)
+        return True
+
+
+class OverlappingCore(Core):
+    """Lead with overlapping changes."""
+
+    leader_class = OverlappingLeader
+
+
+class EarlyLeader(Leader):
+    """Change the replica set before an entry of the own term is committed."""
+
+    def _set_replicas(self, replicas, now):
+        known, self._own_term_from = self._own_term_from, 0
+        changed = super()._set_replicas(replicas, now)
+        self._own_term_from = known
+        return changed
+
+
+class EarlyCore(Core):
+    """Lead with early changes."""
+
+    leader_class = EarlyLeader
+
+
 class HastyLeader(Leader):
     """Count the own log before it is synced."""
 
@@ -99,15 +167,15 @@
 
 
 def test_messages_do_not_multiply_around_a_snapshot():
-    assert run_seed(SEED_OF_SNAPSHOT_STORM).violation == ""
+    assert run_seed(SEED_OF_SNAPSHOT_STORM, Variant()).violation == ""
 
 
 def test_removing_a_voter_leaves_a_majority_that_answers():
-    assert run_seed(SEED_OF_LOST_MAJORITY).violation == ""
+    assert run_seed(SEED_OF_LOST_MAJORITY, Variant()).violation == ""
 
 
 def test_leader_whose_removal_is_not_committed_stands_again():
-    assert run_seed(SEED_OF_REMOVED_LEADER).violation == ""
+    assert run_seed(SEED_OF_REMOVED_LEADER, Variant()).violation == ""
 
 
 def test_failing_seed_is_printed_with_its_replay(capsys, monkeypatch):
@@ -119,6 +187,7 @@
     assert "replay with: make explore SEED=" in capsys.readouterr().out
 
 
+@pytest.mark.parametrize("full", [False, True], ids=["plain", "full"])
 @pytest.mark.parametrize(
     ("broken", "first_seed", "found"),
     [
@@ -136,12 +205,34 @@
         "vote for a log that is behind",
     ],
 )
-def test_broken_rule_is_found(broken, first_seed, found):
+def test_broken_rule_is_found(broken, first_seed, found, full):
+    broken = replace(broken, hints=full, slow_snapshots=full)
     seeds = range(first_seed, first_seed + SEEDS_OF_BROKEN_RULE)
     violations = (run_seed(seed, broken).violation for seed in seeds)
     assert any(found in violation for violation in violations)
 
 
+@pytest.mark.parametrize(
+    ("schedule", "seeds", "core", "broken"),
+    [
+        (overlapping_changes, range(3), Core, OverlappingCore),
+        (early_change, range(1, 4), Core, EarlyCore),
+        (short_leaders, (8, 32, 79), OneEntryCore, EagerOneEntryCore),
+    ],
+    ids=[
+        "overlapping replica set changes",
+        "replica set changed before an own entry is committed",
+        "old entry committed by counting",
+    ],
+)
+def test_directed_schedule_finds_a_broken_rule(schedule, seeds, core, broken):
+    for seed in seeds:
+        sound = run_directed(schedule, seed, Variant(core=core))
+        assert sound.violation == ""
+        found = run_directed(schedule, seed, Variant(core=broken))
+        assert "applied another entry" in found.violation
+
+
 def _terms_after_cut(core: type[Core]) -> int:
     """Cut one follower off for long and return how many terms that cost."""
     world = World(1, Variant(core=core))
@@ -162,6 +253,37 @@
     assert _terms_after_cut(CoreWithoutPreVote) > CUT_S / 2
 
 
+def _new_leader_after_s(seed: int) -> float:
+    """Crash the leader and return how long until the next one leads."""
+    world = World(seed, FULL)
+    world.run_until(5.0)
+    first = world.leader
+    world.crash(first.name, CUT_S)
+    while world.leader is None:
+        world.run_until(world.now + 0.01)
+    return world.now - 5.0
+
+
+def test_hint_of_an_ended_leader_shortens_the_election():
+    times = sorted(_new_leader_after_s(seed) for seed in range(20))
+    assert times[10] < LOST_LEADER_S + LOST_LEADER_SPREAD_S
+    assert times[-1] < 2 * (ELECTION_S + ELECTION_SPREAD_S)
+
+
+def test_wrong_hint_at_a_minority_and_slow_disks_cost_no_term():
+    world = World(1, FULL)
+    world.run_until(5.0)
+    before = world.leader.core.term
+    follower = next(r for r in world.replicas.values() if r is not world.leader)
+    for replica in world.replicas.values():
+        replica.sync_s = SLOW_SYNC_S
+    for number in range(100):
+        world.at(5.0 + number / 10, world.hint, follower, world.leader.replica_id)
+        world.at(5.0 + number / 10, world.client_change, number)
+    world.run_until(20.0)
+    assert world.leader.core.term == before
+
+
 def _deliver(source: Core, target: Core, now: float) -> list:
     """Sync all writes of a replica, then hand its messages to another."""
     committed = []
