--- a/harness/bench_deployment.py
+++ b/harness/bench_deployment.py
@@ -2,8 +2,9 @@
 
 import argparse
 import json
+import shutil
 import sys
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from functools import partial
 from pathlib import Path
 
@@ -18,6 +19,7 @@
 )
 from harness.scenario import Figures, Timing, Trigger, run_trigger
 from harness.system import System, open_system
+from harness.timeline import Timeline
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.load.settings import LoadSection, LoadSettings, RequestSection
 
@@ -30,6 +32,8 @@
 CONTROLS = 3
 CRASH_RESENDS = 20
 CRASH_INTERVAL_S = 0.1
+SHOWN_BEFORE_S = 6.0
+NOT_LOGS = shutil.ignore_patterns("*.data", "*.toml")
 
 
 def node_name(deployment: Deployment, service: Service, number: int) -> str:
@@ -189,7 +193,30 @@
         print(f"  {shares}")
 
 
-async def run_deployment(deployment: Deployment, only: list[str]) -> int:
+@dataclass(frozen=True)
+class Options:
+    """Say which triggers run, how often, and what else is shown."""
+
+    only: tuple[str, ...] = ()
+    repeat: int = 1
+    timeline: bool = False
+    logs: Path | None = None
+
+
+async def _run_shown(
+    system: System, deployment: Deployment, trigger: Trigger, options: Options
+) -> Figures:
+    settings = load_settings(system, deployment, TIMING, trigger.factor)
+    timeline = Timeline()
+    figures = await run_trigger(system, trigger, TIMING, settings, timeline.add)
+    if options.timeline:
+        zero_s = TIMING.before_s + TIMING.trigger_s
+        print(f"{trigger.name}, recovery {figures.recovery_s:.1f} s; 0 is its end")
+        print(timeline.text(zero_s - SHOWN_BEFORE_S, zero_s + TIMING.after_s, zero_s))
+    return figures
+
+
+async def run_deployment(deployment: Deployment, options: Options) -> int:
     """Run every trigger, print the table, write JSON."""
     servers = sum(service.servers for service in deployment.services)
     print(
@@ -203,11 +230,12 @@
         # Cold backend servers would lower the goodput before the first trigger.
         usual = load_settings(system, deployment, WARM_UP, factor=1.0)
         await run_trigger(system, Trigger("warm up"), WARM_UP, usual)
-        for trigger in make_triggers(deployment):
-            if only and trigger.name not in only:
+        for trigger in make_triggers(deployment) * options.repeat:
+            if options.only and trigger.name not in options.only:
                 continue
-            settings = load_settings(system, deployment, TIMING, trigger.factor)
-            figures.append(await run_trigger(system, trigger, TIMING, settings))
+            figures.append(await _run_shown(system, deployment, trigger, options))
+        if options.logs is not None:
+            shutil.copytree(system.folder, options.logs, ignore=NOT_LOGS)
     print_figures(figures)
     RESULTS.mkdir(exist_ok=True)
     result = json.dumps([asdict(row) for row in figures], indent=1)
@@ -220,8 +248,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("deployment", choices=list(DEPLOYMENTS))
     parser.add_argument("--only", nargs="*", default=[], metavar="TRIGGER")
-    options = parser.parse_args()
-    return trio.run(run_deployment, DEPLOYMENTS[options.deployment], options.only)
+    parser.add_argument("--repeat", type=int, default=1)
+    parser.add_argument("--timeline", action="store_true")
+    parser.add_argument("--logs", type=Path, help="copy the logs to a new folder")
+    given = parser.parse_args()
+    options = Options(tuple(given.only), given.repeat, given.timeline, given.logs)
+    return trio.run(run_deployment, DEPLOYMENTS[given.deployment], options)
 
 
 if __name__ == "__main__":
--- a/harness/scenario.py
+++ b/harness/scenario.py
@@ -7,7 +7,7 @@
 
 from harness.system import System
 from persimmonhall.load.caller import Callers
-from persimmonhall.load.report import PERCENTILES, Report
+from persimmonhall.load.report import PERCENTILES, Report, Sample
 from persimmonhall.load.settings import LoadSettings, PhaseSection
 
 PHASES = ("before", "trigger", "after")
@@ -58,13 +58,17 @@
 
 
 async def run_trigger(
-    system: System, trigger: Trigger, timing: Timing, settings: LoadSettings
+    system: System,
+    trigger: Trigger,
+    timing: Timing,
+    settings: LoadSettings,
+    on_sample: Callable[[Sample], None] | None = None,
 ) -> Figures:
     """Run one trigger under load."""
     started = await executions(system)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cause, system, trigger, timing)
-        report = await Callers(settings).run()
+        report = await Callers(settings, on_sample).run()
     return _sum_up(trigger, timing, report, await executions(system) - started)
 
 
--- a/persimmonhall/load/caller.py
+++ b/persimmonhall/load/caller.py
@@ -3,6 +3,7 @@
 import json
 import random
 import uuid
+from collections.abc import Callable
 
 import trio
 from returns.result import Success
@@ -20,8 +21,13 @@
 class Callers:
     """Send every kind of request at its rate, whatever comes back."""
 
-    def __init__(self, settings: LoadSettings):
+    def __init__(
+        self,
+        settings: LoadSettings,
+        on_sample: Callable[[Sample], None] | None = None,
+    ):
         self._settings = settings
+        self._on_sample = on_sample
         self._client = PooledClient(settings.load.connections)
         self._rng = random.Random(settings.load.seed)
         self._report = Report()
@@ -64,16 +70,17 @@
                 reason = "timeout"
             if good:
                 break
-        self._report.add(
-            Sample(
-                name=request.name,
-                phase=phase,
-                begin=at - self._start,
-                end=trio.current_time() - self._start,
-                good=good,
-                reason=reason,
-            )
+        sample = Sample(
+            name=request.name,
+            phase=phase,
+            begin=at - self._start,
+            end=trio.current_time() - self._start,
+            good=good,
+            reason=reason,
         )
+        self._report.add(sample)
+        if self._on_sample is not None:
+            self._on_sample(sample)
 
     async def _send(self, message: HttpRequest) -> tuple[bool, str]:
         target = self._rng.choice(self._settings.load.targets)
