Do not run a request whose end arrived with it

Cause: a process that stood still reads a request and its end in one go. A frame exchange was started before its cancel frame was read, but could be cancelled only once its task ran, so the cancel was lost and the call ran to its end with a full deadline. A request over HTTP ran up to its first wait, as the watch for hang-ups runs one turn later. Both tests were seen failing first (the dead request ran).

--- a/persimmonhall/http/server.py
+++ b/persimmonhall/http/server.py
@@ -189,7 +189,8 @@
 
     async def _answer_unless_gone(self, request: HttpRequest) -> HttpAnswer | None:
         with trio.CancelScope() as self._request_scope:
-            if self._gone:
+            # The watch runs later if a stall let the hang-up arrive with the request.
+            if self._gone or self._stream.hung_up:
                 return None
             return await self._answer(request)
         return None
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -1,5 +1,6 @@
 """Check the HTTP/1.1 server."""
 
+import socket
 from functools import partial
 
 import trio
@@ -96,3 +97,22 @@
         (500, b"internal"),
         (200, b"whole"),
     ]
+
+
+async def test_request_whose_caller_hung_up_before_it_was_read_does_not_run():
+    ran: list[str] = []
+
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        ran.append(request.target)
+        return HttpAnswer(200, ())
+
+    async with trio.open_nursery() as nursery:
+        serve = partial(serve_http, write_refusal=None)
+        address = await nursery.start(serve, handler, ANY_PORT, trio.Event())
+        # Without a turn of the loop the server stands still, as after a SIGSTOP.
+        with socket.create_connection((address.host, address.port)) as caller:
+            caller.sendall(b"GET /dead HTTP/1.1\r\nhost: cue\r\n\r\n")
+        request = HttpRequest("GET", "/last", ())
+        await PooledClient(1).send(address, request, LIMIT)
+        nursery.cancel_scope.cancel()
+    assert ran == ["/last"]
--- a/persimmonhall/wire/direct_stream.py
+++ b/persimmonhall/wire/direct_stream.py
@@ -29,6 +29,13 @@
         poll.register(self._fd, select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def hung_up(self) -> bool:
+        """Tell whether the peer has closed its side."""
+        poll = select.poll()
+        poll.register(self._fd, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     async def receive_some(self, size: int) -> bytes:
         """Return the next bytes, or none at the end."""
         await self._take_turn()
--- a/persimmonhall/wire/link_server.py
+++ b/persimmonhall/wire/link_server.py
@@ -56,7 +56,8 @@
             elif frame.kind is FrameKind.ASK_END:
                 self._keep(frame)
                 payload = b"".join(self._parts.pop(frame.exchange))
-                nursery.start_soon(self._serve, frame, payload)
+                scope = self._scopes[frame.exchange] = trio.CancelScope()
+                nursery.start_soon(self._serve, frame, payload, scope)
 
     def _keep(self, frame: Frame) -> None:
         parts = self._parts.setdefault(frame.exchange, [])
@@ -70,13 +71,17 @@
         if scope is not None:
             scope.cancel()
 
-    async def _serve(self, frame: Frame, payload: bytes) -> None:
+    async def _serve(
+        self, frame: Frame, payload: bytes, scope: trio.CancelScope
+    ) -> None:
         handler = self._handlers.get(frame.channel)
         if handler is None:
             raise FrameError(f"no handler for channel {frame.channel.name}")
-        with trio.CancelScope() as scope:
-            self._scopes[frame.exchange] = scope
+        with scope:
             try:
+                # Its cancel may have come in the same bytes.
+                if scope.cancel_called:
+                    return
                 reply = await handler(payload)
                 await self._writer.write(
                     FrameKind.REPLY,
--- a/persimmonhall/wire/tests/test_link.py
+++ b/persimmonhall/wire/tests/test_link.py
@@ -8,7 +8,7 @@
 
 from persimmonhall.address import Address
 from persimmonhall.wire.frame_writer import CHUNK_BYTES, MAX_QUEUED_FRAMES
-from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.frames import PREAMBLE, Channel, Frame, FrameKind, encode_frame
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.link_server import serve_links
 
@@ -91,6 +91,32 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_exchange_cancelled_before_it_was_read_does_not_run():
+    ran: list[bytes] = []
+    last = trio.Event()
+
+    async def run(payload: bytes) -> bytes:
+        ran.append(payload)
+        if payload == b"last":
+            last.set()
+        await trio.sleep_forever()
+
+    frames = (
+        Frame(FrameKind.ASK_END, Channel.CALL, 1, b"dead"),
+        Frame(FrameKind.CANCEL, Channel.CALL, 1),
+        Frame(FrameKind.ASK_END, Channel.CALL, 2, b"last"),
+    )
+    async with trio.open_nursery() as nursery:
+        address, _ = await _open(nursery, run)
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        async with stream:
+            await stream.send_all(PREAMBLE + b"".join(map(encode_frame, frames)))
+            with trio.fail_after(TIMEOUT_S):
+                await last.wait()
+        nursery.cancel_scope.cancel()
+    assert ran == [b"last"]
+
+
 async def test_retired_connection_ends_after_its_exchanges_and_a_new_one_is_used():
     ended: list[int] = []
     accepted = 0
