Learn no service time from a stall of this process

Cause: a gate that was stopped for 5 s ended what had run at the stop with 5 s of service time. The estimate (gain up to 1 after a gap) became about 5 s, over every deadline, so every request of that kind was refused as too late, and what would have shown its end never started: the estimate ages only after twice its length, here 10 s. The limit fell to 1 by the same samples. The idle gate drew the spill of other zones. Change: a beat each 50 ms (the lag probe) tells a stall of 1 s or more; what was running across one teaches the estimate and the limit nothing.

--- a/persimmonhall/admission/admission.py
+++ b/persimmonhall/admission/admission.py
@@ -21,6 +21,7 @@
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import Refusal
 from persimmonhall.ids import RootId, TicketId
+from persimmonhall.stalls import Stalls
 
 REFUSAL_LOG_INTERVAL_S = 1.0
 
@@ -56,8 +57,9 @@
 class Admission:
     """Run the admission core on the event loop."""
 
-    def __init__(self):
+    def __init__(self, stalls: Stalls | None = None):
         self._core = AdmissionCore()
+        self._stalls = stalls or Stalls()
         self._counters = GateCounters()
         self._ids = itertools.count(1)
         self._waiters: dict[TicketId, _Waiter] = {}
@@ -122,6 +124,8 @@
     def finish(self, admitted: Admitted, outcome: Outcome) -> None:
         """Record how a started request ended."""
         now = trio.current_time()
+        if self._stalls.has_hit(admitted.started, now):
+            self._core.resume(now)
         if outcome is Outcome.CANCELLED:
             self._counters.cancelled[admitted.ticket.worth] += 1
         elif outcome is not Outcome.NOT_RUN:
--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -67,6 +67,7 @@
         self._lingering: list[float] = []
         self._line = WaitingLine()
         self._queued_since = 0.0
+        self._resumed = float("-inf")
         self._shortages: dict[Worth, _Shortage] = {}
 
     @property
@@ -126,6 +127,10 @@
         del self._running[ticket]
         return self._start_waiting(now)
 
+    def resume(self, now: float) -> None:
+        """Learn nothing from what runs, for this process stood still until now."""
+        self._resumed = now
+
     def abandon(self, ticket: TicketId, now: float) -> list[Verdict]:
         """Forget a request whose caller went away while it waited."""
         self._line.remove(ticket)
@@ -153,6 +158,10 @@
 
     def _observe(self, run: _Run, outcome: Outcome, now: float) -> None:
         seconds = now - run.started
+        if run.started < self._resumed:
+            if outcome is Outcome.CANCELLED:
+                self._linger(run, seconds, now)
+            return
         sample = Sample(run.kind, outcome, run.started, seconds, run.in_flight)
         self._limiter.observe(sample, now)
         if outcome is Outcome.DONE:
--- a/persimmonhall/admission/lag_probe.py
+++ b/persimmonhall/admission/lag_probe.py
@@ -4,17 +4,20 @@
 from absl import logging
 
 from persimmonhall.admission.self_limit import SelfLimit
+from persimmonhall.stalls import Stalls
 
 INTERVAL_S = 0.05
 
 
-async def probe_lag(self_limit: SelfLimit) -> None:
+async def probe_lag(self_limit: SelfLimit, stalls: Stalls) -> None:
     """Feed the self-limit until cancelled; log when it begins and ends to refuse."""
     while True:
         due = trio.current_time() + INTERVAL_S
         await trio.sleep_until(due)
+        now = trio.current_time()
+        stalls.beat(now)
         before = self_limit.level
-        self_limit.observe(trio.current_time() - due)
+        self_limit.observe(now - due)
         if (before > 0) != (self_limit.level > 0):
             logging.warning(
                 "self-limit level=%.2f lag_ms=%.0f",
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -33,6 +33,7 @@
 from persimmonhall.ids import ServiceName
 from persimmonhall.once.answers import is_replayed
 from persimmonhall.once.runner import DirectRunner, Runner
+from persimmonhall.stalls import Stalls
 
 SHED_STATUS = 503
 NOT_SENT = frozenset(
@@ -66,9 +67,10 @@
         self_limit: SelfLimit | None = None,
         runner: Runner | None = None,
         make_client: Callable[[int], HttpClient] = PooledClient,
+        stalls: Stalls | None = None,
     ):
         self._runner = runner or DirectRunner()
-        self._admission = Admission()
+        self._admission = Admission(stalls)
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
--- a/persimmonhall/call/tests/test_gate.py
+++ b/persimmonhall/call/tests/test_gate.py
@@ -5,6 +5,8 @@
 from returns.result import Result, Success
 
 from persimmonhall.address import Address
+from persimmonhall.admission.lag_probe import probe_lag
+from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.call.backend import Backend, BackendState
 from persimmonhall.call.chain import CHAIN_HEADER, parse_chain
 from persimmonhall.call.gate import Gate
@@ -13,6 +15,7 @@
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.ids import ServiceName
+from persimmonhall.stalls import Stalls
 from tests.builders import make_call
 
 BACKEND = Backend(ServiceName("cue"), Address("127.0.0.1", 9), 1, 10)
@@ -118,3 +121,17 @@
     calls.client.release.set()
     await trio.testing.wait_all_tasks_blocked()
     assert calls.replies["running"].load.latency_us == 250_000
+
+
+async def test_stall_of_this_process_is_no_service_time(nursery, autojump_clock):
+    stalls = Stalls()
+    nursery.start_soon(probe_lag, SelfLimit(), stalls)
+    calls = Calls(nursery, stalls=stalls)
+    await calls.start("before")
+    await trio.sleep(0.1)
+    autojump_clock.jump(6.0)
+    await trio.testing.wait_all_tasks_blocked()
+    assert calls.replies["before"].kind is ErrorKind.DEADLINE_EXCEEDED
+    calls.client.release.set()
+    await calls.start("after")
+    assert calls.replies["after"].status == 200
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -37,6 +37,7 @@
 from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
+from persimmonhall.stalls import Stalls
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.link_server import serve_links
@@ -75,13 +76,14 @@
     control = ControlClient(links, settings.peers.control)
     once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
     self_limit = SelfLimit()
+    stalls = Stalls()
 
     def critical_share(service: ServiceName) -> float:
         document = documents.get(service)
         rate = document.critical_per_second if document is not None else 0.0
         return server_share(rate, len(table.servers_of(service)))
 
-    gate = Gate(critical_share, self_limit, once.runner)
+    gate = Gate(critical_share, self_limit, once.runner, stalls=stalls)
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
     watch = BackendWatch(gate, gossiper)
     router = Router(table, own.zone, rng)
@@ -156,7 +158,7 @@
             nursery.start_soon(watch.run)
             nursery.start_soon(once.spreader.run)
             nursery.start_soon(gate.keep_time)
-            nursery.start_soon(probe_lag, self_limit)
+            nursery.start_soon(probe_lag, self_limit, stalls)
             nursery.start_soon(follower.run)
             nursery.start_soon(wait_for_stop_signal, stop)
             on_ready(NodeAddresses(callers, local, frames))
