Blame neither servers nor the own backend server for a stall of this process

Calls in flight at the stop ended as timed out at its end: two of them ejected a server. The silence of the backend server counted the stall, so that after 6 s it was dropped and came back cold.

--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -22,6 +22,7 @@
 from persimmonhall.routing.router import Choice, Observation, Router
 from persimmonhall.routing.rules import Ruling, rule_on
 from persimmonhall.routing.views import CallOutcome
+from persimmonhall.stalls import Stalls
 
 RAN_HEADER = b"persimmonhall-ran"
 SHED_STATUS = 503
@@ -42,6 +43,7 @@
         self_limit: SelfLimit,
         executions: Executions,
         quarantine: SuspectRouting | None = None,
+        stalls: Stalls | None = None,
     ):
         self._node = node
         self._documents = documents
@@ -52,6 +54,7 @@
         self._rng = rng
         self._self_limit = self_limit
         self._executions = executions
+        self._stalls = stalls or Stalls()
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -154,6 +157,8 @@
         finally:
             now = trio.current_time()
             outcome = outcome_of(reply) if reply else _outcome_at(now, deadline)
+            if self._stalls.has_hit(start, now):
+                outcome = CallOutcome.OWN_STALL
             load = reply.load if reply and reply.load.limit else None
             seen = Observation(outcome, plan.rule.path, now - start, load)
             self._router.observe(plan.service, node, seen, now)
--- a/persimmonhall/call/tests/hops.py
+++ b/persimmonhall/call/tests/hops.py
@@ -26,9 +26,11 @@
 from persimmonhall.routing.ledger import RetryLedger
 from persimmonhall.routing.router import Router
 from persimmonhall.routing.tokens import Tokens
+from persimmonhall.stalls import Stalls
 from persimmonhall.wire.link import LinkError
 from tests.builders import make_held, make_member, merge_members
 
+DEADLINE_S = 60.0
 DOCUMENT = """\
 service = "{service}"
 team = "publishing"
@@ -37,7 +39,7 @@
 path = "/*"
 worth = "standard"
 idempotent = true
-deadline_ms = 60000
+deadline_ms = {deadline_ms}
 retries = {retries}
 """
 
@@ -71,12 +73,14 @@
         servers: int = 2,
         failed_call_status: int = 502,
         fault_of: FaultOf = lambda path, node: Fault.CONNECTION_LOST,
+        stalls: Stalls | None = None,
     ):
         self._depth = depth
         self._fan_out = fan_out
         self._resends = resends
         self._failed_call_status = failed_call_status
         self._fault_of = fault_of
+        self._stalls = stalls
         self.links_are_cut = False
         self.executions = Executions()
         self.runs: Counter[tuple[RootId, str]] = Counter()
@@ -96,7 +100,9 @@
         return sum(self._fan_out**level for level in range(self._depth))
 
     def _add_service(self, service: ServiceName, servers: int, retries: int) -> None:
-        text = DOCUMENT.format(service=service, retries=retries)
+        text = DOCUMENT.format(
+            service=service, retries=retries, deadline_ms=int(DEADLINE_S * 1000)
+        )
         self._documents.apply(make_held(service=service, text=text))
         for _ in range(servers):
             number = len(self.entries)
@@ -118,6 +124,7 @@
             rng,
             SelfLimit(),
             self.executions,
+            stalls=self._stalls,
         )
 
     def _make_retries(self, tokens: Tokens) -> Retries:
--- a/persimmonhall/call/tests/test_ran.py
+++ b/persimmonhall/call/tests/test_ran.py
@@ -5,11 +5,9 @@
 
 from persimmonhall.call.gates import NO_LOAD
 from persimmonhall.call.messages import Answered, refused
-from persimmonhall.call.tests.hops import HopModel
+from persimmonhall.call.tests.hops import DEADLINE_S, HopModel
 from persimmonhall.errors import ErrorKind, Ran, refuse
 
-DEADLINE_S = 60.0
-
 
 def _refused(kind: ErrorKind, ran: Ran):
     return refused(refuse(kind, "scripted", ran=ran), NO_LOAD)
--- a/persimmonhall/membership/announce.py
+++ b/persimmonhall/membership/announce.py
@@ -15,6 +15,7 @@
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.messages import MemberState
 from persimmonhall.settings import NAME_PATTERN
+from persimmonhall.stalls import Stalls
 
 SILENCE_S = 6.0
 CHECK_INTERVAL_S = 0.5
@@ -82,9 +83,10 @@
 class BackendWatch:
     """Keep the gate and the peers informed of the own backend server."""
 
-    def __init__(self, gate: Gate, gossiper: Gossiper):
+    def __init__(self, gate: Gate, gossiper: Gossiper, stalls: Stalls):
         self._gate = gate
         self._gossiper = gossiper
+        self._stalls = stalls
         self._heard = 0.0
 
     def take(self, backend: Backend) -> None:
@@ -111,8 +113,11 @@
         """Drop the backend server when it stops announcing itself."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
+            now = trio.current_time()
+            if self._stalls.has_hit(self._heard, now):
+                self._heard = now
             backend = self._gate.backend
-            if backend is None or trio.current_time() - self._heard < SILENCE_S:
+            if backend is None or now - self._heard < SILENCE_S:
                 continue
             logging.warning("backend silent service=%s", backend.service)
             self.drop()
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -85,7 +85,7 @@
 
     gate = Gate(critical_share, self_limit, once.runner, stalls=stalls)
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
-    watch = BackendWatch(gate, gossiper)
+    watch = BackendWatch(gate, gossiper, stalls)
     router = Router(table, own.zone, rng)
     tokens = Tokens(own.name, RetryLedger(), table, links)
     gates = Gates(own.name, gate, links)
@@ -100,6 +100,7 @@
         self_limit,
         gate.executions,
         once.quarantine,
+        stalls,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -110,6 +110,10 @@
             return
         probed = view.probing
         view.end(now)
+        if seen.outcome is CallOutcome.OWN_STALL:
+            # What the server did meanwhile is not known: count its time anew.
+            view.progress_at = now
+            return
         if seen.outcome in WAITS and seen.latency_s < view.stall_s:
             return
         if seen.load is not None:
--- a/persimmonhall/routing/views.py
+++ b/persimmonhall/routing/views.py
@@ -33,6 +33,7 @@
     LOST = "lost"
     TIMED_OUT = "timedOut"
     CANCELLED = "cancelled"
+    OWN_STALL = "ownStall"
 
 
 class EjectReason(Enum):
