Cut a zone off in the deployments' benchmark; choose document keys there

The cut runs on a second start of the deployment, whose processes speak through relays; other triggers keep their direct connections.

--- a/harness/bench_deployment.py
+++ b/harness/bench_deployment.py
@@ -4,7 +4,7 @@
 import json
 import shutil
 import sys
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from functools import partial
 from pathlib import Path
 
@@ -20,7 +20,9 @@
 from harness.scenario import Figures, Timing, Trigger, run_trigger
 from harness.system import System, open_system
 from harness.timeline import Timeline
+from harness.zone_network import ZoneNetwork
 from persimmonhall.http.messages import HttpRequest
+from persimmonhall.ids import ZoneName
 from persimmonhall.load.settings import LoadSection, LoadSettings, RequestSection
 
 RESULTS = Path("results")
@@ -42,17 +44,19 @@
     return f"{zone}-{service.name}-{number}"
 
 
-async def start_deployment(system: System, deployment: Deployment) -> None:
+async def start_deployment(
+    system: System, starter: System | ZoneNetwork, deployment: Deployment
+) -> None:
     """Start control, nodes and stand-ins of a deployment."""
-    await system.start_controls(CONTROLS)
+    await starter.start_controls(CONTROLS)
     for service in deployment.services:
         for number in range(service.servers):
             name = node_name(deployment, service, number)
             zone = name.partition("-")[0]
-            await system.start_node(name, zone, region=deployment.region)
+            await starter.start_node(name, zone, region=deployment.region)
             await _start_backend(system, name, service)
     for service in deployment.services:
-        text = document_text(service, deployment.deadline_ms)
+        text = document_text(service, deployment.deadline_ms, deployment.retries)
         await system.put_document(service.name, text)
     for service in deployment.services:
         await system.wait_for_document(service.name, 1)
@@ -121,6 +125,14 @@
         process.thaw()
 
 
+async def _cut_zone(network: ZoneNetwork, zone: str, system: System) -> None:
+    network.cuts.cut_off(ZoneName(zone))
+
+
+async def _heal(network: ZoneNetwork, system: System) -> None:
+    network.cuts.heal()
+
+
 async def _kill_leader(system: System) -> None:
     leader = await system.wait_for_leader()
     system.control[leader].kill()
@@ -148,7 +160,7 @@
         await system.restart_backend(node)
 
 
-def make_triggers(deployment: Deployment) -> tuple[Trigger, ...]:
+def make_triggers(deployment: Deployment, network: ZoneNetwork) -> tuple[Trigger, ...]:
     """Return the triggers in the order they are run."""
     zone = deployment.lost_zone
     return (
@@ -176,6 +188,16 @@
     )
 
 
+def make_cut(deployment: Deployment, network: ZoneNetwork) -> Trigger:
+    """Return the trigger that needs relays between the zones."""
+    zone = deployment.lost_zone
+    return Trigger(
+        f"{zone} cut off",
+        begin=partial(_cut_zone, network, zone),
+        end=partial(_heal, network),
+    )
+
+
 def print_figures(figures: list[Figures]) -> None:
     """Print a line a trigger and the shares by kind of request."""
     print(
@@ -202,6 +224,10 @@
     timeline: bool = False
     logs: Path | None = None
 
+    def wants(self, trigger: Trigger) -> bool:
+        """Tell whether a trigger is to be run."""
+        return not self.only or trigger.name in self.only
+
 
 async def _run_shown(
     system: System, deployment: Deployment, trigger: Trigger, options: Options
@@ -216,26 +242,64 @@
     return figures
 
 
+async def _run_all(
+    system: System,
+    deployment: Deployment,
+    triggers: tuple[Trigger, ...],
+    options: Options,
+) -> list[Figures]:
+    # Cold backend servers would lower the goodput before the first trigger.
+    usual = load_settings(system, deployment, WARM_UP, factor=1.0)
+    await run_trigger(system, Trigger("warm up"), WARM_UP, usual)
+    figures = [
+        await _run_shown(system, deployment, trigger, options)
+        for trigger in triggers * options.repeat
+    ]
+    if options.logs is not None:
+        shutil.copytree(
+            system.folder, options.logs, ignore=NOT_LOGS, dirs_exist_ok=True
+        )
+    return figures
+
+
+async def _measure(deployment: Deployment, options: Options) -> list[Figures]:
+    """Run the triggers that need no network between the zones."""
+    triggers = tuple(filter(options.wants, make_triggers(deployment)))
+    if not triggers:
+        return []
+    async with open_system() as system:
+        await start_deployment(system, system, deployment)
+        return await _run_all(system, deployment, triggers, options)
+
+
+async def _measure_cut(deployment: Deployment, options: Options) -> list[Figures]:
+    """Run the cut of a zone on processes that speak through relays."""
+    kept = tuple(zone for zone in deployment.zones if zone != deployment.lost_zone)
+    async with open_system() as system, trio.open_nursery() as nursery:
+        network = ZoneNetwork(
+            system, nursery, deployment.zones, kept, deployment.between_zones_ms
+        )
+        trigger = make_cut(deployment, network)
+        figures = []
+        if options.wants(trigger):
+            await start_deployment(system, network, deployment)
+            figures = await _run_all(system, deployment, (trigger,), options)
+        nursery.cancel_scope.cancel()
+    return figures
+
+
 async def run_deployment(deployment: Deployment, options: Options) -> int:
     """Run every trigger, print the table, write JSON."""
     servers = sum(service.servers for service in deployment.services)
     print(
         f"{deployment.name}: {servers} servers in {len(deployment.zones)} zones, "
         f"{CONTROLS} control VMs; slots 1/{SLOT_SCALE}, clients "
-        f"{deployment.client_ms} ms away, no delay between zones"
+        f"{deployment.client_ms} ms away; zones {deployment.between_zones_ms} ms "
+        f"apart in the cut, else no delay between them; deadline "
+        f"{deployment.deadline_ms} ms, retries {deployment.retries}"
     )
-    figures = []
-    async with open_system() as system:
-        await start_deployment(system, deployment)
-        # Cold backend servers would lower the goodput before the first trigger.
-        usual = load_settings(system, deployment, WARM_UP, factor=1.0)
-        await run_trigger(system, Trigger("warm up"), WARM_UP, usual)
-        for trigger in make_triggers(deployment) * options.repeat:
-            if options.only and trigger.name not in options.only:
-                continue
-            figures.append(await _run_shown(system, deployment, trigger, options))
-        if options.logs is not None:
-            shutil.copytree(system.folder, options.logs, ignore=NOT_LOGS)
+    figures = await _measure(deployment, options)
+    figures += await _measure_cut(deployment, options)
     print_figures(figures)
     RESULTS.mkdir(exist_ok=True)
     result = json.dumps([asdict(row) for row in figures], indent=1)
@@ -251,9 +315,16 @@
     parser.add_argument("--repeat", type=int, default=1)
     parser.add_argument("--timeline", action="store_true")
     parser.add_argument("--logs", type=Path, help="copy the logs to a new folder")
+    parser.add_argument("--deadline-ms", type=int, help="instead of the usual one")
+    parser.add_argument("--retries", type=int, help="instead of the usual ones")
     given = parser.parse_args()
+    deployment = DEPLOYMENTS[given.deployment]
+    keys = {"deadline_ms": given.deadline_ms, "retries": given.retries}
+    deployment = replace(
+        deployment, **{key: value for key, value in keys.items() if value is not None}
+    )
     options = Options(tuple(given.only), given.repeat, given.timeline, given.logs)
-    return trio.run(run_deployment, DEPLOYMENTS[given.deployment], options)
+    return trio.run(run_deployment, deployment, options)
 
 
 if __name__ == "__main__":
--- a/harness/deployments.py
+++ b/harness/deployments.py
@@ -48,10 +48,12 @@
     region: str
     zones: tuple[str, ...]
     client_ms: float
+    between_zones_ms: float
     deadline_ms: int
     deepest: str
     lost_zone: str
     services: tuple[Service, ...] = field(default=())
+    retries: int = 1
 
 
 VANUA = Deployment(
@@ -59,6 +61,7 @@
     region="viti",
     zones=("suva", "nadi", "lautoka", "labasa"),
     client_ms=3.0,
+    between_zones_ms=1.0,
     deadline_ms=1500,
     deepest="glyph",
     lost_zone="labasa",
@@ -111,6 +114,7 @@
     region="fi-south",
     zones=("espoo", "lahti", "turku"),
     client_ms=8.0,
+    between_zones_ms=1.5,
     deadline_ms=1500,
     deepest="kuljetus",
     lost_zone="turku",
@@ -162,7 +166,7 @@
 DEPLOYMENTS = {deployment.name: deployment for deployment in (VANUA, HAKEPUU)}
 
 
-def document_text(service: Service, deadline_ms: int) -> str:
+def document_text(service: Service, deadline_ms: int, retries: int) -> str:
     """Write the document of a service."""
     lines = [f'service = "{service.name}"', 'team = "operators"']
     for request in service.requests:
@@ -173,6 +177,7 @@
             f'worth = "{request.worth}"',
             f"idempotent = {str(request.idempotent).lower()}",
             f"deadline_ms = {deadline_ms}",
+            f"retries = {retries}",
         ]
     lines += [
         "[[requests]]",
@@ -180,5 +185,6 @@
         'worth = "internal"',
         "idempotent = true",
         f"deadline_ms = {deadline_ms}",
+        f"retries = {retries}",
     ]
     return "\n".join(lines) + "\n"
--- a/tests/zone_relay.py
+++ b/harness/zone_relay.py
@@ -1,4 +1,4 @@
-"""Relay TCP and UDP between zones and drop silently what is cut."""
+"""Relay TCP and UDP between zones with a delay and drop silently what is cut."""
 
 from dataclasses import dataclass, field
 
@@ -8,6 +8,7 @@
 from persimmonhall.ids import ZoneName
 
 RECEIVE_BYTES = 64 * 1024
+MAX_CHUNKS = 64
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
@@ -16,6 +17,7 @@
     """Hold which zone cannot send to which; zones are told by IP number."""
 
     zones: dict[str, ZoneName]
+    delay_s: float = 0.0
     _cut: set[tuple[ZoneName, ZoneName]] = field(default_factory=set)
     _changed: trio.Event = field(default_factory=trio.Event)
 
@@ -33,6 +35,17 @@
         """Tell whether an IP number cannot send to a zone."""
         return (self.zones.get(host), receiver) in self._cut
 
+    def cut_off(self, zone: ZoneName) -> None:
+        """Drop what a zone sends to and gets from all others."""
+        for other in self.zones.values():
+            if other != zone:
+                self.cut(zone, other)
+                self.cut(other, zone)
+
+    def delay_between(self, sender: ZoneName | None, receiver: ZoneName) -> float:
+        """Return the seconds that bytes take one way."""
+        return 0.0 if sender == receiver else self.delay_s
+
     async def wait_open(self, sender: ZoneName | None, receiver: ZoneName) -> None:
         """Wait until one zone can send to another."""
         while (sender, receiver) in self._cut:
@@ -55,15 +68,26 @@
         socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         await socket.bind((self.address.host, self.address.port))
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._relay_datagrams, socket)
+            nursery.start_soon(self._relay_datagrams, socket, nursery)
             task_status.started(self)
             await trio.serve_listeners(self._relay_stream, [listener])
 
-    async def _relay_datagrams(self, socket: trio.socket.SocketType) -> None:
+    async def _relay_datagrams(
+        self, socket: trio.socket.SocketType, nursery: trio.Nursery
+    ) -> None:
         while True:
             data, (host, _) = await socket.recvfrom(RECEIVE_BYTES)
             if self.target is not None and not self._cuts.is_cut(host, self._zone):
-                await socket.sendto(data, (self.target.host, self.target.port))
+                delay_s = self._cuts.delay_between(
+                    self._cuts.zones.get(host), self._zone
+                )
+                nursery.start_soon(self._send_datagram, socket, data, delay_s)
+
+    async def _send_datagram(
+        self, socket: trio.socket.SocketType, data: bytes, delay_s: float
+    ) -> None:
+        await trio.sleep(delay_s)
+        await socket.sendto(data, (self.target.host, self.target.port))
 
     async def _relay_stream(self, stream: trio.SocketStream) -> None:
         host = stream.socket.getpeername()[0]
@@ -85,7 +109,17 @@
             pass
 
     async def _pump(self, source, sink, sender, receiver, scope) -> None:
-        while data := await source.receive_some(RECEIVE_BYTES):
-            await self._cuts.wait_open(sender, receiver)
-            await sink.send_all(data)
-        scope.cancel()
+        delay_s = self._cuts.delay_between(sender, receiver)
+        on_the_way, arriving = trio.open_memory_channel[tuple[float, bytes]](MAX_CHUNKS)
+
+        async def deliver() -> None:
+            async for due, data in arriving:
+                await trio.sleep_until(due)
+                await self._cuts.wait_open(sender, receiver)
+                await sink.send_all(data)
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery, on_the_way:
+            nursery.start_soon(deliver)
+            while data := await source.receive_some(RECEIVE_BYTES):
+                await on_the_way.send((trio.current_time() + delay_s, data))
--- a/tests/test_zone_cut.py
+++ b/tests/test_zone_cut.py
@@ -8,11 +8,11 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 
 from harness.system import System, open_system
+from harness.zone_relay import Cuts, ZoneRelay
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.ids import ZoneName
 from tests.builders import CUE_DOCUMENT
 from tests.portal import open_portal
-from tests.zone_relay import Cuts, ZoneRelay
 
 scenarios("features/zone_cut.feature")
 
