Suspect requests that were given up just before a server died

Cause, found while weighing how to serialise copies of a crashing request: a backend server may go on with a request whose caller hung up, and die of it. Its gate had ended the call, so the request was no suspect, and a caller that times out and sends again could kill every server. A death noticed by a refused connection alone was not reported at all. Change: the 16 requests given up last, at most 5 s before a death, count among those in flight; a refused connection with such requests open is looked into. Unit tests only: the stand-in honours hang-ups.

--- a/persimmonhall/once/crash_watch.py
+++ b/persimmonhall/once/crash_watch.py
@@ -1,6 +1,8 @@
 """Notice that the backend server died and which requests were in flight."""
 
 import itertools
+import math
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -25,6 +27,8 @@
 WATCH_S = 0.05
 TELL_WAIT_S = 0.1
 SAME_DEATH_S = 0.25
+ABANDONED_S = 5.0
+MAX_ABANDONED = 16
 MAX_REQUEST_LENGTH = 120
 
 Send = Callable[[], Awaitable[Result[HttpAnswer, Refusal]]]
@@ -36,6 +40,7 @@
     def __init__(self, request: SuspectRequest):
         self.request = request
         self.implicated = False
+        self.given_up_at = math.inf
 
 
 class CrashWatch:
@@ -53,6 +58,8 @@
         self._spreader = spreader
         self._on_death = on_death
         self._running: set[_Run] = set()
+        # A backend server may go on with what its caller gave up, and die of it.
+        self._abandoned: deque[_Run] = deque(maxlen=MAX_ABANDONED)
         self._suspect_turn = trio.Lock()
         self._probe_done: trio.Event | None = None
         self._died_at = -SAME_DEATH_S
@@ -92,10 +99,27 @@
                     self._clear(fingerprint)
                 case Failure(refusal) if refusal.kind in LOST:
                     await self._look_into(run, address)
+                case Failure(refusal) if refusal.kind is ErrorKind.CONNECT_FAILED:
+                    self._running.discard(run)
+                    if self._unfinished():
+                        await self._look_into(run, address)
+        except trio.Cancelled:
+            run.given_up_at = trio.current_time()
+            self._abandoned.append(run)
+            raise
         finally:
             self._running.discard(run)
         return result
 
+    def _unfinished(self) -> list[_Run]:
+        """Return the requests that may still run although nobody waits for them."""
+        since = trio.current_time() - ABANDONED_S
+        return [
+            run
+            for run in self._abandoned
+            if run.given_up_at >= since and not run.implicated
+        ]
+
     def _clear(self, fingerprint: Fingerprint) -> None:
         now = trio.current_time()
         changed = self._suspects.clear(fingerprint, now)
@@ -123,6 +147,7 @@
     async def _report(self) -> None:
         now = self._died_at = trio.current_time()
         in_flight = [run for run in self._running if not run.implicated]
+        in_flight += self._unfinished()
         death = DeathId(f"{self._source}/{next(self._numbers)}")
         for run in in_flight:
             run.implicated = True
--- a/persimmonhall/once/tests/test_crash_watch.py
+++ b/persimmonhall/once/tests/test_crash_watch.py
@@ -15,7 +15,7 @@
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.once.claimer import Holder
 from persimmonhall.once.crash_messages import Suspicion
-from persimmonhall.once.crash_watch import CrashWatch
+from persimmonhall.once.crash_watch import ABANDONED_S, CrashWatch
 from persimmonhall.once.spread import SuspectSpreader
 from persimmonhall.once.suspects import SuspectTable
 from persimmonhall.wire.link import LinkPool
@@ -23,6 +23,7 @@
 
 FINGERPRINT = Fingerprint(1)
 LOST = Failure(refuse(ErrorKind.CONNECTION_LOST, "lost"))
+NOT_CONNECTED = Failure(refuse(ErrorKind.CONNECT_FAILED, "not connected"))
 
 
 class Gate:
@@ -105,6 +106,39 @@
     assert gate.suspicion() is Suspicion.SUSPECT
 
 
+async def _give_up(gate: Gate, fingerprint: int) -> None:
+    """Run a request whose caller goes away while it runs."""
+    with trio.move_on_after(0) as scope:
+        await gate.run(trio.sleep_forever, fingerprint)
+    assert scope.cancelled_caught
+
+
+NOTICED_BY = {"a lost connection": LOST, "no connection": NOT_CONNECTED}
+
+
+@pytest.mark.parametrize("name", NOTICED_BY)
+async def test_death_implicates_requests_given_up_just_before(name):
+    async def send():
+        return NOTICED_BY[name]
+
+    async with open_gate(alive=False) as gate:
+        await _give_up(gate, 2)
+        await gate.run(send, 3)
+        assert gate.deaths == 1
+        assert gate.suspicion(2) is Suspicion.SUSPECT
+        was_sent = NOTICED_BY[name] is LOST
+        expected = Suspicion.SUSPECT if was_sent else Suspicion.NONE
+        assert gate.suspicion(3) is expected
+
+
+async def test_death_spares_requests_given_up_long_before(autojump_clock):
+    async with open_gate(alive=False) as gate:
+        await _give_up(gate, 2)
+        await trio.sleep(ABANDONED_S + 1)
+        await gate.run(lose)
+        assert gate.suspicion(2) is Suspicion.NONE
+
+
 CLEARING = {
     "a whole answer": (["a"], 200, Suspicion.NONE),
     "an answer with an error": (["a"], 500, Suspicion.NONE),
