--- a/harness/bench_deployment.py
+++ b/harness/bench_deployment.py
@@ -160,7 +160,7 @@
         await system.restart_backend(node)
 
 
-def make_triggers(deployment: Deployment, network: ZoneNetwork) -> tuple[Trigger, ...]:
+def make_triggers(deployment: Deployment) -> tuple[Trigger, ...]:
     """Return the triggers in the order they are run."""
     zone = deployment.lost_zone
     return (
