--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -22,6 +22,7 @@
 from persimmonhall.routing.router import Choice, Observation, Router
 from persimmonhall.routing.rules import Ruling, rule_on
 from persimmonhall.routing.views import CallOutcome
+from persimmonhall.stalls import Stalls
 from persimmonhall.wire.answer_memory import AnswerMemory, Holding
 
 RAN_HEADER = b"persimmonhall-ran"
@@ -45,6 +46,7 @@
         executions: Executions,
         quarantine: SuspectRouting | None = None,
         answers: AnswerMemory | None = None,
+        stalls: Stalls | None = None,
     ):
         self._node = node
         self._documents = documents
@@ -56,6 +58,7 @@
         self._self_limit = self_limit
         self._executions = executions
         self._answers = answers or AnswerMemory(MAX_HELD_BYTES)
+        self._stalls = stalls or Stalls()
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -168,6 +171,8 @@
         finally:
             now = trio.current_time()
             outcome = outcome_of(reply) if reply else _outcome_at(now, deadline)
+            if self._stalls.has_hit(start, now):
+                outcome = CallOutcome.OWN_STALL
             load = reply.load if reply and reply.load.limit else None
             seen = Observation(outcome, plan.rule.path, now - start, load)
             self._router.observe(plan.service, node, seen, now)
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -34,6 +34,7 @@
 from persimmonhall.ids import ServiceName
 from persimmonhall.once.answers import is_replayed
 from persimmonhall.once.runner import DirectRunner, Runner
+from persimmonhall.stalls import Stalls
 from persimmonhall.wire.answer_memory import AnswerMemory, Holding
 from persimmonhall.wire.link_server import HeldReply
 
@@ -72,9 +73,10 @@
         make_client: Callable[[int], HttpClient] = PooledClient,
         answers: AnswerMemory | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        stalls: Stalls | None = None,
     ):
         self._runner = runner or DirectRunner()
-        self._admission = Admission()
+        self._admission = Admission(stalls)
         self._critical_share = critical_share
         self._budget = CriticalBudget()
         self._self_limit = self_limit or SelfLimit()
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -37,6 +37,7 @@
 from persimmonhall.routing.tokens import Tokens
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
+from persimmonhall.stalls import Stalls
 from persimmonhall.wire.answer_memory import AnswerMemory
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
@@ -76,6 +77,7 @@
     control = ControlClient(links, settings.peers.control)
     once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
     self_limit = SelfLimit()
+    stalls = Stalls()
 
     def critical_share(service: ServiceName) -> float:
         document = documents.get(service)
@@ -90,11 +92,12 @@
         critical_share,
         self_limit,
         once.runner,
+        stalls=stalls,
         answers=gate_answers,
         max_answer_bytes=limits.max_answer_bytes,
     )
     gossiper = Gossiper(table, links, settings.peers.seeds, rng)
-    watch = BackendWatch(gate, gossiper)
+    watch = BackendWatch(gate, gossiper, stalls)
     router = Router(table, own.zone, rng)
     tokens = Tokens(own.name, RetryLedger(), table, links)
     gates = Gates(own.name, gate, links)
@@ -110,6 +113,7 @@
         gate.executions,
         once.quarantine,
         entry_answers,
+        stalls,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
@@ -168,7 +172,7 @@
             nursery.start_soon(watch.run)
             nursery.start_soon(once.spreader.run)
             nursery.start_soon(gate.keep_time)
-            nursery.start_soon(probe_lag, self_limit)
+            nursery.start_soon(probe_lag, self_limit, stalls)
             nursery.start_soon(follower.run)
             nursery.start_soon(wait_for_stop_signal, stop)
             on_ready(NodeAddresses(callers, local, frames))
