--- a/persimmonhall/call/tests/test_own_stall.py
+++ b/persimmonhall/call/tests/test_own_stall.py
@@ -29,7 +29,7 @@
         self.released = trio.Event()
         self.called: Counter[NodeName] = Counter()
 
-    async def call(self, member, call):
+    async def call(self, member, call, holding):
         self.called[member.node] += 1
         await self.released.wait()
         return Answered(200, (), b"", NO_LOAD)
