Cut no lower than what was calm within the last ten seconds

Cause of customers lost under slow x4: at the onset every gate cut its limit from 2 to 1 to test whether fewer requests help, and held it for two service times of 320 ms.

Change: a proof of slots in use at which requests were as short as idle bounds a cut for 10 s.

--- a/persimmonhall/admission/limiter.py
+++ b/persimmonhall/admission/limiter.py
@@ -23,6 +23,8 @@
 LEAST_HELP = 0.5
 LEAST_REMOVED = 0.1
 ACCEPTED_HALF_LIFE_S = 10.0
+PROOF_S = 10.0
+FEWEST_PROVING = 2
 RECENT_GAIN = 0.05
 BASELINE_GAIN_DOWN = 0.1
 BASELINE_RISE_S = 60.0
@@ -66,6 +68,37 @@
     slowdown: float = 0.0
     in_flight: int = 0
     used: bool = False
+    top: int = 0
+    at_top: int = 0
+    top_slowdown: float = 0.0
+
+    def add(self, sample: Sample, slowdown: float, limit: int) -> None:
+        """Count one sample."""
+        self.samples += 1
+        self.slowdown += slowdown
+        self.in_flight += sample.in_flight
+        self.failed += sample.outcome is Outcome.FAILED
+        self.used |= sample.in_flight >= limit
+        if sample.in_flight > self.top:
+            self.top, self.at_top, self.top_slowdown = sample.in_flight, 0, 0.0
+        if sample.in_flight == self.top:
+            self.at_top += 1
+            self.top_slowdown += slowdown
+
+    @property
+    def calm_level(self) -> int:
+        """Return the most slots in use at which requests took no longer, or 0."""
+        if self.at_top < FEWEST_PROVING or self.failed:
+            return 0
+        return self.top if self.top_slowdown <= CALM_SLOWDOWN * self.at_top else 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Proof:
+    """Tell how many slots in use made requests no longer, and when last."""
+
+    level: int = 0
+    at: float = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +130,7 @@
         self._phase = Phase.STEADY
         self._baselines: dict[RequestKind, _Baseline] = {}
         self._accepted_slowdown = 1.0
+        self._proof = _Proof()
         self._cut: _Cut | None = None
         self._cut_at = float("-inf")
         self._window = _Window(float("-inf"))
@@ -125,6 +159,7 @@
         self._phase = Phase.COLD
         self._baselines.clear()
         self._accepted_slowdown = 1.0
+        self._proof = _Proof()
         self._cut = None
         self._window = _Window(now)
 
@@ -139,15 +174,12 @@
         if slowdown is None:
             return
         window = self._window
-        window.samples += 1
-        window.slowdown += slowdown
-        window.in_flight += sample.in_flight
-        window.failed += sample.outcome is Outcome.FAILED
-        window.used |= sample.in_flight >= self.limit
+        window.add(sample, slowdown, self.limit)
         if self._phase is Phase.COLD:
             self._grow_cold(sample, slowdown)
         if self._is_full(window, now):
             self._window = _Window(now)
+            self._prove(window, now)
             self._judge(window, now)
 
     def _slowdown(self, sample: Sample, now: float) -> float | None:
@@ -200,11 +232,28 @@
             # A request that is slow alone is not slowed down by others.
             self._accept(slowdown, self._limit)
         else:
-            cut = _Cut(self._limit, slowdown, in_flight)
-            share = max(SHARPEST_CUT, TOLERATED_SLOWDOWN / relative)
-            base = min(self._limit, in_flight)
-            self._reduce(base * min(MILDEST_CUT, share), now)
-            self._cut = cut
+            self._cut_to_proven(window, relative, now)
+
+    def _cut_to_proven(self, window: _Window, relative: float, now: float) -> None:
+        """Cut, but never below what was calm a short time ago."""
+        slowdown = window.slowdown / window.samples
+        in_flight = window.in_flight / window.samples
+        share = max(SHARPEST_CUT, TOLERATED_SLOWDOWN / relative)
+        base = min(self._limit, in_flight)
+        target = max(base * min(MILDEST_CUT, share), self._proven_level(now))
+        if target >= base:
+            return
+        cut = _Cut(self._limit, slowdown, in_flight)
+        self._reduce(target, now)
+        self._cut = cut
+
+    def _proven_level(self, now: float) -> int:
+        return self._proof.level if now - self._proof.at <= PROOF_S else 0
+
+    def _prove(self, window: _Window, now: float) -> None:
+        level = window.calm_level
+        if level and level >= self._proven_level(now):
+            self._proof = _Proof(level, now)
 
     def _accept(self, slowdown: float, limit: float) -> None:
         """Hold a slowdown for the usual one, as fewer requests do not cure it."""
--- a/persimmonhall/admission/tests/test_limiter.py
+++ b/persimmonhall/admission/tests/test_limiter.py
@@ -58,6 +58,36 @@
     assert limiter.limit == 8
 
 
+def test_what_was_calm_a_short_time_ago_is_not_cut():
+    limiter = ConcurrencyLimiter(4)
+    now = feed(limiter, 0.0, 10)
+    limits = set()
+    while now < 8.0:
+        now = feed(limiter, now, 1, seconds=0.4)
+        limits.add(limiter.limit)
+    assert limits == {4}
+
+
+def test_a_server_that_got_smaller_is_found_out_once_the_proof_is_old():
+    limiter = ConcurrencyLimiter(20)
+    now = feed(limiter, 0.0, 10)
+    while now < 40.0:
+        now = feed(limiter, now, 1, seconds=0.1 * max(1.0, limiter.limit / 4))
+    assert 4 <= limiter.limit <= 15
+
+
+def test_a_cut_goes_no_lower_than_what_was_calm_a_short_time_ago():
+    limiter = ConcurrencyLimiter(40)
+    now = 0.0
+    while now < 2.0:
+        started, now = now, now + 0.1
+        for _ in range(10):
+            limiter.observe(Sample(KIND, Outcome.DONE, started, 0.1, 10), now)
+    while limiter.limit > 10 and now < 8.0:
+        now = feed(limiter, now, 1, seconds=0.05 * limiter.limit)
+    assert limiter.limit == 10
+
+
 def test_idle_requests_do_not_raise_the_limit():
     limiter = ConcurrencyLimiter(10)
     limiter.observe(Sample(KIND, Outcome.SHED, 0.0, 0.1, 5), 0.1)
--- a/persimmonhall/admission/tests/test_schedules.py
+++ b/persimmonhall/admission/tests/test_schedules.py
@@ -88,6 +88,18 @@
     assert run.goodput(15.0, 40.0) >= capacity / 4 * 0.85
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("slots", [2, SLOTS])
+def test_a_sudden_slow_spell_costs_no_slots(seed, slots):
+    def slow_spell(now: float, running: int) -> float:
+        return SERVICE_S * (4 if 10.0 <= now < 16.0 else 1)
+
+    capacity = slots / SERVICE_S
+    run = Simulation(AdmissionCore(slots), slow_spell, random.Random(seed))
+    run.run(20.0, capacity * 0.9)
+    assert run.goodput(10.8, 15.6) >= capacity / 4 * 0.95
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_overstated_slots_are_found_out(seed):
     truly = 4
