Learn the limit from the time at the backend server alone

Cause: admission took a request's start for the begin of its latency, so the wait for a claim at control counted as latency of the backend server. A test with claims of 0.5 s before answers of 0.05 s failed first: the limit fell from 4 to 2. A second failed too: a request whose time ran out while it waited for its claim kept its slot as if the server might still work on it.

The gate now notes when a request is sent. The limit, the histogram of service times and the slots of cancelled requests use the time since then; expected waits still use the time that a slot is held. What was never sent is no sample.

--- a/persimmonhall/admission/admission.py
+++ b/persimmonhall/admission/admission.py
@@ -119,14 +119,17 @@
         record_seconds(self._counters.queue_wait_us, started - arrived)
         return Success(Admitted(ticket, started))
 
-    def finish(self, admitted: Admitted, outcome: Outcome) -> None:
-        """Record how a started request ended."""
+    def finish(
+        self, admitted: Admitted, outcome: Outcome, sent: float | None = None
+    ) -> None:
+        """Record how a started request ended, sent at its start unless told."""
         now = trio.current_time()
+        begun = admitted.started if sent is None else sent
         if outcome is Outcome.CANCELLED:
             self._counters.cancelled[admitted.ticket.worth] += 1
         elif outcome is not Outcome.NOT_RUN:
-            record_seconds(self._counters.service_us, now - admitted.started)
-        self._deliver(self._core.finish(admitted.ticket.id, outcome, now))
+            record_seconds(self._counters.service_us, now - begun)
+        self._deliver(self._core.finish(admitted.ticket.id, outcome, now, begun))
         self._log_limit()
 
     def count_refusal(self, refusal: Refusal, worth: Worth) -> None:
--- a/persimmonhall/admission/core.py
+++ b/persimmonhall/admission/core.py
@@ -117,12 +117,18 @@
             return [*verdicts, self._refuse_busy(ticket, now)]
         return verdicts + self._shed_worst(now)
 
-    def finish(self, ticket: TicketId, outcome: Outcome, now: float) -> list[Verdict]:
-        """Record that a started request ended."""
+    def finish(
+        self,
+        ticket: TicketId,
+        outcome: Outcome,
+        now: float,
+        sent: float | None = None,
+    ) -> list[Verdict]:
+        """Record that a started request ended, sent at its start unless told."""
         run = self._running.get(ticket)
         if run is None:
             return []
-        self._observe(run, outcome, now)
+        self._observe(run, outcome, now, run.started if sent is None else sent)
         del self._running[ticket]
         return self._start_waiting(now)
 
@@ -151,15 +157,16 @@
         times = (self._line.next_due, *self._lingering[:1])
         return min((t for t in times if t is not None), default=None)
 
-    def _observe(self, run: _Run, outcome: Outcome, now: float) -> None:
-        seconds = now - run.started
-        sample = Sample(run.kind, outcome, run.started, seconds, run.in_flight)
+    def _observe(self, run: _Run, outcome: Outcome, now: float, sent: float) -> None:
+        """Learn the limit from the server's time, waits from that of the slot."""
+        served = now - sent
+        sample = Sample(run.kind, outcome, run.started, served, run.in_flight)
         self._limiter.observe(sample, now)
         if outcome is Outcome.DONE:
-            self._times.record(run.kind, seconds, now)
+            self._times.record(run.kind, now - run.started, now)
         elif outcome is Outcome.CANCELLED:
-            self._times.record_at_least(run.kind, seconds, now)
-            self._linger(run, seconds, now)
+            self._times.record_at_least(run.kind, now - run.started, now)
+            self._linger(run, served, now)
 
     def _linger(self, run: _Run, seconds: float, now: float) -> None:
         """Keep the slot for as long as an ignored cancel would hold it."""
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -1,7 +1,7 @@
 """Guard the one way into a backend server."""
 
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
 
 import trio
@@ -57,6 +57,13 @@
     return 0.0
 
 
+@dataclass(slots=True)
+class _Sending:
+    """Tell when a request went to the backend server, None if it did not."""
+
+    begun: float | None = None
+
+
 class Gate:
     """Admit calls, run them on the backend server and answer whole."""
 
@@ -216,11 +223,12 @@
 
     async def _run_admitted(self, call: Call, admitted: Admitted) -> Reply:
         outcome = Outcome.CANCELLED
+        sending = _Sending()
         try:
-            result = await self._send_once(call)
+            result = await self._send_once(call, sending)
             outcome = _outcome_of(result)
         finally:
-            self._admission.finish(admitted, outcome)
+            self._end(call, admitted, outcome, sending.begun)
         match result:
             case Success(answer):
                 return Answered(
@@ -230,6 +238,17 @@
                 self._note_failure(call, refusal)
                 return refused(refusal, self.load)
 
+    def _end(
+        self, call: Call, admitted: Admitted, outcome: Outcome, sent: float | None
+    ) -> None:
+        """Free the slot; what was never sent tells nothing of the server."""
+        if sent is not None:
+            self._admission.finish(admitted, outcome, sent)
+            return
+        if outcome is Outcome.CANCELLED:
+            self.counters.cancelled[call.worth] += 1
+        self._admission.finish(admitted, Outcome.NOT_RUN)
+
     def _note_failure(self, call: Call, refusal: Refusal) -> None:
         if refusal.kind is ErrorKind.CONNECT_FAILED:
             self._connect_failed = True
@@ -241,13 +260,15 @@
             refusal.detail,
         )
 
-    async def _send_once(self, call: Call) -> Result[HttpAnswer, Refusal]:
+    async def _send_once(
+        self, call: Call, sending: _Sending
+    ) -> Result[HttpAnswer, Refusal]:
         if self._backend is None:
             return Failure(_backend_gone())
         address = self._backend.address
-        return await self._runner.run(call, address, partial(self._send, call))
+        return await self._runner.run(call, address, partial(self._send, call, sending))
 
-    async def _send(self, call: Call) -> Result[HttpAnswer, Refusal]:
+    async def _send(self, call: Call, sending: _Sending) -> Result[HttpAnswer, Refusal]:
         backend, client = self._backend, self._client
         if backend is None or client is None:
             return Failure(_backend_gone())
@@ -257,6 +278,7 @@
         headers = (*pair_up(call.headers), (CHAIN_HEADER, child.encode()))
         request = HttpRequest(call.method, call.target, headers, call.body)
         deadline = trio.current_effective_deadline()
+        sending.begun = trio.current_time()
         with self._executions.running(child.execution, deadline):
             return await client.send(backend.address, request, call.max_answer_bytes)
 
--- a/persimmonhall/call/tests/test_gate.py
+++ b/persimmonhall/call/tests/test_gate.py
@@ -1,5 +1,7 @@
 """Check the gate with a backend server that answers when told."""
 
+from dataclasses import replace
+
 import pytest
 import trio
 from returns.result import Result, Success
@@ -12,7 +14,7 @@
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from persimmonhall.ids import ServiceName
+from persimmonhall.ids import RootId, ServiceName
 from tests.builders import make_call
 
 BACKEND = Backend(ServiceName("cue"), Address("127.0.0.1", 9), 1, 10)
@@ -32,6 +34,21 @@
         return Success(HttpAnswer(200, ()))
 
 
+class SlowClaims:
+    """Wait for a claim before each request is sent."""
+
+    def __init__(self):
+        self.seconds = 0.0
+
+    def refusal(self, call) -> None:
+        """Refuse nothing."""
+
+    async def run(self, call, address, send) -> Result:
+        """Send after the wait."""
+        await trio.sleep(self.seconds)
+        return await send()
+
+
 class Calls:
     """Run calls at a gate with one slot and keep the replies."""
 
@@ -118,3 +135,45 @@
     calls.client.release.set()
     await trio.testing.wait_all_tasks_blocked()
     assert calls.replies["running"].load.latency_us == 250_000
+
+
+async def test_a_slow_claim_does_not_shrink_the_limit(nursery, autojump_clock):
+    claims = SlowClaims()
+    calls = Calls(nursery, runner=claims)
+    calls.client.send = _answer_in_50_ms
+    calls.gate.set_backend(replace(BACKEND, slots=4))
+    limits = []
+
+    async def call_on(caller: int, until: float) -> None:
+        while trio.current_time() < until:
+            root = RootId(f"root-{caller}")
+            await calls.gate.run(make_call(remaining_ms=5000, root=root))
+            limits.append(calls.gate.load.limit)
+            await trio.sleep(0.01)
+
+    for seconds, claim_s in ((2.0, 0.0), (20.0, 0.5)):
+        claims.seconds = claim_s
+        limits.clear()
+        async with trio.open_nursery() as callers:
+            for caller in range(8):
+                callers.start_soon(call_on, caller, trio.current_time() + seconds)
+    assert min(limits) == 4
+
+
+async def test_a_call_that_ends_before_it_is_sent_frees_its_slot(
+    nursery, autojump_clock
+):
+    claims = SlowClaims()
+    calls = Calls(nursery, runner=claims)
+    claims.seconds = 10.0
+    await calls.start("claiming")
+    await trio.sleep(5.0)
+    await trio.testing.wait_all_tasks_blocked()
+    assert calls.replies["claiming"].kind is ErrorKind.DEADLINE_EXCEEDED
+    assert calls.client.requests == []
+    assert calls.gate.load.in_flight == 0
+
+
+async def _answer_in_50_ms(address, request, max_answer_bytes) -> Result:
+    await trio.sleep(0.05)
+    return Success(HttpAnswer(200, ()))
