Check self-limit and slow start with real processes

Both were shown by unit tests only. The entry is frozen for 0.15 s time and again until it refuses an internal request; a new backend server of 20 slots gets 20 requests at once and works on 2 at first, all are whole, and the next 20 start together. They share the running system of the feature.

--- a/tests/features/admission.feature
+++ b/tests/features/admission.feature
@@ -38,3 +38,17 @@
   Scenario: Critical requests beyond the declared rate are demoted
     When callers send 40 critical requests at once
     Then the log of nadi-cue-1 has a line of a demoted worth
+
+  Scenario: A node whose event loop lags refuses internal lookups first
+    When the loop of suva-cue-1 is held up until it refuses an internal request
+    Then that refusal is nodeOverloaded and says not run and when to come back
+    And a critical request sent right after it is whole
+    And the log of suva-cue-1 has a line of its self-limit
+    And suva-cue-1 takes internal requests again
+
+  Scenario: A backend server that has just announced itself starts with few requests
+    Given a new backend server of 20 slots and 200 ms that is not yet used
+    When callers send it 20 requests at once
+    Then it works on 2 requests while the others wait
+    And all 20 requests are whole
+    And 20 more sent at once all start together
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -15,6 +15,7 @@
 scenarios("features/admission.feature")
 
 ENTRY = "suva-cue-1"
+NEW_NODE = "suva-pack-1"
 GATE = "nadi-cue-1"
 SERVICE_MS = 100.0
 CALM_PER_SECOND = 10
@@ -35,6 +36,11 @@
     ARCHIVE,
     READS,
 )
+NEW_SLOTS = 20
+NEW_SERVICE_MS = 200.0
+HELD_S = 0.15
+THAWED_S = 0.03
+MOST_HOLDS = 30
 WORTHS = {"critical": WARNINGS, "customer": SEGMENTS, "internal": ARCHIVE}
 DOCUMENT = """\
 service = "cue"
@@ -60,6 +66,17 @@
 worth = "internal"
 """
 
+NEW_DOCUMENT = """\
+service = "pack"
+team = "operators"
+
+[[requests]]
+path = "/*"
+worth = "customer"
+idempotent = true
+deadline_ms = 3000
+"""
+
 
 @dataclass(frozen=True)
 class Sent:
@@ -89,9 +106,14 @@
         yield running
 
 
-async def _send(system: System, request: tuple[str, str], entry: str = ENTRY) -> Sent:
+async def _send(
+    system: System,
+    request: tuple[str, str],
+    entry: str = ENTRY,
+    service: bytes = b"cue",
+) -> Sent:
     begin = trio.current_time()
-    headers = ((b"persimmonhall-service", b"cue"),)
+    headers = ((b"persimmonhall-service", service),)
     result = await system.send(entry, HttpRequest(*request, headers))
     answer = result.unwrap() if isinstance(result, Success) else None
     return Sent(request, answer, trio.current_time() - begin)
@@ -232,3 +254,118 @@
     log = (system.folder / f"{node}.log").read_text()
     assert "worth demoted service=cue" in log
     assert "worth=customer" in log
+
+
+@given(
+    "a new backend server of 20 slots and 200 ms that is not yet used",
+)
+def _(running):
+    portal, system = running
+
+    async def start() -> None:
+        await system.start_node(NEW_NODE, "suva")
+        await system.start_backend(
+            NEW_NODE, "pack", slots=NEW_SLOTS, service_ms=NEW_SERVICE_MS
+        )
+        await system.serve("pack", NEW_DOCUMENT, 1)
+
+    portal.run(start)
+
+
+async def _arrived(system: System) -> int:
+    """Return how many requests run or wait at the new gate."""
+    request = HttpRequest("GET", "/-/metrics", ())
+    answer = (await system.send(NEW_NODE, request, "local")).unwrap()
+    values = dict(line.rsplit(" ", 1) for line in answer.body.decode().splitlines())
+    return int(values["persimmonhall_in_flight"]) + int(values["persimmonhall_queued"])
+
+
+async def _burst(system: System) -> tuple[int, list[Sent]]:
+    """Send a burst; return how many started at first, and what came back."""
+    sent: list[Sent] = []
+
+    async def send() -> None:
+        sent.append(await _send(system, ("GET", "/pack"), NEW_NODE, b"pack"))
+
+    async def arrived() -> bool:
+        return await _arrived(system) == NEW_SLOTS
+
+    before = await system.counts(NEW_NODE)
+    async with trio.open_nursery() as nursery:
+        for _ in range(NEW_SLOTS):
+            nursery.start_soon(send)
+        await system.wait_until(arrived, "the burst at the gate")
+        started = (await system.counts(NEW_NODE))["started"] - before["started"]
+    return started, sent
+
+
+@when("callers send it 20 requests at once")
+def _(running, context):
+    portal, system = running
+    context["started"], context["sent"] = portal.run(_burst, system)
+
+
+@then(parsers.parse("it works on {count:d} requests while the others wait"))
+def _(context, count):
+    assert context["started"] == count
+
+
+@then("all 20 requests are whole")
+def _(context):
+    assert [s.is_whole for s in context["sent"]] == [True] * NEW_SLOTS
+
+
+@then("20 more sent at once all start together")
+def _(running):
+    portal, system = running
+    started, _ = portal.run(_burst, system)
+    assert started == NEW_SLOTS
+
+
+async def _hold_up(system: System) -> tuple[Sent, Sent]:
+    """Freeze the entry time and again until it refuses an internal request."""
+    entry = system.nodes[ENTRY]
+    for _ in range(MOST_HOLDS):
+        entry.freeze()
+        await trio.sleep(HELD_S)
+        entry.thaw()
+        await trio.sleep(THAWED_S)
+        refused = await _send(system, ARCHIVE)
+        if not refused.is_whole:
+            break
+    return refused, await _send(system, WARNINGS)
+
+
+@when("the loop of suva-cue-1 is held up until it refuses an internal request")
+def _(running, context):
+    portal, system = running
+    context["refused"], context["after"] = portal.run(_hold_up, system)
+
+
+@then("that refusal is nodeOverloaded and says not run and when to come back")
+def _(context):
+    answer = context["refused"].answer
+    assert b"nodeOverloaded" in answer.body
+    assert answer.header(b"persimmonhall-ran") == "no"
+    assert int(answer.header(b"retry-after")) >= 1
+
+
+@then("a critical request sent right after it is whole")
+def _(context):
+    assert context["after"].is_whole
+
+
+@then("the log of suva-cue-1 has a line of its self-limit")
+def _(running):
+    _, system = running
+    assert "self-limit level=" in (system.folder / f"{ENTRY}.log").read_text()
+
+
+@then("suva-cue-1 takes internal requests again")
+def _(running):
+    portal, system = running
+
+    async def takes() -> bool:
+        return (await _send(system, ARCHIVE)).is_whole
+
+    portal.run(system.wait_until, takes, "internal requests are taken")
