--- a/persimmonhall/admission/slot.py
+++ b/persimmonhall/admission/slot.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import trio
 from returns.result import Failure, Result, Success
 
 from persimmonhall.admission.admission import Admission, Admitted, Asked
@@ -23,6 +24,7 @@
         self._asked = asked
         self._admitted: Admitted | None = admitted
         self._refusal = refusal
+        self._sent: float | None = None
 
     @property
     def run_s(self) -> float:
@@ -31,12 +33,24 @@
 
     def give_back(self) -> None:
         """Let another request use the place for now."""
-        self.finish(Outcome.NOT_RUN)
+        self._free(Outcome.NOT_RUN)
+
+    def begin(self) -> None:
+        """Note that the request goes to the backend server now."""
+        self._sent = trio.current_time()
 
     def finish(self, outcome: Outcome) -> None:
-        """Record how the request ended if it has a place."""
+        """Record how the request ended; unsent, it tells nothing of the server."""
+        if self._sent is not None:
+            self._free(outcome)
+            return
+        if outcome is Outcome.CANCELLED:
+            self._admission.counters.cancelled[self._asked.worth] += 1
+        self._free(Outcome.NOT_RUN)
+
+    def _free(self, outcome: Outcome) -> None:
         if self._admitted is not None:
-            self._admission.finish(self._admitted, outcome)
+            self._admission.finish(self._admitted, outcome, self._sent)
             self._admitted = None
 
     async def take_again(self) -> Result[None, Refusal]:
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -272,11 +272,11 @@
         if self._backend is None:
             return Failure(_backend_gone())
         address = self._backend.address
-        send = partial(self._send, call, holding)
+        send = partial(self._send, call, slot, holding)
         return await self._runner.run(call, address, slot, send)
 
     async def _send(
-        self, call: Call, holding: Holding | None
+        self, call: Call, slot: AdmittedSlot, holding: Holding | None
     ) -> Result[HttpAnswer, Refusal]:
         backend, client = self._backend, self._client
         if backend is None or client is None:
@@ -287,6 +287,7 @@
         headers = (*pair_up(call.headers), (CHAIN_HEADER, child.encode()))
         request = HttpRequest(call.method, call.target, headers, call.body)
         deadline = trio.current_effective_deadline()
+        slot.begin()
         with self._executions.running(child.execution, deadline):
             limit = min(call.max_answer_bytes, self._max_answer_bytes)
             return await client.send(backend.address, request, limit, holding)
