--- a/harness/bench_snapshots.py
+++ b/harness/bench_snapshots.py
@@ -54,7 +54,7 @@
         opened = open_storage(folder, DISK, first).unwrap()
         rng = random.Random(1)
         self.core = Core(DISK, opened.stored, rng, trio.current_time())
-        self.applier = Applier(self.core, Waiters(), self.wake, 1 << 40)
+        self.applier = Applier(self.core, Waiters(), self.wake, self._stage, 1 << 40)
         self.driver = Driver(
             self.core, opened.storage, lambda *_: None, self.applier.apply
         )
@@ -63,6 +63,9 @@
         """Wake the driver."""
         self.driver.wake()
 
+    async def _stage(self, snapshot: Snapshot) -> None:
+        await self.driver.stage(snapshot)
+
     async def wait_until(self, condition) -> None:
         """Wait for what the driver reports."""
         while not condition():
--- a/harness/explorer/replica.py
+++ b/harness/explorer/replica.py
@@ -147,5 +147,7 @@
             if self.variant.slow_snapshots:
                 self._written_at += self.rng.randint(0, MAX_ENTRIES_DURING_SNAPSHOT)
         if index >= self._written_at:
-            self.core.compact(*self._writing)
+            snapshot = self.core.snapshot_at(*self._writing)
+            if snapshot is not None:
+                self.core.compact(snapshot)
             self._writing = None
--- a/persimmonhall/control/applier.py
+++ b/persimmonhall/control/applier.py
@@ -2,7 +2,7 @@
 
 import gc
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
 import trio
@@ -42,11 +42,13 @@
         core: Core,
         waiters: Waiters,
         wake: Callable[[], None],
+        stage: Callable[[Snapshot], Awaitable[None]],
         snapshot_entries: int,
     ):
         self._core = core
         self._waiters = waiters
         self._wake = wake
+        self._stage = stage
         self._snapshot_entries = snapshot_entries
         self._machine = StateMachine()
         self._waiting: deque[Entry | Snapshot] = deque()
@@ -156,5 +158,9 @@
             parts.append(block)
             await trio.sleep(SLICE_PAUSE_S)
         self._snapshot_bytes = sum(map(len, parts))
-        self._core.compact(index, tuple(parts))
+        snapshot = self._core.snapshot_at(index, tuple(parts))
+        if snapshot is None:
+            return
+        await self._stage(snapshot)
+        self._core.compact(snapshot)
         self._wake()
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -30,6 +30,7 @@
 from persimmonhall.ids import LogIndex, NodeName
 from persimmonhall.raft.core import Core
 from persimmonhall.raft.driver import Driver
+from persimmonhall.raft.messages import Snapshot
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.storage import Storage
 
@@ -52,7 +53,9 @@
         self._peers = peers
         self._waiters = Waiters()
         self._numbers = itertools.count(1)
-        self._applier = Applier(core, self._waiters, self._wake, snapshot_entries)
+        self._applier = Applier(
+            core, self._waiters, self._wake, self._stage, snapshot_entries
+        )
         self._driver = Driver(core, storage, self._send, self._applier.apply)
         peers.watch(self._on_gone)
 
@@ -202,5 +205,8 @@
     def _wake(self) -> None:
         self._driver.wake()
 
+    async def _stage(self, snapshot: Snapshot) -> None:
+        await self._driver.stage(snapshot)
+
     def _send(self, to, message) -> None:
         self._peers.send(self._core, to, message)
--- a/persimmonhall/control/tests/test_applier.py
+++ b/persimmonhall/control/tests/test_applier.py
@@ -36,7 +36,8 @@
         opened = open_storage(folder, "disk", first).unwrap()
         self.core = Core(opened.disk_id, opened.stored, random.Random(1), 0.0)
         wake = lambda: self.driver.wake()  # noqa: E731
-        self.applier = Applier(self.core, Waiters(), wake, snapshot_entries)
+        stage = lambda snapshot: self.driver.stage(snapshot)  # noqa: E731
+        self.applier = Applier(self.core, Waiters(), wake, stage, snapshot_entries)
         self.driver = Driver(
             self.core, opened.storage, lambda *_: None, self.applier.apply
         )
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -13,6 +13,7 @@
     Member,
     Message,
     ReplicaSet,
+    Snapshot,
     SnapshotChunk,
     TimeoutNow,
     Vote,
@@ -170,11 +171,17 @@
         """Start to hand leadership over if this replica leads."""
         return self._leader is not None and self._leader.transfer(now)
 
-    def compact(self, index: LogIndex, parts: tuple[bytes, ...]) -> None:
+    def snapshot_at(self, index: LogIndex, parts: tuple[bytes, ...]) -> Snapshot | None:
+        """Return the state at an applied index, or None if a newer one is held."""
+        if index <= self.snapshot_index:
+            return None
+        return self._state.snapshot_at(index, parts)
+
+    def compact(self, snapshot: Snapshot) -> None:
         """Replace the log up to an applied index by the state at that index."""
         # A snapshot of the leader may have been installed since the state was taken.
-        if index > self.snapshot_index:
-            self._state.compact(index, parts)
+        if snapshot.index > self.snapshot_index:
+            self._state.compact(snapshot)
 
     def synced(self, sequence: int, now: float) -> None:
         """Record that writes up to a number are on disk."""
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -95,6 +95,13 @@
                 self._wake = trio.Event()
                 self._take()
 
+    async def stage(self, snapshot: Snapshot) -> None:
+        """Write a snapshot beside the log's writes, to be put in force later."""
+        try:
+            await trio.to_thread.run_sync(self._storage.stage, snapshot)
+        except NoSpaceError as error:
+            logging.warning("snapshot not staged: %s", error)
+
     async def read_index(self, number: int) -> LogIndex | None:
         """Return the index a read must wait for, or None if this is no leader."""
         if not self._core.read(number):
--- a/persimmonhall/raft/files.py
+++ b/persimmonhall/raft/files.py
@@ -47,12 +47,22 @@
 def replace_file(files: FileSystem, path: Path, pieces: Iterable[bytes]) -> None:
     """Put a file in place of another at once, after all of it is synced."""
     new = path.with_name(path.name + ".new")
-    descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    write_file(files, new, pieces)
+    put_in_place(new, path)
+
+
+def write_file(files: FileSystem, path: Path, pieces: Iterable[bytes]) -> None:
+    """Write a whole file and sync it."""
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
     try:
         for piece in pieces:
             write_all(files, descriptor, piece)
         files.sync(descriptor)
     finally:
         os.close(descriptor)
+
+
+def put_in_place(new: Path, path: Path) -> None:
+    """Give a synced file the name of another at once."""
     os.replace(new, path)
     sync_folder(path.parent)
--- a/persimmonhall/raft/state.py
+++ b/persimmonhall/raft/state.py
@@ -111,10 +111,13 @@
             self._committed.extend(self._log.between(self._commit, index))
             self._commit = index
 
-    def compact(self, index: LogIndex, parts: tuple[bytes, ...]) -> None:
-        """Replace the log up to an index by the state it amounts to."""
+    def snapshot_at(self, index: LogIndex, parts: tuple[bytes, ...]) -> Snapshot:
+        """Return the state at an applied index as a snapshot."""
         term = self._log.term_at(index)
-        snapshot = Snapshot(index, term, self._log.replicas_at(index), parts)
+        return Snapshot(index, term, self._log.replicas_at(index), parts)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """Replace the log up to an index by the state it amounts to."""
         self._log.compact(snapshot)
         self._persist_snapshot(snapshot)
 
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -2,8 +2,10 @@
 
 import errno
 import os
+import threading
 import time
 from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -15,9 +17,11 @@
 from persimmonhall.raft.files import (
     FileSystem,
     OsFiles,
+    put_in_place,
     replace_file,
     sync_folder,
     write_all,
+    write_file,
 )
 from persimmonhall.raft.messages import (
     NO_VOTE,
@@ -34,6 +38,7 @@
 
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
+STAGED_FILE = "snapshot.staged"
 DISK_ID_FILE = "disk-id"
 FIRST_BATCH = 1
 END_MARKER = b""
@@ -67,6 +72,8 @@
         self._batch = batch
         self._written = 0
         self._sync_us = new_histogram()
+        self._staged: Snapshot | None = None
+        self._staging = threading.Lock()
         self._descriptor = _open_log(folder)
 
     @property
@@ -81,9 +88,24 @@
 
     def write(self, persists: tuple[Persist, ...]) -> None:
         """Write and sync; raise NoSpaceError on a full disk, after which to retry."""
-        try:
+        with self._telling_full_from_failed():
             for group in _grouped(persists):
                 self._write_group(group)
+
+    def stage(self, snapshot: Snapshot) -> None:
+        """Write and sync a snapshot beside the one in force, as the log goes on."""
+        with self._staging:
+            self._staged = None
+            (self._folder / STAGED_FILE).unlink(missing_ok=True)
+        pieces = frame_each(_snapshot_records(snapshot), FIRST_BATCH)
+        with self._telling_full_from_failed():
+            write_file(self._files, self._folder / STAGED_FILE, pieces)
+        self._staged = snapshot
+
+    @contextmanager
+    def _telling_full_from_failed(self) -> Iterator[None]:
+        try:
+            yield
         except OSError as error:
             if error.errno in NO_SPACE:
                 raise NoSpaceError(f"{self._folder}: {error}") from error
@@ -142,8 +164,9 @@
         record_seconds(self._sync_us, time.perf_counter() - started)
 
     def _write_snapshot(self, persist: Persist) -> None:
-        pieces = frame_each(_snapshot_records(persist.snapshot), FIRST_BATCH)
-        replace_file(self._files, self._folder / SNAPSHOT_FILE, pieces)
+        if not self._put_staged(persist.snapshot):
+            pieces = frame_each(_snapshot_records(persist.snapshot), FIRST_BATCH)
+            replace_file(self._files, self._folder / SNAPSHOT_FILE, pieces)
         log = _whole_log(persist.state, persist.entries)
         replace_file(self._files, self._folder / LOG_FILE, (log,))
         os.close(self._descriptor)
@@ -151,6 +174,15 @@
         self._end = len(log)
         self._batch = FIRST_BATCH + 1
 
+    def _put_staged(self, snapshot: Snapshot) -> bool:
+        # The lock keeps the next one from being staged over it meanwhile.
+        with self._staging:
+            if self._staged != snapshot:
+                return False
+            put_in_place(self._folder / STAGED_FILE, self._folder / SNAPSHOT_FILE)
+            self._staged = None
+            return True
+
 
 def open_storage(
     folder: Path, new_id: ReplicaId, first: Stored, files: FileSystem | None = None
@@ -206,6 +238,7 @@
     if entries and entries[0].index > start + 1:
         return Failure(f"{folder / SNAPSHOT_FILE}: missing or older than the log")
     _cut_tail(path, found.end)
+    (folder / STAGED_FILE).unlink(missing_ok=True)
     storage = Storage(folder, files, found.end, found.batch)
     stored = Stored(state, snapshot, _after_snapshot(snapshot, entries))
     return Success(Opened(storage, disk_id, stored))
--- a/persimmonhall/raft/tests/test_storage.py
+++ b/persimmonhall/raft/tests/test_storage.py
@@ -214,6 +214,37 @@
     assert [e.index for e in stored.entries] == [3, 4, 5, 6, 7, 8]
 
 
+@pytest.mark.parametrize("space", [1, 100, 300])
+def test_staged_snapshot_is_in_force_only_once_it_is_whole(tmp_path, space):
+    fill(tmp_path, 3)
+    files = FailingFiles()
+    storage = reopen(tmp_path, files).unwrap().storage
+    new = Snapshot(4, 3, ReplicaSet("c"), (b"new",) * 10)
+    files.space = space
+    with pytest.raises(NoSpaceError):
+        storage.stage(new)
+    files.space = None
+    storage.write((make_persist(1, 7, 8),))
+    assert reopen(tmp_path).unwrap().stored.snapshot is None
+    storage.stage(new)
+    storage.write((make_persist(2, 9, 9),))
+    storage.write((make_persist(3, 5, 9, snapshot=new),))
+    storage.close()
+    stored = reopen(tmp_path).unwrap().stored
+    assert stored.snapshot == new
+    assert [e.index for e in stored.entries] == [5, 6, 7, 8, 9]
+
+
+def test_staged_snapshot_is_dropped_for_an_installed_one(tmp_path):
+    fill(tmp_path, 3)
+    storage = reopen(tmp_path).unwrap().storage
+    storage.stage(Snapshot(4, 3, ReplicaSet("c"), (b"own",)))
+    installed = Snapshot(9, 3, ReplicaSet("c"), (b"leader",))
+    storage.write((Persist(1, STATE, (), installed),))
+    storage.close()
+    assert reopen(tmp_path).unwrap().stored.snapshot == installed
+
+
 def test_snapshot_that_lost_its_last_part_is_damaged(tmp_path):
     fill(tmp_path, 3)
     storage = reopen(tmp_path).unwrap().storage
