--- a/harness/bench_policy.py
+++ b/harness/bench_policy.py
@@ -3,11 +3,12 @@
 import argparse
 import json
 import sys
-from dataclasses import asdict
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 import trio
 
+from harness.needless import NeedlessCount
 from harness.scenario import Figures, Timing, Trigger, run_trigger
 from harness.system import System, open_system
 from persimmonhall.address import Address
@@ -68,6 +69,15 @@
 }
 
 
+@dataclass(frozen=True)
+class Row:
+    """Hold the figures of one run and what was refused while a slot was free."""
+
+    figures: Figures
+    refused: int
+    needless_share: float
+
+
 def load_settings(targets: tuple[Address, ...], factor: float) -> LoadSettings:
     """Mix the four worths before, in and after a trigger."""
     requests = tuple(
@@ -106,7 +116,7 @@
 )
 
 
-def _print(rows: dict[str, list[Figures]]) -> None:
+def _print(rows: dict[str, list[Row]]) -> None:
     print(
         f"capacity {CAPACITY:.0f}/s, usual load {USUAL_SHARE:.0%}, "
         f"timeout {TIMEOUT_MS} ms, {RESENDS} resends at once"
@@ -114,26 +124,33 @@
     names = " ".join(f"{name:>9}" for name in SHARES)
     print(
         f"{'trigger':<9} {'policy':<13} {names} {'of cap.':>8} {'after':>7} "
-        f"{'runs/good':>9} {'recovery s':>10}"
+        f"{'runs/good':>9} {'recovery s':>10} {'refused':>8} {'slot free':>9}"
     )
-    for policy, figures in rows.items():
-        for row in figures:
+    for policy, of_policy in rows.items():
+        for run in of_policy:
+            row = run.figures
             shares = " ".join(f"{row.good_share[name]:>9.1%}" for name in SHARES)
             print(
                 f"{row.trigger:<9} {policy:<13} {shares} "
                 f"{row.goodput_per_s / CAPACITY:>8.1%} {row.after_share:>7.1%} "
-                f"{row.executions_per_good:>9.2f} {row.recovery_s:>10.1f}"
+                f"{row.executions_per_good:>9.2f} {row.recovery_s:>10.1f} "
+                f"{run.refused:>8} {run.needless_share:>9.1%}"
             )
 
 
-async def _run(trigger: Trigger, policy: str) -> Figures:
+async def _run(trigger: Trigger, policy: str) -> Row:
     async with open_system() as system:
         await _start(system)
         holders = system.backends if policy == BASELINE else system.nodes
         name = "listen" if policy == BASELINE else "callers"
         targets = tuple(h.addresses[name] for h in holders.values())
         settings = load_settings(targets, trigger.factor)
-        return await run_trigger(system, trigger, TIMING, settings)
+        needless = NeedlessCount(SLOTS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(needless.watch, system)
+            figures = await run_trigger(system, trigger, TIMING, settings)
+            nursery.cancel_scope.cancel()
+        return Row(figures, needless.refused, needless.share)
 
 
 async def run_bench(policies: list[str]) -> int:
