--- a/harness/standin.py
+++ b/harness/standin.py
@@ -107,6 +107,10 @@
         counts = self._counts
         self._count_start(request)
         try:
+            if "crash-late" in request.target:
+                # It ignores that its caller hangs up.
+                with trio.CancelScope(shield=True):
+                    await trio.sleep(self._behaviour.service_ms / 1000)
             if "crash" in request.target:
                 os._exit(1)
             await trio.sleep(self._behaviour.service_ms / 1000)
--- a/tests/features/crashing_request.feature
+++ b/tests/features/crashing_request.feature
@@ -17,3 +17,8 @@
     Given control, four nodes and four backend servers of cue
     When an operator lists and lifts the quarantine at one node
     Then no node refuses the crashing request
+
+  Scenario: callers give up before the crash
+    Given all backend servers run again
+    When a request that crashes late is resent 7 times by callers that give up
+    Then at most 2 backend servers died of it
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -29,6 +29,11 @@
 SERVICE_MS = 150
 SLOTS = 8
 CRASH = "/segments/crash"
+LATE_CRASH = "/segments/crash-late"
+PATIENCE_S = 0.06
+PAUSE_S = 0.3
+LATE_RESENDS = 7
+BUSY_CALLERS = 3
 LATER = "labasa-cue-1"
 DOCUMENT = """\
 service = "cue"
@@ -99,6 +104,21 @@
             nursery.start_soon(self.stand_by)
             nursery.start_soon(self.crash)
 
+    async def crash_late(self) -> None:
+        """Send a crashing request again and again, and give up on each copy."""
+        async with trio.open_nursery() as nursery:
+            for node in list(NODES) * BUSY_CALLERS:
+                nursery.start_soon(self._keep_busy, node)
+            for number in range(LATE_RESENDS):
+                with trio.move_on_after(PATIENCE_S):
+                    await self.get(list(NODES)[number % len(NODES)], LATE_CRASH)
+                await trio.sleep(PAUSE_S)
+            nursery.cancel_scope.cancel()
+
+    async def _keep_busy(self, node: str) -> None:
+        while True:
+            await self.get(node, "/segments/bystander")
+
     async def suspected(self, node: str) -> dict[str, str]:
         """Return the requests that a node lists with their states."""
         request = HttpRequest("GET", "/-/quarantine", ())
@@ -219,3 +239,31 @@
 def _(running):
     portal, story = running
     portal.run(story.wait_for_quarantine, set())
+
+
+async def _restart_dead(system: System) -> None:
+    for node, backend in list(system.backends.items()):
+        if backend.process.returncode is not None:
+            await system.restart_backend(node)
+    await system.wait_for_members("cue", len(NODES))
+
+
+@given("all backend servers run again")
+def _(running):
+    portal, story = running
+    portal.run(_restart_dead, story.system)
+
+
+@when("a request that crashes late is resent 7 times by callers that give up")
+def _(running):
+    portal, story = running
+    portal.run(story.crash_late)
+
+
+@then("at most 2 backend servers died of it")
+def _(running):
+    portal, story = running
+    backends = story.system.backends.values()
+    deaths = sum(backend.process.returncode is not None for backend in backends)
+    assert 1 <= deaths <= MOST_DEATHS
+    portal.run(story.wait_for_quarantine, {f"GET {LATE_CRASH}"})
