--- /dev/null
+++ b/harness/document_keys.py
@@ -0,0 +1,83 @@
+"""Show on a simulated gate what deadline_ms does to recovery and goodput."""
+
+import random
+import statistics
+import sys
+
+from persimmonhall.admission.core import AdmissionCore
+from persimmonhall.admission.tests.simulation import Simulation
+
+SLOTS = 6
+SERVICE_S = 0.25
+SPREAD = 0.2
+CAPACITY_PER_S = SLOTS / SERVICE_S
+USUAL, SURGE = 0.7, 3.0
+SURGE_BEGIN_S, SURGE_END_S, END_S = 10.0, 20.0, 40.0
+DEADLINES_S = (1.5, 3.0, 6.0)
+SEEDS = range(10)
+STEP_S = 0.2
+RECOVERED_SHARE = 0.95
+
+
+class _Begun(Simulation):
+    """Note when the requests that ended whole began."""
+
+    begun: list[float]
+
+    def _end(self) -> None:
+        ticket = self._running[self._ends[0][1]]
+        ended_before = len(self.done_at)
+        super()._end()
+        if len(self.done_at) > ended_before:
+            self.begun.append(ticket.deadline - self.deadline_s)
+
+    def share(self, first: float, last: float) -> float:
+        """Return the share of whole answers among those begun in a span."""
+        offered = sum(first <= at < last for at in self.arrived_at)
+        return sum(first <= at < last for at in self.begun) / max(1, offered)
+
+
+def _run(deadline_s: float, seed: int) -> tuple[float, float]:
+    """Return the recovery in seconds and the goodput of a surge."""
+    service = random.Random(seed + len(SEEDS))
+    run = _Begun(
+        AdmissionCore(SLOTS),
+        lambda now, running: SERVICE_S * service.uniform(1 - SPREAD, 1 + SPREAD),
+        random.Random(seed),
+        deadline_s=deadline_s,
+    )
+    run.begun = []
+    run.run(SURGE_BEGIN_S, CAPACITY_PER_S * USUAL)
+    run.run(SURGE_END_S, CAPACITY_PER_S * SURGE)
+    run.run(END_S, CAPACITY_PER_S * USUAL)
+    whole = sum(SURGE_BEGIN_S <= at < SURGE_END_S for at in run.begun)
+    fits = CAPACITY_PER_S * (SURGE_END_S - SURGE_BEGIN_S)
+    return _recovery_s(run), whole / fits
+
+
+def _recovery_s(run: _Begun) -> float:
+    target = RECOVERED_SHARE * run.share(2.0, SURGE_BEGIN_S)
+    steps = int((END_S - SURGE_END_S - 1.0) / STEP_S)
+    for step in range(steps):
+        begin = SURGE_END_S + step * STEP_S
+        if run.share(begin, begin + 1.0) >= target:
+            return step * STEP_S
+    return float("inf")
+
+
+def main() -> int:
+    """Print a line a deadline."""
+    print("deadline s  recovery s mean / most  whole of what fits")
+    for deadline_s in DEADLINES_S:
+        rows = [_run(deadline_s, seed) for seed in SEEDS]
+        recovery = [row[0] for row in rows]
+        goodput = statistics.mean(row[1] for row in rows)
+        print(
+            f"{deadline_s:>10} {statistics.mean(recovery):>13.2f} / "
+            f"{max(recovery):.2f} {goodput:>18.1%}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
