Refuse a request that could be misread before it is sent

Cause: the new writer raises ValueError, which would end the frame connection of a node that passes such a header on (one that still reads with h11, during an upgrade). Before, h11's error did the same.

--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -58,7 +58,10 @@
         self, request: HttpRequest, limit: int
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request and return its whole answer."""
-        data = self._encode(request)
+        try:
+            data = self._encode(request)
+        except ValueError as error:
+            return Failure(refuse(ErrorKind.BAD_REQUEST, str(error)))
         self._idle = False
         reader = AnswerReader(MAX_HEADER_BYTES)
         # A server may answer and close before it has read the whole body.
