Forget a cut that a proof ends

A window held at the proven level would have compared later windows with a cut that was made under another latency, and could have taken it back.

--- a/persimmonhall/admission/limiter.py
+++ b/persimmonhall/admission/limiter.py
@@ -242,6 +242,7 @@
         base = min(self._limit, in_flight)
         target = max(base * min(MILDEST_CUT, share), self._proven_level(now))
         if target >= base:
+            self._cut = None
             return
         cut = _Cut(self._limit, slowdown, in_flight)
         self._reduce(target, now)
