Let the HTTP client work with more than 1,024 open files

Cause: it asked select() whether an idle connection had been closed, and select takes no descriptor from 1,024 on: ValueError for every request on such a connection. The test was seen failing first with that error.

--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -1,6 +1,5 @@
 """Send requests to backend servers with h11 on trio."""
 
-import select
 from collections import defaultdict
 from typing import Protocol
 
@@ -43,12 +42,8 @@
     @property
     def reusable(self) -> bool:
         """Tell whether another request may be sent."""
-        return self._http.our_state is h11.IDLE and not self._readable()
-
-    def _readable(self) -> bool:
         # An idle connection that can be read has been closed by its peer.
-        readable, _, _ = select.select([self._stream.fd], [], [], 0)
-        return bool(readable)
+        return self._http.our_state is h11.IDLE and not self._stream.readable
 
     async def close(self) -> None:
         """Close the connection at once."""
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -1,5 +1,6 @@
 """Check the HTTP/1.1 server."""
 
+import os
 import socket
 from functools import partial
 
@@ -12,6 +13,7 @@
 from persimmonhall.http.server import serve_http
 
 ANY_PORT = Address("127.0.0.1", 0)
+MANY_FILES = 1100
 LIMIT = 1000
 
 
@@ -116,3 +118,22 @@
         await PooledClient(1).send(address, request, LIMIT)
         nursery.cancel_scope.cancel()
     assert ran == ["/last"]
+
+
+async def test_client_works_with_more_open_files_than_select_takes():
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, ())
+
+    async with trio.open_nursery() as nursery:
+        serve = partial(serve_http, write_refusal=None)
+        address = await nursery.start(serve, handler, ANY_PORT, trio.Event())
+        files = [os.open(os.devnull, os.O_RDONLY) for _ in range(MANY_FILES)]
+        try:
+            answer = await PooledClient(1).send(
+                address, HttpRequest("GET", "/", ()), LIMIT
+            )
+        finally:
+            for file in files:
+                os.close(file)
+        nursery.cancel_scope.cancel()
+    assert answer.unwrap().status == 200
