--- a/harness/system.py
+++ b/harness/system.py
@@ -298,3 +298,4 @@
                 yield System(processes)
             finally:
                 await processes.stop()
+                nursery.cancel_scope.cancel()
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -1,5 +1,6 @@
 """Check the HTTP/1.1 server."""
 
+import os
 import socket
 from functools import partial
 
@@ -16,6 +17,7 @@
 from persimmonhall.wire.answer_memory import AnswerMemory
 
 ANY_PORT = Address("127.0.0.1", 0)
+MANY_FILES = 1100
 LIMIT = 1000
 LARGE_BYTES = 32 * 1024 * 1024
 
@@ -254,3 +256,22 @@
     for part in expected:
         position = received.index(part, position) + len(part)
     assert received.count(b"HTTP/1.1 ") == sum(b"HTTP/1.1 " in e for e in expected)
+
+
+async def test_client_works_with_more_open_files_than_select_takes():
+    async def handler(request: HttpRequest) -> HttpAnswer:
+        return HttpAnswer(200, ())
+
+    async with trio.open_nursery() as nursery:
+        serve = partial(serve_http, write_refusal=None)
+        address = await nursery.start(serve, handler, ANY_PORT, trio.Event())
+        files = [os.open(os.devnull, os.O_RDONLY) for _ in range(MANY_FILES)]
+        try:
+            answer = await PooledClient(1).send(
+                address, HttpRequest("GET", "/", ()), LIMIT
+            )
+        finally:
+            for file in files:
+                os.close(file)
+        nursery.cancel_scope.cancel()
+    assert answer.unwrap().status == 200
