Look at a kept connection right before the request is sent on it

Cause: test_leaving (twenty restarts) failed again beside other work: a request was sent on a kept connection that its server was closing. Between the look at the connection and the first byte lay the encoding and, each 64 operations, a turn of the loop; a trial under load had 10 ms there. Ruled out: new connections at a stop (mended before, the failure came back). Not shown: the failing connection itself; five runs under load with a trace had no failure. Change: the request is encoded before a connection is taken, and a write takes its turn after the bytes instead of before.

--- a/persimmonhall/admission/tests/test_slot.py
+++ b/persimmonhall/admission/tests/test_slot.py
@@ -48,6 +48,7 @@
     slot.give_back()
     await trio.sleep(5)
     await slot.take_again()
+    slot.begin()
     await trio.sleep(0.25)
     slot.finish(Outcome.DONE)
     assert 0.2 < slot.run_s < 0.3
--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -55,13 +55,13 @@
         await self._stream.aclose()
 
     async def exchange(
-        self, request: HttpRequest, limit: int, holding: Holding | None
+        self,
+        request: HttpRequest,
+        data: bytes,
+        limit: int,
+        holding: Holding | None,
     ) -> Result[HttpAnswer, Refusal]:
-        """Send a request and return its whole answer."""
-        try:
-            data = self._encode(request)
-        except ValueError as error:
-            return Failure(refuse(ErrorKind.BAD_REQUEST, str(error)))
+        """Send an encoded request and return its whole answer."""
         self._idle = False
         reader = AnswerReader(MAX_HEADER_BYTES)
         # A server may answer and close before it has read the whole body.
@@ -77,15 +77,6 @@
             return Failure(self._lost("it ended before an answer"))
         return await self._read_answer(reader, message, request, limit, holding)
 
-    def _encode(self, request: HttpRequest) -> bytes:
-        headers = [(k, v) for k, v in request.headers if k not in OWN_HEADERS]
-        if not any(name == b"host" for name, _ in headers):
-            headers.append((b"host", str(self._address).encode()))
-        if request.body or request.method not in NO_BODY_METHODS:
-            headers.append((b"content-length", b"%d" % len(request.body)))
-        head = encode_request_head(request.method, request.target, headers)
-        return head + request.body
-
     async def _read_head(self, reader: AnswerReader) -> Message | None:
         while (message := reader.take()) is None:
             data = await self._stream.receive_some(RECEIVE_BYTES)
@@ -133,6 +124,16 @@
         return refuse(ErrorKind.CONNECTION_LOST, detail, ran=Ran.UNKNOWN)
 
 
+def _encode(request: HttpRequest, address: Address) -> bytes:
+    headers = [(k, v) for k, v in request.headers if k not in OWN_HEADERS]
+    if not any(name == b"host" for name, _ in headers):
+        headers.append((b"host", str(address).encode()))
+    if request.body or request.method not in NO_BODY_METHODS:
+        headers.append((b"content-length", b"%d" % len(request.body)))
+    head = encode_request_head(request.method, request.target, headers)
+    return head + request.body
+
+
 def _cut(detail: str) -> Result[HttpAnswer, Refusal]:
     return Failure(refuse(ErrorKind.ANSWER_CUT, detail))
 
@@ -176,13 +177,21 @@
         holding: Holding | None = None,
     ) -> Result[HttpAnswer, Refusal]:
         """Send a request and return its whole answer."""
+        try:
+            data = _encode(request, address)
+        except ValueError as error:
+            return Failure(refuse(ErrorKind.BAD_REQUEST, str(error)))
         async with self._permits:
+            # Nothing between this look at the connection and the first byte sent:
+            # its server may close it at any time.
             connection = await self._take(address)
             if connection is None:
                 detail = f"no connection to {address}"
                 return Failure(refuse(ErrorKind.CONNECT_FAILED, detail))
             try:
-                return await connection.exchange(request, max_answer_bytes, holding)
+                return await connection.exchange(
+                    request, data, max_answer_bytes, holding
+                )
             finally:
                 await self._give_back(address, connection)
 
--- a/persimmonhall/wire/direct_stream.py
+++ b/persimmonhall/wire/direct_stream.py
@@ -50,7 +50,6 @@
 
     async def send_all(self, data: bytes) -> None:
         """Write all bytes; a cancelled write leaves an unknown part written."""
-        await self._take_turn()
         rest = memoryview(data)
         while rest:
             self._check_open()
@@ -60,6 +59,7 @@
                 await trio.lowlevel.wait_writable(self._fd)
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
+        await self._take_turn()
 
     async def send_eof(self) -> None:
         """End the sending side."""
