Measure the lag of the loop only while requests ask for it

Cause: an idle node woke 20 times a second for the lag probe, half of its turns, though no request was there to refuse.

Change: the probe waits until a request asks the self-limit, and goes on while requests ask or anything is refused. Bound, steps and interval are unchanged; the first requests after an idle time are measured within 50 ms as before.

Under the test clock, 100 s idle: 2,000 measurements before (the new test failed), 0 after. Processor share of the idle node: not measured in this commit.

--- a/persimmonhall/admission/lag_probe.py
+++ b/persimmonhall/admission/lag_probe.py
@@ -11,6 +11,8 @@
 async def probe_lag(self_limit: SelfLimit) -> None:
     """Feed the self-limit until cancelled; log when it begins and ends to refuse."""
     while True:
+        # A node that no request asks has nothing to refuse.
+        await self_limit.wait_for_use()
         due = trio.current_time() + INTERVAL_S
         await trio.sleep_until(due)
         before = self_limit.level
--- a/persimmonhall/admission/self_limit.py
+++ b/persimmonhall/admission/self_limit.py
@@ -1,5 +1,7 @@
 """Refuse the lowest worth first while the node's own event loop lags."""
 
+import trio
+
 from persimmonhall.admission.order import LADDER, root_share
 from persimmonhall.document.schema import Worth
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
@@ -23,6 +25,7 @@
     def __init__(self):
         self._level = 0.0
         self._lag = 0.0
+        self._asked = trio.Event()
 
     @property
     def level(self) -> float:
@@ -42,8 +45,15 @@
         else:
             self._level = max(0.0, self._level - STEP_DOWN)
 
+    async def wait_for_use(self) -> None:
+        """Wait until a request has asked since the last wait, or any is refused."""
+        if self._level <= 0:
+            await self._asked.wait()
+        self._asked = trio.Event()
+
     def refusal(self, worth: Worth, root: RootId) -> Refusal | None:
         """Return a refusal, or None for a request that is let in."""
+        self._asked.set()
         if self._level <= 0:
             return None
         lowest = len(LADDER) - 1
--- /dev/null
+++ b/persimmonhall/admission/tests/test_lag_probe.py
@@ -0,0 +1,76 @@
+"""Check when the lag of the event loop is measured."""
+
+import time
+from contextlib import asynccontextmanager
+
+import trio
+import trio.testing
+
+from persimmonhall.admission.lag_probe import INTERVAL_S, probe_lag
+from persimmonhall.admission.self_limit import LAG_BOUND_S, SelfLimit
+from persimmonhall.document.schema import Worth
+from persimmonhall.ids import RootId
+
+ROOT = RootId("a")
+IDLE_S = 100.0
+
+
+class _CountingLimit(SelfLimit):
+    """Count the measurements."""
+
+    def __init__(self):
+        super().__init__()
+        self.measured = 0
+
+    def observe(self, lag: float) -> None:
+        """Count one measurement."""
+        self.measured += 1
+        super().observe(lag)
+
+
+@asynccontextmanager
+async def _probed_limit():
+    """Return a limit that a probe feeds."""
+    limit = _CountingLimit()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(probe_lag, limit)
+        yield limit
+        nursery.cancel_scope.cancel()
+
+
+async def test_idle_node_measures_no_lag(autojump_clock):
+    async with _probed_limit() as limit:
+        await trio.sleep(IDLE_S)
+        assert limit.measured == 0
+
+
+async def test_lag_is_measured_while_requests_ask(autojump_clock):
+    async with _probed_limit() as limit:
+        for _ in range(20):
+            limit.refusal(Worth.STANDARD, ROOT)
+            await trio.sleep(INTERVAL_S)
+        assert limit.measured in (19, 20)
+        await trio.sleep(IDLE_S)
+        assert limit.measured in (20, 21)
+
+
+async def test_refusing_ends_with_the_lag_although_no_request_asks(autojump_clock):
+    async with _probed_limit() as limit:
+        limit.refusal(Worth.INTERNAL, ROOT)
+        for _ in range(10):
+            limit.observe(2 * LAG_BOUND_S)
+        assert limit.level > 1
+        await trio.sleep(IDLE_S)
+        assert limit.level == 0
+
+
+async def test_lag_after_an_idle_time_is_seen_by_the_first_measurement():
+    async with _probed_limit() as limit:
+        await trio.testing.wait_all_tasks_blocked()
+        limit.refusal(Worth.INTERNAL, ROOT)
+        await trio.testing.wait_all_tasks_blocked()
+        time.sleep(INTERVAL_S + 2 * LAG_BOUND_S)  # noqa: ASYNC251
+        with trio.fail_after(5):
+            while not limit.measured:
+                await trio.sleep(INTERVAL_S / 10)
+        assert limit.level > 0
