Beat slowly while a node is idle, so that a stall is still told from idling

Cause: the lag is now measured only while requests ask, and the same probe beats for Stalls; an idle second would have counted as a stall.

--- a/persimmonhall/admission/lag_probe.py
+++ b/persimmonhall/admission/lag_probe.py
@@ -4,16 +4,18 @@
 from absl import logging
 
 from persimmonhall.admission.self_limit import SelfLimit
-from persimmonhall.stalls import Stalls
+from persimmonhall.stalls import STALL_S, Stalls
 
 INTERVAL_S = 0.05
+IDLE_BEAT_S = STALL_S / 2
 
 
 async def probe_lag(self_limit: SelfLimit, stalls: Stalls) -> None:
     """Feed the self-limit until cancelled; log when it begins and ends to refuse."""
+    stalls.beat(trio.current_time())
     while True:
         # A node that no request asks has nothing to refuse.
-        await self_limit.wait_for_use()
+        await _wait_for_use(self_limit, stalls)
         due = trio.current_time() + INTERVAL_S
         await trio.sleep_until(due)
         now = trio.current_time()
@@ -26,3 +28,11 @@
                 self_limit.level,
                 self_limit.lag * 1000,
             )
+
+
+async def _wait_for_use(self_limit: SelfLimit, stalls: Stalls) -> None:
+    while True:
+        with trio.move_on_after(IDLE_BEAT_S):
+            await self_limit.wait_for_use()
+            return
+        stalls.beat(trio.current_time())
--- a/persimmonhall/admission/tests/test_lag_probe.py
+++ b/persimmonhall/admission/tests/test_lag_probe.py
@@ -10,6 +10,7 @@
 from persimmonhall.admission.self_limit import LAG_BOUND_S, SelfLimit
 from persimmonhall.document.schema import Worth
 from persimmonhall.ids import RootId
+from persimmonhall.stalls import STALL_S, Stalls
 
 ROOT = RootId("a")
 IDLE_S = 100.0
@@ -29,11 +30,11 @@
 
 
 @asynccontextmanager
-async def _probed_limit():
+async def _probed_limit(stalls: Stalls | None = None):
     """Return a limit that a probe feeds."""
     limit = _CountingLimit()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(probe_lag, limit)
+        nursery.start_soon(probe_lag, limit, stalls or Stalls())
         yield limit
         nursery.cancel_scope.cancel()
 
@@ -74,3 +75,17 @@
             while not limit.measured:
                 await trio.sleep(INTERVAL_S / 10)
         assert limit.level > 0
+
+
+async def test_idle_time_is_no_stall_and_a_stall_in_it_is_one(autojump_clock):
+    stalls = Stalls()
+    async with _probed_limit(stalls) as limit:
+        await trio.sleep(IDLE_S)
+        limit.refusal(Worth.STANDARD, ROOT)
+        await trio.sleep(2 * INTERVAL_S)
+        assert not stalls.has_hit(0.0, trio.current_time())
+        await trio.sleep(IDLE_S)
+        begin = trio.current_time()
+        autojump_clock.jump(2 * STALL_S)
+        await trio.sleep(INTERVAL_S)
+        assert stalls.has_hit(begin, trio.current_time())
