Split the HTTP server and the gate; give kept ports an address of their own

No behaviour changed. A control VM that restarts in a test found its port given away, once in about 100 kills while other tests ran: its port was the kernel's, of the IP number that all use. Such an address now has an IP number of its own.

--- a/harness/system.py
+++ b/harness/system.py
@@ -1,6 +1,8 @@
 """Start a whole small system on loopback."""
 
+import itertools
 import json
+import os
 import socket
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from contextlib import asynccontextmanager
@@ -25,12 +27,16 @@
 WAIT_S = 20.0
 POLL_S = 0.05
 
+_hosts = itertools.cycle(range(1, 255))
+
 
 def free_address() -> str:
-    """Return an address whose port the kernel just chose, for use after a restart."""
+    """Return an address that nobody else is given, also between two starts."""
+    # The kernel gives a free port to the next who asks, but not of this IP number.
+    host = f"127.{1 + os.getpid() // 256 % 254}.{os.getpid() % 256}.{next(_hosts)}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 class System:
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -1,7 +1,6 @@
 """Guard the one way into a backend server."""
 
 from collections.abc import Callable
-from dataclasses import replace
 from functools import partial
 
 import trio
@@ -10,7 +9,6 @@
 
 from persimmonhall.admission.admission import Admission, Asked
 from persimmonhall.admission.counters import GateCounters
-from persimmonhall.admission.critical_budget import CriticalBudget
 from persimmonhall.admission.messages import Outcome, kind_of
 from persimmonhall.admission.self_limit import SelfLimit
 from persimmonhall.admission.slot import AdmittedSlot
@@ -28,38 +26,17 @@
     pair_up,
     refused,
 )
+from persimmonhall.call.ranking import CriticalShare, Ranking, unbounded_share
+from persimmonhall.call.run_outcome import run_outcome
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.http.client import HttpClient, PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from persimmonhall.ids import ServiceName
-from persimmonhall.once.answers import is_replayed
 from persimmonhall.once.runner import DirectRunner, Runner
 from persimmonhall.stalls import Stalls
 from persimmonhall.wire.answer_memory import AnswerMemory, Holding
 from persimmonhall.wire.link_server import HeldReply
 
-SHED_STATUS = 503
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
-NOT_SENT = frozenset(
-    {
-        ErrorKind.NO_SERVER,
-        ErrorKind.NO_QUORUM,
-        ErrorKind.KEY_RUNNING,
-        ErrorKind.KEY_MISMATCH,
-        ErrorKind.OUTCOME_UNKNOWN,
-        ErrorKind.ANSWER_NOT_KEPT,
-        ErrorKind.QUARANTINED,
-        ErrorKind.DEADLINE_EXCEEDED,
-        ErrorKind.OVERLOADED,
-    }
-)
-DEMOTION_LOG_INTERVAL_S = 1.0
-
-CriticalShare = Callable[[ServiceName], float]
-
-
-def _unbounded(service: ServiceName) -> float:
-    return 0.0
 
 
 class Gate:
@@ -67,7 +44,7 @@
 
     def __init__(
         self,
-        critical_share: CriticalShare = _unbounded,
+        critical_share: CriticalShare = unbounded_share,
         self_limit: SelfLimit | None = None,
         runner: Runner | None = None,
         make_client: Callable[[int], HttpClient] = PooledClient,
@@ -77,8 +54,7 @@
     ):
         self._runner = runner or DirectRunner()
         self._admission = Admission(stalls)
-        self._critical_share = critical_share
-        self._budget = CriticalBudget()
+        self._ranking = Ranking(critical_share, self._admission.counters)
         self._self_limit = self_limit or SelfLimit()
         self._executions = Executions()
         self._backend: Backend | None = None
@@ -154,7 +130,7 @@
         """Admit and run one call within its remaining time."""
         self._calls += 1
         try:
-            return await self._run_in_time(self._rank(call), holding)
+            return await self._run_in_time(self._ranking.rank(call), holding)
         finally:
             self._calls -= 1
             self._changed.set()
@@ -178,27 +154,6 @@
         is_new = known is None or known.address != backend.address
         return is_new or self._connect_failed
 
-    def _rank(self, call: Call) -> Call:
-        """Demote a root request beyond the critical share of its service."""
-        if call.depth > 0:
-            return call
-        share = self._critical_share(call.service)
-        worth = self._budget.rank(call.worth, share, trio.current_time())
-        if worth is call.worth:
-            return call
-        self.counters.demoted += 1
-        logging.log_every_n_seconds(
-            logging.WARNING,
-            "worth demoted service=%s root=%s worth=%s share_per_s=%.2f demoted=%d",
-            DEMOTION_LOG_INTERVAL_S,
-            call.service,
-            call.root,
-            worth.value,
-            share,
-            self.counters.demoted,
-        )
-        return replace(call, worth=worth)
-
     async def _run_in_time(self, call: Call, holding: Holding | None) -> Reply:
         started = False
         with trio.move_on_after(call.remaining_ms / 1000) as scope:
@@ -243,7 +198,7 @@
         outcome = Outcome.CANCELLED
         try:
             result = await self._send_once(call, slot, holding)
-            outcome = _outcome_of(result)
+            outcome = run_outcome(result)
         finally:
             slot.finish(outcome)
         match result:
@@ -300,15 +255,3 @@
 def _remaining_ms() -> int:
     left = trio.current_effective_deadline() - trio.current_time()
     return int(min(left * 1000, 2**31))
-
-
-def _outcome_of(result: Result[HttpAnswer, Refusal]) -> Outcome:
-    match result:
-        case Success(answer) if is_replayed(answer):
-            return Outcome.NOT_RUN
-        case Success(answer):
-            return Outcome.SHED if answer.status == SHED_STATUS else Outcome.DONE
-        case Failure(refusal) if refusal.kind in NOT_SENT:
-            return Outcome.NOT_RUN
-        case _:
-            return Outcome.FAILED
--- /dev/null
+++ b/persimmonhall/http/connection.py
@@ -0,0 +1,247 @@
+"""Read the requests of one HTTP/1.1 connection and write their answers."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from absl import logging
+
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.messages import HttpAnswer, HttpHandler, HttpRequest
+from persimmonhall.http.reading import BadMessageError, Message, RequestReader
+from persimmonhall.http.writing import GO_AHEAD, encode_answer_head
+from persimmonhall.wire.direct_stream import DirectStream
+
+RECEIVE_BYTES = 64 * 1024
+MAX_HEADER_BYTES = 32 * 1024
+IDLE_TIMEOUT_S = 60.0
+READ_TIMEOUT_S = 20.0
+LAST_HEAD_TIMEOUT_S = 0.5
+WRITE_TIMEOUT_S = 20.0
+WRITE_BYTES = 64 * 1024
+NO_BODY_STATUSES = frozenset({204, 304})
+OWN_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
+
+@dataclass(frozen=True)
+class ServerLimits:
+    """Bound what one connection may send."""
+
+    max_header_bytes: int = MAX_HEADER_BYTES
+    max_body_bytes: int = 32 * 1024 * 1024
+    idle_timeout_s: float = IDLE_TIMEOUT_S
+    read_timeout_s: float = READ_TIMEOUT_S
+
+
+RefusalWriter = Callable[[Refusal], HttpAnswer]
+
+
+class _RequestRefusedError(Exception):
+    """Carry the refusal of a request that could not be read."""
+
+    def __init__(self, refusal: Refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class ServerConnection:
+    """Read requests of one connection and write their answers."""
+
+    def __init__(
+        self,
+        stream: DirectStream,
+        handler: HttpHandler,
+        write_refusal: RefusalWriter,
+        limits: ServerLimits,
+        stop: trio.Event,
+        draining: trio.Event,
+    ):
+        self._stream = stream
+        self._handler = handler
+        self._write_refusal = write_refusal
+        self._limits = limits
+        self._stop = stop
+        self._draining = draining
+        self._reader = RequestReader(limits.max_header_bytes)
+        self._idle_scope: trio.CancelScope | None = None
+        self._request_scope: trio.CancelScope | None = None
+        self._gone = False
+        self._has_answered = False
+
+    def hang_up(self) -> None:
+        """Cancel the request in progress, for its caller is gone."""
+        self._gone = True
+        if self._request_scope is not None:
+            self._request_scope.cancel()
+
+    def stop_if_idle(self) -> None:
+        """Close the connection unless a request is in progress or expected."""
+        if self._idle_scope is None or self._stream.readable:
+            return
+        if not self._has_answered:
+            # Its caller connected to send a request, which is on its way.
+            self._idle_scope.deadline = trio.current_time() + LAST_HEAD_TIMEOUT_S
+            return
+        # At once: a request must not arrive between the look and the end.
+        self._stream.shut_down()
+        self._idle_scope.cancel()
+
+    async def run(self, before_close: Callable[[], None]) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            # A connection accepted at the stop still gets its first answer.
+            while await self._serve_one() and not self._stop.is_set():
+                pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            before_close()
+            await self._stream.aclose()
+
+    async def _serve_one(self) -> bool:
+        try:
+            message = await self._read_message()
+        except _RequestRefusedError as error:
+            await self._refuse(error.refusal)
+            return False
+        if message is None:
+            return False
+        answer = await self._answer_unless_gone(_request_of(message))
+        if answer is None:
+            return False
+        try:
+            await self._write(
+                answer, head=message.method == "HEAD", close=not message.keeps_alive
+            )
+        finally:
+            answer.close()
+        self._has_answered = True
+        return message.keeps_alive and not _asks_to_close(answer)
+
+    async def _read_message(self) -> Message | None:
+        message = await self._wait_for_head()
+        if message is None:
+            return None
+        if not message.is_whole:
+            await self._wait_for_body(message)
+        self._check_size(message)
+        return message
+
+    async def _wait_for_head(self) -> Message | None:
+        message = self._take_head()
+        if message is not None:
+            return message
+        timeout_s = self._limits.idle_timeout_s
+        if self._stop.is_set():
+            timeout_s = LAST_HEAD_TIMEOUT_S
+        with trio.move_on_after(timeout_s) as self._idle_scope:
+            while message is None:
+                if not await self._receive():
+                    return None
+                message = self._take_head()
+        return message
+
+    def _take_head(self) -> Message | None:
+        try:
+            return self._reader.take()
+        except BadMessageError as error:
+            raise _refused_as_bad(error) from error
+
+    async def _wait_for_body(self, message: Message) -> None:
+        if message.awaits_go_ahead and not message.size:
+            await self._stream.send_all(GO_AHEAD)
+        with trio.move_on_after(self._limits.read_timeout_s) as scope:
+            while not message.is_whole:
+                self._check_body(message)
+                await self._receive()
+        if scope.cancelled_caught:
+            raise _RequestRefusedError(
+                refuse(ErrorKind.BAD_REQUEST, "the request body did not arrive in time")
+            )
+
+    def _check_body(self, message: Message) -> None:
+        self._check_size(message)
+        try:
+            self._reader.check()
+        except BadMessageError as error:
+            raise _refused_as_bad(error) from error
+
+    def _check_size(self, message: Message) -> None:
+        if message.size > self._limits.max_body_bytes:
+            detail = f"the body is over {self._limits.max_body_bytes} bytes"
+            raise _RequestRefusedError(refuse(ErrorKind.BODY_TOO_LARGE, detail))
+
+    async def _receive(self) -> bool:
+        """Take in the next bytes; tell whether there were any."""
+        data = await self._stream.receive_some(RECEIVE_BYTES)
+        if data:
+            self._idle_scope = None
+            self._reader.feed(data)
+            return True
+        if self._reader.is_inside:
+            raise _RequestRefusedError(
+                refuse(ErrorKind.BAD_REQUEST, "the request ended half-way")
+            )
+        return False
+
+    async def _answer_unless_gone(self, request: HttpRequest) -> HttpAnswer | None:
+        with trio.CancelScope() as self._request_scope:
+            # The watch runs later if a stall let the hang-up arrive with the request.
+            if self._gone or self._stream.hung_up:
+                return None
+            return await self._answer(request)
+        return None
+
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        try:
+            return await self._handler(request)
+        except Exception:
+            # A fault met by one request must not end the process.
+            logging.exception("request failed target=%s", request.target)
+            detail = "the request met a fault of the system"
+            return self._write_refusal(refuse(ErrorKind.INTERNAL, detail))
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        logging.info("request refused error=%s %s", refusal.kind.value, refusal.detail)
+        await self._write(self._write_refusal(refusal), head=False, close=True)
+
+    async def _write(self, answer: HttpAnswer, *, head: bool, close: bool) -> None:
+        headers = [(k, v) for k, v in answer.headers if k not in OWN_HEADERS]
+        headers.append((b"content-length", b"%d" % len(answer.body)))
+        if close or self._stop.is_set() or self._draining.is_set():
+            headers.append((b"connection", b"close"))
+        data = encode_answer_head(answer.status, headers)
+        has_body = not head and answer.status not in NO_BODY_STATUSES
+        body = answer.body if has_body else b""
+        if len(body) <= WRITE_BYTES:
+            await self._stream.send_all(data + body)
+            return
+        await self._stream.send_all(data)
+        await self._write_body(memoryview(body))
+
+    async def _write_body(self, body: memoryview) -> None:
+        # A caller that reads nothing must not keep an answer in memory for ever.
+        for start in range(0, len(body), WRITE_BYTES):
+            with trio.move_on_after(WRITE_TIMEOUT_S) as scope:
+                await self._stream.send_all(body[start : start + WRITE_BYTES])
+            if scope.cancelled_caught:
+                logging.info("caller reads no answer; the connection is closed")
+                raise trio.BrokenResourceError("the caller reads nothing")
+
+
+def _request_of(message: Message) -> HttpRequest:
+    return HttpRequest(
+        message.method,
+        message.target.decode("latin-1"),
+        message.headers,
+        message.body,
+    )
+
+
+def _refused_as_bad(error: BadMessageError) -> _RequestRefusedError:
+    kind = ErrorKind.HEADER_TOO_LARGE if error.too_long else ErrorKind.BAD_REQUEST
+    return _RequestRefusedError(refuse(kind, str(error)))
+
+
+def _asks_to_close(answer: HttpAnswer) -> bool:
+    return any(k == b"connection" and v == b"close" for k, v in answer.headers)
--- a/persimmonhall/http/tests/test_server.py
+++ b/persimmonhall/http/tests/test_server.py
@@ -10,10 +10,11 @@
 
 from persimmonhall.address import Address
 from persimmonhall.errors import ANSWERS
-from persimmonhall.http import server
+from persimmonhall.http import connection
 from persimmonhall.http.client import PooledClient
+from persimmonhall.http.connection import ServerLimits
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from persimmonhall.http.server import ServerLimits, serve_http
+from persimmonhall.http.server import serve_http
 from persimmonhall.wire.answer_memory import AnswerMemory
 
 ANY_PORT = Address("127.0.0.1", 0)
@@ -102,7 +103,7 @@
 
 
 async def test_caller_that_reads_nothing_does_not_keep_its_answer(nursery, monkeypatch):
-    monkeypatch.setattr(server, "WRITE_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(connection, "WRITE_TIMEOUT_S", 0.01)
     memory = AnswerMemory(LIMIT)
 
     async def handler(request: HttpRequest) -> HttpAnswer:
