Hold the length headers and the statuses without a body in one place

The client, the server's connection and the reader each had a set of the headers that tell a length, and two had the statuses without a body. The two polls of DirectStream differed in their event only. No behaviour changed.

--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -8,7 +8,13 @@
 
 from persimmonhall.address import Address
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
-from persimmonhall.http.messages import HttpAnswer, HttpRequest, end_to_end
+from persimmonhall.http.messages import (
+    LENGTH_HEADERS,
+    NO_BODY_STATUSES,
+    HttpAnswer,
+    HttpRequest,
+    end_to_end,
+)
 from persimmonhall.http.reading import AnswerReader, BadMessageError, Message
 from persimmonhall.http.writing import encode_request_head
 from persimmonhall.wire.answer_memory import Holding
@@ -19,8 +25,6 @@
 MAX_HEADER_BYTES = 64 * 1024
 BROKEN = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 NO_BODY_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS", "TRACE"})
-NO_BODY_STATUSES = frozenset({204, 304})
-OWN_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 class HttpClient(Protocol):
@@ -125,7 +129,7 @@
 
 
 def _encode(request: HttpRequest, address: Address) -> bytes:
-    headers = [(k, v) for k, v in request.headers if k not in OWN_HEADERS]
+    headers = [(k, v) for k, v in request.headers if k not in LENGTH_HEADERS]
     if not any(name == b"host" for name, _ in headers):
         headers.append((b"host", str(address).encode()))
     if request.body or request.method not in NO_BODY_METHODS:
@@ -158,8 +162,7 @@
 def _end_is_marked(message: Message, request: HttpRequest) -> bool:
     if request.method == "HEAD" or message.status in NO_BODY_STATUSES:
         return True
-    names = {name for name, _ in message.headers}
-    return b"content-length" in names or b"transfer-encoding" in names
+    return any(name in LENGTH_HEADERS for name, _ in message.headers)
 
 
 class PooledClient:
--- a/persimmonhall/http/connection.py
+++ b/persimmonhall/http/connection.py
@@ -7,7 +7,13 @@
 from absl import logging
 
 from persimmonhall.errors import ErrorKind, Refusal, refuse
-from persimmonhall.http.messages import HttpAnswer, HttpHandler, HttpRequest
+from persimmonhall.http.messages import (
+    LENGTH_HEADERS,
+    NO_BODY_STATUSES,
+    HttpAnswer,
+    HttpHandler,
+    HttpRequest,
+)
 from persimmonhall.http.reading import BadMessageError, Message, RequestReader
 from persimmonhall.http.writing import GO_AHEAD, encode_answer_head
 from persimmonhall.wire.direct_stream import DirectStream
@@ -19,8 +25,6 @@
 LAST_HEAD_TIMEOUT_S = 0.5
 WRITE_TIMEOUT_S = 20.0
 WRITE_BYTES = 64 * 1024
-NO_BODY_STATUSES = frozenset({204, 304})
-OWN_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 @dataclass(frozen=True)
@@ -206,7 +210,7 @@
         await self._write(self._write_refusal(refusal), head=False, close=True)
 
     async def _write(self, answer: HttpAnswer, *, head: bool, close: bool) -> None:
-        headers = [(k, v) for k, v in answer.headers if k not in OWN_HEADERS]
+        headers = [(k, v) for k, v in answer.headers if k not in LENGTH_HEADERS]
         headers.append((b"content-length", b"%d" % len(answer.body)))
         if close or self._stop.is_set() or self._draining.is_set():
             headers.append((b"connection", b"close"))
--- a/persimmonhall/http/reading.py
+++ b/persimmonhall/http/reading.py
@@ -5,7 +5,7 @@
 
 import httptools
 
-from persimmonhall.http.messages import Headers
+from persimmonhall.http.messages import LENGTH_HEADERS, Headers
 
 TOKEN = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
 TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -15,7 +15,6 @@
 FORBIDDEN_IN_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 VISIBLE = range(0x21, 0x7F)
 CHUNKED = b"chunked"
-LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 FIRST_FINAL_STATUS = 200
 
 
--- a/persimmonhall/wire/direct_stream.py
+++ b/persimmonhall/wire/direct_stream.py
@@ -25,16 +25,12 @@
     @property
     def readable(self) -> bool:
         """Tell whether bytes or the end have arrived."""
-        poll = select.poll()
-        poll.register(self._fd, select.POLLIN)
-        return bool(poll.poll(0))
+        return self._has(select.POLLIN)
 
     @property
     def hung_up(self) -> bool:
         """Tell whether the peer has closed its side."""
-        poll = select.poll()
-        poll.register(self._fd, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return self._has(select.POLLRDHUP)
 
     async def receive_some(self, size: int) -> bytes:
         """Return the next bytes, or none at the end."""
@@ -87,6 +83,11 @@
         self._closed = True
         await trio.aclose_forcefully(self._stream)
 
+    def _has(self, event: int) -> bool:
+        poll = select.poll()
+        poll.register(self._fd, event)
+        return bool(poll.poll(0))
+
     def _check_open(self) -> None:
         if self._closed:
             raise trio.ClosedResourceError("the connection was closed here")
