--- a/persimmonhall/call/gates.py
+++ b/persimmonhall/call/gates.py
@@ -81,6 +81,5 @@
 
 
 def _refusal_of(error: LinkError) -> Refusal:
-    if error.sent:
-        return refuse(ErrorKind.CONNECTION_LOST, str(error), ran=Ran.UNKNOWN)
-    return refuse(ErrorKind.CONNECT_FAILED, str(error), ran=Ran.NO)
+    kind = ErrorKind.CONNECTION_LOST if error.sent else ErrorKind.CONNECT_FAILED
+    return refuse(kind, str(error), ran=error.ran)
--- a/persimmonhall/control/client.py
+++ b/persimmonhall/control/client.py
@@ -136,8 +136,7 @@
             case Success(data):
                 return _read(REPLIES.decode(data))
             case Failure(error):
-                ran = Ran.UNKNOWN if error.sent else Ran.NO
-                return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+                return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=error.ran))
 
     def _prefer(self, address: Address) -> None:
         self._addresses.remove(address)
--- a/persimmonhall/control/peers.py
+++ b/persimmonhall/control/peers.py
@@ -120,5 +120,4 @@
         case Success(data):
             return Success(PEER_REPLIES.decode(data))
         case Failure(error):
-            ran = Ran.UNKNOWN if error.sent else Ran.NO
-            return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=ran))
+            return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=error.ran))
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -84,6 +84,11 @@
         """Return the links to the other replicas."""
         return self._peers
 
+    @property
+    def _leader_address(self) -> Address | None:
+        leader = self._core.leader_id
+        return self._peers.address_of(self._core, leader) if leader else None
+
     async def run(self) -> None:
         """Run until cancelled; raise DiskFailedError if the disk fails."""
         async with trio.open_nursery() as nursery:
@@ -150,8 +155,7 @@
 
     async def remove(self, name: NodeName) -> Result[None, Refusal]:
         """Remove a replica from the set through the leader."""
-        leader = self._core.leader_id
-        address = self._peers.address_of(self._core, leader) if leader else None
+        address = self._leader_address
         if address is None:
             return Failure(refuse(ErrorKind.NO_QUORUM, "no leader is known"))
         match await self._peers.ask(address, Remove(name), FORWARD_TIMEOUT_S):
@@ -169,9 +173,8 @@
     async def _submit_once(self, data: bytes) -> Result[CommandReply, Refusal]:
         if self._core.role is Role.LEADER:
             return await self.submit_here(data)
-        leader = self._core.leader_id
-        address = self._peers.address_of(self._core, leader) if leader else None
-        if address is None:
+        leader, address = self._core.leader_id, self._leader_address
+        if leader is None or address is None:
             return Failure(refuse(ErrorKind.NO_QUORUM, "no leader is known"))
         match await self._forward(leader, address, data):
             case Success(Forwarded(reply)):
@@ -185,8 +188,8 @@
         self, leader: ReplicaId, address: Address, data: bytes
     ) -> Result:
         """Ask the leader; stop waiting for one that is silent when another leads."""
-        failure = refuse(ErrorKind.NO_QUORUM, "another leader took over")
-        result: Result = Failure(replace(failure, ran=Ran.UNKNOWN))
+        detail = "another leader took over"
+        result = Failure(refuse(ErrorKind.NO_QUORUM, detail, ran=Ran.UNKNOWN))
         async with trio.open_nursery() as nursery:
             scope = nursery.cancel_scope
             nursery.start_soon(self._cancel_after_leader, leader, scope)
@@ -202,9 +205,8 @@
         scope.cancel()
 
     async def _ask_read_index(self) -> LogIndex | None:
-        leader = self._core.leader_id
-        address = self._peers.address_of(self._core, leader) if leader else None
-        if address is None or leader == self._core.id:
+        address = self._leader_address
+        if address is None or self._core.leader_id == self._core.id:
             return None
         match await self._peers.ask(address, ReadIndex(), READ_TIMEOUT_S):
             case Success(ReadAt(index)):
@@ -217,7 +219,7 @@
 
     def _on_gone(self, address: Address) -> None:
         leader = self._core.leader_id
-        if leader and self._peers.address_of(self._core, leader) == address:
+        if leader is not None and self._leader_address == address:
             logging.info("leader gone id=%s address=%s", leader, address)
             self._core.lost(leader, trio.current_time())
             self._wake()
--- a/persimmonhall/wire/link.py
+++ b/persimmonhall/wire/link.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
+from persimmonhall.errors import Ran
 from persimmonhall.wire.answer_memory import Holding
 from persimmonhall.wire.credit import ReplyParts
 from persimmonhall.wire.direct_stream import DirectStream
@@ -29,6 +30,11 @@
         self.detail = detail
         self.sent = sent
 
+    @property
+    def ran(self) -> Ran:
+        """Tell whether the peer may have run what was asked."""
+        return Ran.UNKNOWN if self.sent else Ran.NO
+
     def __str__(self) -> str:
         """Write the reason."""
         return self.detail
