Take the bounds of answers and of a resend window from where they stand

The gate and the entry had a default of their own for the memory of answers, the settings a third; the gate repeated the largest answer of a document and the claimer its longest resend window. No value changed.

--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -28,7 +28,6 @@
 RAN_HEADER = b"persimmonhall-ran"
 SHED_STATUS = 503
 MAX_REROUTES = 2
-MAX_HELD_BYTES = 64 * 1024 * 1024
 
 
 class Entry:
@@ -57,7 +56,7 @@
         self._rng = rng
         self._self_limit = self_limit
         self._executions = executions
-        self._answers = answers or AnswerMemory(MAX_HELD_BYTES)
+        self._answers = answers or AnswerMemory()
         self._stalls = stalls or Stalls()
 
     async def handle(
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -28,6 +28,7 @@
 )
 from persimmonhall.call.ranking import CriticalShare, Ranking, unbounded_share
 from persimmonhall.call.run_outcome import run_outcome
+from persimmonhall.document.schema import MAX_ANSWER_BYTES
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.http.client import HttpClient, PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -36,8 +37,6 @@
 from persimmonhall.wire.answer_memory import AnswerMemory, Holding
 from persimmonhall.wire.link_server import HeldReply
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024
-
 
 class Gate:
     """Admit calls, run them on the backend server and answer whole."""
@@ -60,7 +59,7 @@
         self._backend: Backend | None = None
         self._client: HttpClient | None = None
         self._make_client = make_client
-        self._answers = answers or AnswerMemory(MAX_ANSWER_BYTES)
+        self._answers = answers or AnswerMemory()
         self._max_answer_bytes = max_answer_bytes
         self._connect_failed = False
         self._leaving = False
--- a/persimmonhall/once/claimer.py
+++ b/persimmonhall/once/claimer.py
@@ -10,6 +10,7 @@
 
 from persimmonhall.call.messages import Call
 from persimmonhall.control.client import SILENCE_S, ControlClient
+from persimmonhall.document.schema import DAY_S
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.http.messages import HttpAnswer
 from persimmonhall.ids import ClaimId, Fingerprint, NodeName
@@ -29,7 +30,6 @@
 from persimmonhall.once.settler import Settler
 from persimmonhall.once.slot import Slot
 
-DEFAULT_RESEND_WINDOW_S = 24 * 3600
 DERIVED_KEY_WINDOW_S = 10 * 60
 CLAIM_TIMEOUT_S = 2.0
 RELEASE_TIMEOUT_S = 0.35
@@ -250,7 +250,7 @@
 
 
 def _window_s(call: Call) -> int:
-    window_s = call.resend_window_s or DEFAULT_RESEND_WINDOW_S
+    window_s = call.resend_window_s or DAY_S
     return min(window_s, DERIVED_KEY_WINDOW_S) if is_derived(call.key) else window_s
 
 
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -8,6 +8,7 @@
 from persimmonhall.address import Address
 from persimmonhall.checked import T, bounded, read_toml
 from persimmonhall.ids import NodeName, ZoneName
+from persimmonhall.wire.answer_memory import DEFAULT_LIMIT_BYTES
 
 NAME_PATTERN = r"[a-z0-9][a-z0-9.-]{0,62}"
 
@@ -42,7 +43,7 @@
     max_header_bytes: int = bounded(32 * 1024, least=1024, most=1024 * 1024)
     max_body_bytes: int = bounded(16 * 1024 * 1024, least=0, most=64 * 1024 * 1024)
     max_answer_bytes: int = bounded(32 * 1024 * 1024, least=1, most=64 * 1024 * 1024)
-    held_answers_bytes: int = bounded(64 * 1024 * 1024, least=1024 * 1024)
+    held_answers_bytes: int = bounded(DEFAULT_LIMIT_BYTES, least=1024 * 1024)
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/wire/answer_memory.py
+++ b/persimmonhall/wire/answer_memory.py
@@ -2,11 +2,13 @@
 
 import trio
 
+DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
+
 
 class AnswerMemory:
     """Lend bytes to answers; the oldest may always go on, the others wait."""
 
-    def __init__(self, limit_bytes: int):
+    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES):
         self._limit_bytes = limit_bytes
         self._used_bytes = 0
         self._waits = 0
