Share what tests and benchmarks wrote twice

The lost leader stood in harness/leader_loss.py and tests/leader_scene.py, the name of an outcome there and in tests/key_trial.py, the reading of a metrics page in harness/needless.py and tests/test_admission.py, the count of dead backend servers twice in one test.

--- a/harness/leader_loss.py
+++ b/harness/leader_loss.py
@@ -13,9 +13,11 @@
 import trio
 from returns.result import Success
 
+from harness.leader_fault import lose_leader
+from harness.outcome import outcome_of
 from harness.system import System, open_system
 from persimmonhall.errors import ErrorKind
-from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.messages import HttpRequest
 
 CONTROLS = 3
 NODES = {"suva-cue-1": "suva", "suva-cue-2": "suva", "nadi-cue-1": "nadi"}
@@ -115,20 +117,14 @@
         begin = trio.current_time()
         match await self._system.send(node, request):
             case Success(answer):
-                outcome = _outcome_of(answer)
+                outcome = outcome_of(answer)
             case failure:
                 outcome = failure.failure().kind.value
         end = trio.current_time()
         return Sample(key, begin - self.fault_at, end - self.fault_at, outcome)
 
 
-def _outcome_of(answer: HttpAnswer) -> str:
-    if answer.header(b"content-type") == "application/problem+json":
-        return json.loads(answer.body)["type"].rpartition(":")[2]
-    return str(answer.status)
-
-
-async def lose_leader(system: System, fault: str) -> Row:
+async def measure_loss(system: System, fault: str) -> Row:
     """Take the leader away under load, bring it back and count."""
     caller = Caller(system)
     leader = await system.wait_for_leader()
@@ -138,15 +134,8 @@
     async def cause() -> None:
         nonlocal led_s
         await trio.sleep_until(caller.fault_at)
-        running = system.control[leader]
-        _begin(fault, running)
-        await system.wait_for_leader(leader)
-        led_s = trio.current_time() - caller.fault_at
-        await trio.sleep_until(caller.fault_at + LOST_S)
-        if fault == "killed":
-            await system.restart_control(leader)
-        else:
-            running.thaw()
+        lost = await lose_leader(system, leader, fault, LOST_S)
+        led_s = lost.led_at - caller.fault_at
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(cause)
@@ -155,13 +144,6 @@
     return _sum_up(fault, led_s, caller, _count_runs(system))
 
 
-def _begin(fault: str, running) -> None:
-    if fault == "killed":
-        running.kill()
-    else:
-        running.freeze()
-
-
 def _count_runs(system: System) -> Counter:
     runs: Counter = Counter()
     for node in NODES:
@@ -199,8 +181,8 @@
 async def start(system: System) -> None:
     """Start control, nodes and backend servers with room for all requests."""
     await system.start_controls(CONTROLS)
-    for node, zone in NODES.items():
-        await system.start_node(node, zone)
+    await system.start_nodes(NODES)
+    for node in NODES:
         run_log = str(system.folder / f"{node}.runs")
         await system.start_backend(
             node, "cue", service_ms=SERVICE_MS, slots=SLOTS, run_log=run_log
@@ -214,7 +196,7 @@
     async with open_system() as system:
         await start(system)
         for fault in FAULTS * ROUNDS:
-            rows.append(await lose_leader(system, fault))
+            rows.append(await measure_loss(system, fault))
             print(_line(rows[-1]), flush=True)
     RESULT.parent.mkdir(exist_ok=True)
     RESULT.write_text(json.dumps([asdict(row) for row in rows], indent=1))
--- a/harness/needless.py
+++ b/harness/needless.py
@@ -5,10 +5,8 @@
 import trio
 
 from harness.system import System
-from persimmonhall.http.messages import HttpRequest
 
 SAMPLE_S = 0.2
-METRICS = HttpRequest("GET", "/-/metrics", ())
 IN_FLIGHT = "persimmonhall_in_flight"
 REFUSED = "persimmonhall_refused_total"
 
@@ -50,7 +48,7 @@
             before = after
 
     async def _sample(self, system: System) -> Sample:
-        pages = [await _read_page(system, node) for node in system.nodes]
+        pages = [await system.metrics(node) for node in system.nodes]
         refused = sum(
             int(value)
             for page in pages
@@ -59,8 +57,3 @@
         )
         is_free = any(int(page[IN_FLIGHT]) < self.slots for page in pages)
         return Sample(refused, is_free)
-
-
-async def _read_page(system: System, node: str) -> dict[str, str]:
-    answer = (await system.send(node, METRICS, "local")).unwrap()
-    return dict(line.rsplit(" ", 1) for line in answer.body.decode().splitlines())
--- /dev/null
+++ b/harness/outcome.py
@@ -0,0 +1,12 @@
+"""Name how a request ended."""
+
+import json
+
+from persimmonhall.http.messages import HttpAnswer
+
+
+def outcome_of(answer: HttpAnswer) -> str:
+    """Return the kind of a problem, or else the status."""
+    if answer.header(b"content-type") == "application/problem+json":
+        return json.loads(answer.body)["type"].rpartition(":")[2]
+    return str(answer.status)
--- a/harness/system.py
+++ b/harness/system.py
@@ -244,6 +244,13 @@
         answer = await self.ask_backend(node, "/-/counts")
         return json.loads(answer.body)
 
+    async def metrics(self, node: str) -> dict[str, str]:
+        """Return the metrics page of a node by name and labels."""
+        request = HttpRequest("GET", "/-/metrics", ())
+        answer = (await self.send(node, request, "local")).unwrap()
+        lines = answer.body.decode().splitlines()
+        return dict(line.rsplit(" ", 1) for line in lines)
+
     async def behave(self, node: str, **behaviour) -> None:
         """Change how the stand-in beside a node behaves."""
         query = "&".join(f"{k}={json.dumps(v)}" for k, v in behaviour.items())
--- a/tests/key_trial.py
+++ b/tests/key_trial.py
@@ -1,14 +1,14 @@
 """Send one key again and again and count what the backend servers ran."""
 
-import json
 from dataclasses import dataclass, field
 
 import trio
 from returns.result import Success
 
+from harness.outcome import outcome_of
 from harness.system import System
 from persimmonhall.errors import ErrorKind
-from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.messages import HttpRequest
 
 ENTRY, GATE, FAR_GATE = "suva-cue-1", "suva-cue-2", "nadi-cue-1"
 NODES = {ENTRY: "suva", GATE: "suva", FAR_GATE: "nadi"}
@@ -93,10 +93,3 @@
             lines = log.read_text().splitlines() if log.exists() else []
             counts[node] = sum(line.split()[0] == self.key for line in lines)
         return counts
-
-
-def outcome_of(answer: HttpAnswer) -> str:
-    """Return the kind of a problem, or else the status."""
-    if answer.header(b"content-type") == "application/problem+json":
-        return json.loads(answer.body)["type"].rpartition(":")[2]
-    return str(answer.status)
--- a/tests/leader_scene.py
+++ b/tests/leader_scene.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from harness.leader_fault import lose_leader
 from harness.system import System
 from persimmonhall.errors import ErrorKind
 from persimmonhall.once.quorum import PATIENCE_S
@@ -85,19 +86,11 @@
     async def lose(self, fault: str) -> None:
         """Lose the leader while keys are sent, and settle every key."""
         leader = await self.system.wait_for_leader()
-        running = self.system.control[leader]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.send_keys)
             await trio.sleep(KEY_INTERVAL_S)
-            running.kill() if fault == "killed" else running.freeze()
-            begin = self.lost_at = trio.current_time()
-            await self.system.wait_for_leader(leader)
-            self.led_at = trio.current_time()
-            await trio.sleep_until(begin + FROZEN_S)
-            if fault == "killed":
-                await self.system.restart_control(leader)
-            else:
-                running.thaw()
+            lost = await lose_leader(self.system, leader, fault, FROZEN_S)
+            self.lost_at, self.led_at = lost.lost_at, lost.led_at
         async with trio.open_nursery() as nursery:
             for trial in self.trials:
                 nursery.start_soon(trial.settle)
@@ -107,8 +100,7 @@
 async def start(system: System) -> None:
     """Start three control VMs, three nodes and two backend servers of cue."""
     await system.start_controls(CONTROLS)
-    for node, zone in NODES.items():
-        await system.start_node(node, zone)
+    await system.start_nodes(NODES)
     for node in GATES:
         run_log = str(system.folder / f"{node}.runs")
         await system.start_backend(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -274,9 +274,7 @@
 
 async def _arrived(system: System) -> int:
     """Return how many requests run or wait at the new gate."""
-    request = HttpRequest("GET", "/-/metrics", ())
-    answer = (await system.send(NEW_NODE, request, "local")).unwrap()
-    values = dict(line.rsplit(" ", 1) for line in answer.body.decode().splitlines())
+    values = await system.metrics(NEW_NODE)
     return int(values["persimmonhall_in_flight"]) + int(values["persimmonhall_queued"])
 
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -6,6 +6,7 @@
 import trio
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from harness.outcome import outcome_of
 from harness.system import System
 from persimmonhall.http.messages import HttpRequest
 from tests.key_trial import (
@@ -16,7 +17,6 @@
     NODES,
     RESENDS,
     Trial,
-    outcome_of,
 )
 from tests.portal import open_running
 
--- a/tests/test_crashing_request.py
+++ b/tests/test_crashing_request.py
@@ -165,12 +165,15 @@
     portal.run(story.run)
 
 
+def _deaths(system: System) -> int:
+    backends = system.backends.values()
+    return sum(backend.process.returncode is not None for backend in backends)
+
+
 @then("at most 2 backend servers died")
 def _(running):
     _, story = running
-    backends = story.system.backends.values()
-    deaths = sum(backend.process.returncode is not None for backend in backends)
-    assert 1 <= deaths <= MOST_DEATHS
+    assert 1 <= _deaths(story.system) <= MOST_DEATHS
     assert len(story.crashes) == RESENDS
 
 
@@ -262,7 +265,5 @@
 @then("at most 2 backend servers died of it")
 def _(running):
     portal, story = running
-    backends = story.system.backends.values()
-    deaths = sum(backend.process.returncode is not None for backend in backends)
-    assert 1 <= deaths <= MOST_DEATHS
+    assert 1 <= _deaths(story.system) <= MOST_DEATHS
     portal.run(story.wait_for_quarantine, {f"GET {LATE_CRASH}"})
