--- /dev/null
+++ b/persimmonhall/call/routed_entry.py
@@ -0,0 +1,547 @@
+"""Route the requests of callers and of the own backend server to gates."""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from persimmonhall.admission.level import share_let_in
+from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.dialect import HeaderNames
+from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
+from persimmonhall.events import Event, EventLog, is_sampled
+from persimmonhall.http.callers import Exchange
+from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS, NO_BODY_STATUSES
+from persimmonhall.http.reading import Message
+from persimmonhall.ids import AttemptId, CallNumber, NodeName, ServiceName
+from persimmonhall.membership.effects import address_of
+from persimmonhall.membership.messages import Member
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.release.in_force import ReleaseInForce
+from persimmonhall.release.schema import Route
+from persimmonhall.routing.call_graph import CallGraph
+from persimmonhall.routing.patience import Patience
+from persimmonhall.routing.resend_budget import ResendBudget
+from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.router import Observation, Router
+from persimmonhall.routing.views import CallOutcome
+from persimmonhall.timers import Timer, Timers
+from persimmonhall.wire.call_link import CallLinks
+from persimmonhall.wire.calls import GateLoad, RoutedCall, RoutedReply
+
+# A caller stops waiting at its deadline; the final answer has to travel to it.
+ANSWER_MARGIN_S = 0.03
+MARGIN_SHARE = 0.1
+# Gates that had not sent a request on may pass it to others at no cost for a server.
+MAX_REROUTES = 3
+MAX_OVERLOAD_REROUTES = 1
+# Of the latency objective: a return within it can still be in time, and the spread
+# keeps those refused together from returning together.
+LEAST_RETURN_SHARE = 0.2
+MOST_RETURN_SHARE = 0.7
+# Below the most urgent level by less than this, a service is not short of room.
+ROOM_SLACK = 0.3
+FIRST_SERVER_ERROR = 500
+DEADLINE_STATUS = 504
+NO_LOAD = GateLoad(0, 0, 0, 0.0)
+CLOSED_GATE = frozenset(
+    {ErrorKind.LEAVING, ErrorKind.NO_SERVER, ErrorKind.CONNECT_FAILED}
+)
+OUTCOMES = {
+    ErrorKind.LEAVING: CallOutcome.TURNED_AWAY,
+    ErrorKind.NO_SERVER: CallOutcome.TURNED_AWAY,
+    ErrorKind.CONNECT_FAILED: CallOutcome.UNREACHABLE,
+    ErrorKind.CONNECTION_LOST: CallOutcome.LOST,
+    ErrorKind.ANSWER_CUT: CallOutcome.LOST,
+    ErrorKind.NOT_EXECUTED: CallOutcome.FAILED,
+}
+
+
+@dataclass(frozen=True)
+class OwnNode:
+    """Name this node and the service of the backend server next to it."""
+
+    node: NodeName
+    host: str
+    service: ServiceName
+
+
+class _Flight:
+    """Follow one request from its arrival to its final answer."""
+
+    __slots__ = (
+        "exchange",
+        "attempt",
+        "route",
+        "rank",
+        "service",
+        "is_nested",
+        "is_head",
+        "arrived",
+        "deadline",
+        "head",
+        "body",
+        "tried",
+        "member",
+        "number",
+        "sent_at",
+        "sends",
+        "reroutes",
+        "overloads",
+        "may_have_run",
+        "timer",
+        "failed_answer",
+        "is_logged",
+    )
+
+    def __init__(self, exchange: Exchange, route: Route, now: float):
+        self.exchange = exchange
+        self.route = route
+        self.arrived = now
+        self.tried: list[NodeName] = []
+        self.member: Member | None = None
+        self.number = CallNumber(0)
+        self.sent_at = now
+        self.sends = 0
+        self.reroutes = 0
+        self.overloads = 0
+        self.may_have_run = False
+        self.timer: Timer | None = None
+        # Kept while another server is tried; it is delivered if that comes to nothing.
+        self.failed_answer: RoutedReply | None = None
+
+
+class RoutedEntry:
+    """Send each request to a gate, again where that is safe, and answer once."""
+
+    def __init__(
+        self,
+        own: OwnNode,
+        headers: HeaderNames,
+        releases: ReleaseInForce,
+        table: MemberTable,
+        router: Router,
+        gate: RoutedGate,
+        links: Callable[[], CallLinks],
+        budget: ResendBudget,
+        graph: CallGraph,
+        levels: RouteLevels,
+        timers: Timers,
+        rng: random.Random,
+        log: EventLog,
+    ):
+        self._own = own
+        self._headers = headers
+        self._dropped = frozenset(
+            {
+                *HOP_BY_HOP,
+                *LENGTH_HEADERS,
+                b"expect",
+                headers.deadline_ms,
+                headers.expected_instance,
+                headers.caller_service,
+            }
+        )
+        self._caller_line = b"%s: %s\r\n" % (
+            headers.caller_service,
+            own.service.encode(),
+        )
+        self._releases = releases
+        self._table = table
+        self._router = router
+        self._gate = gate
+        self._links = links
+        self._budget = budget
+        self._graph = graph
+        self._levels = levels
+        self._timers = timers
+        self._rng = rng
+        self._log = log
+        self._patience = Patience()
+        self._numbers = itertools.count(1)
+        self._flights: dict[CallNumber, _Flight] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Return how many requests wait for a gate."""
+        return len(self._flights)
+
+    def begin(self, message: Message, exchange: Exchange) -> None:
+        """Take in a request."""
+        routes = self._releases.routes
+        if routes is None:
+            detail = "this node has not heard of a release yet"
+            exchange.refuse(refuse(ErrorKind.NO_RELEASE, detail))
+            return
+        host, attempt, wait_ms, lines = self._read_headers(message)
+        target = message.target.decode("latin-1")
+        route = routes.find(host, target)
+        if route is None:
+            self._refuse_unrouted(exchange, attempt, host)
+            return
+        now = trio.current_time()
+        flight = _Flight(exchange, route, now)
+        exchange.context = flight
+        flight.attempt = attempt
+        flight.rank = routes.rank_of(route)
+        flight.service = routes.choose_service(route)
+        flight.is_nested = exchange.peer_host == self._own.host
+        flight.is_head = message.method == "HEAD"
+        flight.is_logged = is_sampled(attempt)
+        flight.deadline = now + _usable_s(wait_ms, route)
+        flight.head = b"%s %s HTTP/1.1\r\n%s" % (
+            message.method.encode(),
+            message.target,
+            lines,
+        )
+        flight.body = message.body if message.size else b""
+        if flight.is_nested:
+            self._graph.count_call(route.name)
+        elif not self._lets_in(flight, now):
+            self._refuse_early(flight, now)
+            return
+        self._budget.earn(flight.service, self._members)
+        self._send(flight, now)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Stop working on a request whose caller is gone."""
+        flight = exchange.context
+        if not isinstance(flight, _Flight):
+            return
+        self._stop_waiting(flight, CallOutcome.CANCELLED)
+        now = trio.current_time()
+        reason = exchange.end_reason
+        self._note(Event.REQUEST_ABANDONED, flight, now, reason=reason)
+
+    def take_reply(self, reply: RoutedReply) -> None:
+        """Take in what a gate says of a call."""
+        flight = self._flights.pop(reply.number, None)
+        if flight is None:
+            return
+        now = trio.current_time()
+        member, flight.member = flight.member, None
+        self._observe(flight, member, reply, now)
+        if reply.load.limit:
+            self._levels.note(flight.route.name, reply.load.level, now)
+        if reply.error is None:
+            self._take_answer(flight, reply, now)
+        elif reply.ran is Ran.NO:
+            self._take_refusal(flight, reply, now)
+        else:
+            self._take_loss(flight, reply.error, reply.detail, now)
+
+    def take_link_failure(self, number: CallNumber, ran: Ran, detail: str) -> None:
+        """Take in that the link to a gate has failed."""
+        kind = ErrorKind.CONNECT_FAILED if ran is Ran.NO else ErrorKind.CONNECTION_LOST
+        self.take_reply(
+            RoutedReply(number, NO_LOAD, error=kind, detail=detail, ran=ran)
+        )
+
+    @property
+    def _members(self) -> int:
+        return len(self._table.peers()) + 1
+
+    def _read_headers(
+        self, message: Message
+    ) -> tuple[str, AttemptId, float | None, bytes]:
+        """Return host, attempt, waiting time and the lines that are passed on."""
+        names = self._headers
+        host = attempt = ""
+        wait_ms: float | None = None
+        lines = []
+        for name, value in message.headers:
+            if name == b"host":
+                host = value.decode("latin-1")
+            elif name == names.attempt:
+                attempt = value.decode("latin-1")
+            elif name == names.deadline_ms:
+                wait_ms = _milliseconds(value)
+            if name not in self._dropped:
+                lines.append(b"%s: %s\r\n" % (name, value))
+        lines.append(self._caller_line)
+        return host, AttemptId(attempt), wait_ms, b"".join(lines)
+
+    def _lets_in(self, flight: _Flight, now: float) -> bool:
+        level = self._levels.level(flight.route.name, now)
+        share = share_let_in(level, flight.rank)
+        return share >= 1.0 or self._rng.random() < share
+
+    def _refuse_early(self, flight: _Flight, now: float) -> None:
+        level = self._levels.level(flight.route.name, now)
+        detail = f"the services of route {flight.route.name} are short of room"
+        self._finish_refused(
+            flight, ErrorKind.OVERLOADED, detail, Ran.NO, now, level=round(level, 2)
+        )
+
+    def _refuse_unrouted(
+        self, exchange: Exchange, attempt: AttemptId, host: str
+    ) -> None:
+        refusal = refuse(ErrorKind.UNKNOWN_ROUTE, f"no route of host {host!r} fits")
+        self._log.emit(
+            Event.REQUEST_REFUSED,
+            request=attempt,
+            error=refusal.kind.value,
+            reason=refusal.detail,
+            release=self._releases.index,
+        )
+        exchange.refuse(refusal)
+
+    def _send(self, flight: _Flight, now: float) -> None:
+        route = flight.route
+        choice = self._router.choose(
+            flight.service, flight.tried, now, may_probe=route.is_idempotent
+        )
+        if choice is None:
+            known = len(self._table.servers_of(flight.service))
+            detail = f"{len(flight.tried)} of {known} servers of the service tried"
+            self._finish_refused(flight, ErrorKind.NO_SERVER, detail, Ran.NO, now)
+            return
+        member = flight.member = choice.member
+        flight.tried.append(member.node)
+        flight.number = CallNumber(next(self._numbers))
+        flight.sent_at = now
+        self._flights[flight.number] = flight
+        self._set_timer(flight, now)
+        if flight.is_logged:
+            self._note(
+                Event.REQUEST_ROUTED,
+                flight,
+                now,
+                chosen=member.node,
+                reason=choice.reason.value,
+                candidates=choice.candidates,
+                release=self._releases.index,
+            )
+        call = RoutedCall(
+            flight.number,
+            flight.service,
+            route.name,
+            flight.attempt,
+            flight.rank,
+            flight.is_nested,
+            route.is_idempotent,
+            flight.is_head,
+            max(0, int((flight.deadline - now) * 1000)),
+            route.latency_objective_ms,
+            flight.head,
+            flight.body,
+        )
+        if member.node == self._own.node:
+            self._gate.begin(self, call, self.take_reply)
+        else:
+            self._links().send(address_of(member.frames), call)
+
+    def _set_timer(self, flight: _Flight, now: float) -> None:
+        if flight.timer is not None:
+            flight.timer.cancel()
+        when = flight.deadline
+        if self._may_resend(flight):
+            when = min(when, now + self._patience.seconds(flight.route.name))
+        flight.timer = self._timers.call_at(when, lambda: self._on_timer(flight))
+
+    def _on_timer(self, flight: _Flight) -> None:
+        now = trio.current_time()
+        flight.timer = None
+        if now >= flight.deadline:
+            self._stop_waiting(flight, CallOutcome.TIMED_OUT)
+            ran = Ran.UNKNOWN if flight.sends or flight.may_have_run else Ran.NO
+            if flight.member is not None:
+                ran = Ran.UNKNOWN
+            detail = "no answer within the time that the caller or the route gives"
+            self._finish_refused(flight, ErrorKind.DEADLINE_EXCEEDED, detail, ran, now)
+            return
+        if self._has_room(flight, now) and self._spend(flight):
+            self._stop_waiting(flight, CallOutcome.TIMED_OUT)
+            flight.may_have_run = True
+            self._resend(flight, "no answer in several times the usual time", now)
+        else:
+            when = flight.deadline
+            flight.timer = self._timers.call_at(when, lambda: self._on_timer(flight))
+
+    def _stop_waiting(self, flight: _Flight, outcome: CallOutcome) -> None:
+        """Cancel the call that is under way, if there is one."""
+        if flight.timer is not None:
+            flight.timer.cancel()
+            flight.timer = None
+        if self._flights.pop(flight.number, None) is None:
+            return
+        member = flight.member
+        now = trio.current_time()
+        if member.node == self._own.node:
+            self._gate.cancel(self, flight.number)
+        else:
+            self._links().cancel(address_of(member.frames), flight.number)
+        seen = Observation(outcome, flight.route.name, now - flight.sent_at, None)
+        self._router.observe(flight.service, member.node, seen, now)
+
+    def _observe(
+        self, flight: _Flight, member: Member, reply: RoutedReply, now: float
+    ) -> None:
+        if reply.error is not None:
+            outcome = OUTCOMES.get(reply.error, CallOutcome.REFUSED)
+        elif reply.status >= FIRST_SERVER_ERROR:
+            outcome = CallOutcome.FAILED
+        else:
+            outcome = CallOutcome.DONE
+        load = reply.load if reply.load.limit else None
+        seen = Observation(outcome, flight.route.name, now - flight.sent_at, load)
+        self._router.observe(flight.service, member.node, seen, now)
+
+    def _take_answer(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+        took_s = now - flight.sent_at
+        self._patience.record(flight.route.name, took_s)
+        if reply.status >= FIRST_SERVER_ERROR and self._may_try_again(flight, now):
+            flight.may_have_run = True
+            flight.failed_answer = reply
+            self._resend(flight, f"the server answered {reply.status}", now)
+            return
+        self._deliver(flight, reply, now)
+
+    def _deliver(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+        if flight.is_logged or reply.status >= FIRST_SERVER_ERROR:
+            self._note(
+                Event.REQUEST_ANSWERED,
+                flight,
+                now,
+                status=reply.status,
+                server=flight.tried[-1],
+                run_ms=round(reply.run_s * 1000, 1),
+                bytes=len(reply.body),
+            )
+        self._clear(flight)
+        body = b"" if reply.status in NO_BODY_STATUSES else reply.body
+        flight.exchange.answer(reply.status, reply.head, body)
+
+    def _take_refusal(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+        kind = reply.error
+        if kind in CLOSED_GATE and flight.reroutes < MAX_REROUTES:
+            flight.reroutes += 1
+            self._send_on(flight, reply, now)
+        elif kind is ErrorKind.OVERLOADED and flight.overloads < MAX_OVERLOAD_REROUTES:
+            flight.overloads += 1
+            self._send_on(flight, reply, now)
+        elif kind is ErrorKind.NOT_EXECUTED and self._may_try_unrun(flight):
+            self._resend(flight, reply.detail, now)
+        else:
+            self._finish_refused(flight, kind, reply.detail, Ran.NO, now)
+
+    def _send_on(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+        """Try the gate of another server, as no server has seen the request."""
+        if not self._has_other(flight):
+            self._finish_refused(flight, reply.error, reply.detail, Ran.NO, now)
+            return
+        self._send(flight, now)
+
+    def _take_loss(
+        self, flight: _Flight, kind: ErrorKind, detail: str, now: float
+    ) -> None:
+        flight.may_have_run = True
+        if self._may_try_again(flight, now):
+            self._resend(flight, detail, now)
+        else:
+            self._finish_refused(flight, kind, detail, Ran.UNKNOWN, now)
+
+    def _resend(self, flight: _Flight, reason: str, now: float) -> None:
+        flight.sends += 1
+        self._note(
+            Event.REQUEST_RESENT,
+            flight,
+            now,
+            reason=reason,
+            tried=flight.tried,
+        )
+        self._send(flight, now)
+
+    def _may_resend(self, flight: _Flight) -> bool:
+        """Tell whether the kind of request and its route allow another server."""
+        is_allowed = flight.sends + 1 < flight.route.max_servers
+        return flight.route.is_idempotent and is_allowed and self._has_other(flight)
+
+    def _may_try_again(self, flight: _Flight, now: float) -> bool:
+        has_time = flight.deadline - now > self._patience.usual_s(flight.route.name)
+        may = has_time and self._may_resend(flight) and self._has_room(flight, now)
+        return may and self._spend(flight)
+
+    def _may_try_unrun(self, flight: _Flight) -> bool:
+        is_allowed = flight.sends + 1 < flight.route.max_servers
+        return is_allowed and self._has_other(flight) and self._spend(flight)
+
+    def _has_other(self, flight: _Flight) -> bool:
+        return len(self._table.servers_of(flight.service)) > len(flight.tried)
+
+    def _has_room(self, flight: _Flight, now: float) -> bool:
+        """Tell whether the services behind a route are far from full."""
+        full = self._releases.routes.ranks
+        return self._levels.level(flight.route.name, now) > full - ROOM_SLACK
+
+    def _spend(self, flight: _Flight) -> bool:
+        return self._budget.spend(flight.service, self._members)
+
+    def _finish_refused(
+        self,
+        flight: _Flight,
+        kind: ErrorKind,
+        detail: str,
+        ran: Ran,
+        now: float,
+        **inputs: object,
+    ) -> None:
+        if flight.failed_answer is not None:
+            self._deliver(flight, flight.failed_answer, now)
+            return
+        if flight.may_have_run:
+            ran = Ran.UNKNOWN
+        refusal = Refusal(kind, detail, ran, self._return_s(flight))
+        self._note(
+            Event.REQUEST_REFUSED,
+            flight,
+            now,
+            error=kind.value,
+            reason=detail,
+            ran=ran.value,
+            retry_after_s=round(refusal.retry_after_s, 3),
+            tried=flight.tried,
+            left_ms=round((flight.deadline - now) * 1000),
+            **inputs,
+        )
+        self._clear(flight)
+        flight.exchange.refuse(refusal)
+
+    def _return_s(self, flight: _Flight) -> float:
+        spread = MOST_RETURN_SHARE - LEAST_RETURN_SHARE
+        share = LEAST_RETURN_SHARE + spread * self._rng.random()
+        return share * flight.route.latency_objective_ms / 1000
+
+    def _clear(self, flight: _Flight) -> None:
+        flight.exchange.context = None
+        if flight.timer is not None:
+            flight.timer.cancel()
+            flight.timer = None
+
+    def _note(self, event: Event, flight: _Flight, now: float, **fields) -> None:
+        self._log.emit(
+            event,
+            request=flight.attempt,
+            route=flight.route.name,
+            service=flight.service,
+            rank=flight.rank,
+            nested=flight.is_nested,
+            age_ms=round((now - flight.arrived) * 1000, 1),
+            **fields,
+        )
+
+
+def _milliseconds(value: bytes) -> float | None:
+    try:
+        return max(0.0, float(value))
+    except ValueError:
+        # Without a usable value the route's timeout holds.
+        return None
+
+
+def _usable_s(wait_ms: float | None, route: Route) -> float:
+    """Return how long the request may take, less what its answer needs."""
+    whole_s = min(wait_ms or route.timeout_ms, route.timeout_ms) / 1000
+    return whole_s - min(ANSWER_MARGIN_S, MARGIN_SHARE * whole_s)
--- a/persimmonhall/checked.py
+++ b/persimmonhall/checked.py
@@ -187,6 +187,13 @@
         line = re.search(r"at line (\d+)", str(error))
         number = int(line.group(1)) if line else len(text.splitlines())
         return Failure((Problem("(file)", number, f"not valid TOML: {error}"),))
+    return read_table(cls, table, text)
+
+
+def read_table(
+    cls: type[T], table: dict, text: str = ""
+) -> Result[T, tuple[Problem, ...]]:
+    """Read a table, found in a text, into a dataclass or return every problem."""
     reader = _Reader(text)
     value = reader.read(cls, table)
     if reader.problems:
--- a/persimmonhall/cli/serving.py
+++ b/persimmonhall/cli/serving.py
@@ -21,6 +21,7 @@
     fields = {
         name: f"{value['host']}:{value['port']}"
         for name, value in asdict(addresses).items()
+        if value is not None
     }
     print(json.dumps({"ready": fields}), flush=True)
 
--- a/persimmonhall/control/machine.py
+++ b/persimmonhall/control/machine.py
@@ -15,6 +15,8 @@
     LoseClaims,
     ReleaseKey,
 )
+from persimmonhall.release.messages import PutRelease
+from persimmonhall.release.table import ReleaseTable
 
 
 class StateMachine:
@@ -23,9 +25,11 @@
     def __init__(self, index: LogIndex = LogIndex(0)):
         self._documents = DocumentTable()
         self._claims = ClaimTable()
+        self._releases = ReleaseTable()
         self._tables: dict[str, Table] = {
             "documents": self._documents,
             "claims": self._claims,
+            "releases": self._releases,
         }
         self._index = index
 
@@ -39,6 +43,11 @@
         """Return the claims."""
         return self._claims
 
+    @property
+    def releases(self) -> ReleaseTable:
+        """Return the releases."""
+        return self._releases
+
     @property
     def index(self) -> LogIndex:
         """Return the index of the last command applied."""
@@ -47,7 +56,7 @@
     @property
     def size(self) -> int:
         """Return how many rows a snapshot has, about."""
-        return self._claims.count + self._documents.count
+        return self._claims.count + self._documents.count + self._releases.count
 
     def apply(self, command: Command, index: LogIndex) -> CommandReply:
         """Apply one command in log order."""
@@ -55,6 +64,8 @@
         match command:
             case PutDocument():
                 return self._documents.put(command, index)
+            case PutRelease():
+                return self._releases.put(command, index)
             case ClaimKey():
                 return self._claims.claim(command)
             case FinishKey():
--- a/persimmonhall/control/messages.capnp
+++ b/persimmonhall/control/messages.capnp
@@ -1,6 +1,7 @@
 @0xb5a1f0c3d7e94a21;
 
 using Once = import "/once/messages.capnp";
+using Release = import "/release/table.capnp";
 
 struct HeldDocument {
   service @0 :Text;
@@ -41,6 +42,7 @@
     releaseKey @4 :Once.ReleaseKey;
     elapseTime @5 :Once.ElapseTime;
     loseClaims @6 :Once.LoseClaims;
+    putRelease @7 :Release.PutRelease;
   }
 }
 
@@ -49,6 +51,7 @@
     putReply @0 :PutReply;
     noReply @1 :NoReply;
     claimReply @2 :Once.ClaimReply;
+    putReleaseReply @3 :Release.PutReleaseReply;
   }
 }
 
@@ -80,6 +83,7 @@
   union {
     fetchDocuments @0 :FetchDocuments;
     submit @1 :Submit;
+    watchRelease @2 :Release.WatchRelease;
   }
 }
 
@@ -88,5 +92,6 @@
     documents @0 :Documents;
     submitted @1 :Submitted;
     declined @2 :Declined;
+    releaseSeen @3 :Release.ReleaseSeen;
   }
 }
--- a/persimmonhall/control/messages.py
+++ b/persimmonhall/control/messages.py
@@ -14,6 +14,12 @@
     LoseClaims,
     ReleaseKey,
 )
+from persimmonhall.release.messages import (
+    PutRelease,
+    PutReleaseReply,
+    ReleaseSeen,
+    WatchRelease,
+)
 from persimmonhall.wire.codec import Union, load_schema
 
 SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
@@ -72,13 +78,24 @@
 
 
 OnceCommand = ClaimKey | FinishKey | ReleaseKey | ElapseTime | LoseClaims
-Command = PutDocument | NoOp | OnceCommand
-CommandReply = PutReply | NoReply | ClaimReply
+Command = PutDocument | PutRelease | NoOp | OnceCommand
+CommandReply = PutReply | PutReleaseReply | NoReply | ClaimReply
 
 COMMANDS = Union(
     SCHEMA.Command,
-    (PutDocument, NoOp, ClaimKey, FinishKey, ReleaseKey, ElapseTime, LoseClaims),
+    (
+        PutDocument,
+        NoOp,
+        ClaimKey,
+        FinishKey,
+        ReleaseKey,
+        ElapseTime,
+        LoseClaims,
+        PutRelease,
+    ),
+)
+COMMAND_REPLIES = Union(
+    SCHEMA.CommandReply, (PutReply, NoReply, ClaimReply, PutReleaseReply)
 )
-COMMAND_REPLIES = Union(SCHEMA.CommandReply, (PutReply, NoReply, ClaimReply))
-ASKS = Union(SCHEMA.Ask, (FetchDocuments, Submit))
-REPLIES = Union(SCHEMA.Reply, (Documents, Submitted, Declined))
+ASKS = Union(SCHEMA.Ask, (FetchDocuments, Submit, WatchRelease))
+REPLIES = Union(SCHEMA.Reply, (Documents, Submitted, Declined, ReleaseSeen))
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -16,6 +16,7 @@
 from persimmonhall.control.replica import Replica
 from persimmonhall.control.serve import ControlService
 from persimmonhall.control.serve_peers import PeerService
+from persimmonhall.control.serve_releases import ReleaseParts, serve_releases
 from persimmonhall.http.asgi import serve_asgi
 from persimmonhall.once.log_clock import run_log_clock
 from persimmonhall.raft.core import Core
@@ -37,8 +38,9 @@
 class ControlAddresses:
     """Name the addresses a running control process listens on."""
 
-    admin: Address
+    admin: Address | None
     frames: Address
+    releases: Address | None = None
 
 
 class LateHandler:
@@ -64,11 +66,12 @@
     on_ready: Callable[[ControlAddresses], None],
     *,
     bootstrap: bool = False,
+    releases: ReleaseParts | None = None,
 ) -> Result[None, str]:
     """Serve until a stop signal."""
     result: Result[None, str] = Success(None)
     try:
-        result = await _run(settings, on_ready, bootstrap)
+        result = await _run(settings, on_ready, bootstrap, releases)
     except* DiskFailedError as group:
         result = Failure(f"storage failed: {_first_of(group)}")
     return result
@@ -84,14 +87,18 @@
     settings: ControlSettings,
     on_ready: Callable[[ControlAddresses], None],
     bootstrap: bool,
+    releases: ReleaseParts | None,
 ) -> Result[None, str]:
     own = settings.control
     nodes, replicas = LateHandler(), LateHandler()
     handlers = {Channel.CONTROL: nodes.handle, Channel.REPLICA: replicas.handle}
     async with trio.open_nursery() as nursery:
+        links = LinkPool(nursery)
+        if releases is not None:
+            handlers[Channel.MEMBERSHIP] = releases.join_members(own, links)
         frames = await nursery.start(serve_links, handlers, own.frames)
         address = own.advertise or frames
-        peers = Peers(nursery, LinkPool(nursery), address)
+        peers = Peers(nursery, links, address)
         match await _open(own, peers, address, bootstrap):
             case Failure() as failure:
                 nursery.cancel_scope.cancel()
@@ -105,9 +112,13 @@
         nodes.start(service.handle)
         replicas.start(PeerService(replica).handle)
         nursery.start_soon(replica.run)
+        nursery.start_soon(service.run)
         nursery.start_soon(run_log_clock, replica.submit_here)
         nursery.start_soon(Joiner(replica, own.name, address, own.peers).run)
-        await _serve(settings, replica, service, frames, on_ready)
+        api = None
+        if releases is not None:
+            api = await serve_releases(releases, own, replica, nursery)
+        await _serve(settings, replica, service, frames, api, on_ready)
         nursery.cancel_scope.cancel()
     opened.storage.close()
     return Success(None)
@@ -118,17 +129,20 @@
     replica: Replica,
     service: ControlService,
     frames: Address,
+    api: Address | None,
     on_ready: Callable[[ControlAddresses], None],
 ) -> None:
     signalled, stop = trio.Event(), trio.Event()
     admin = AdminApi(replica, settings.teams)
+    address = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(wait_for_stop_signal, signalled)
         async with trio.open_nursery() as serving:
-            address = await serving.start(
-                serve_asgi, admin.handle, settings.control.admin, stop
-            )
-            on_ready(ControlAddresses(address, frames))
+            if settings.control.admin is not None:
+                address = await serving.start(
+                    serve_asgi, admin.handle, settings.control.admin, stop
+                )
+            on_ready(ControlAddresses(address, frames, api))
             await signalled.wait()
             await replica.leave()
             await service.finish()
@@ -141,6 +155,12 @@
 ) -> Result[Opened, str]:
     folder = Path(own.data_folder)
     disk_id = new_disk_id(own.name)
+    if own.found and is_empty(folder) and address == min(own.peers, default=address):
+        # All founders know the same addresses, so that only one of them founds.
+        others = tuple(peer for peer in own.peers if peer != address)
+        if not await find_cluster(peers, others):
+            first = first_state(disk_id, own.name, address)
+            return open_storage(folder, disk_id, first)
     if not bootstrap:
         if is_empty(folder) and not own.peers:
             return Failure(f"{folder}: empty; give --bootstrap or control.peers")
--- a/persimmonhall/control/serve.py
+++ b/persimmonhall/control/serve.py
@@ -15,6 +15,8 @@
     Submitted,
 )
 from persimmonhall.control.replica import Replica
+from persimmonhall.release.messages import WATCH_S, ReleaseSeen, WatchRelease
+from persimmonhall.release.table import NO_RELEASE
 
 FINISH_TIMEOUT_S = 3.0
 
@@ -26,6 +28,16 @@
         self._replica = replica
         self._under_way = 0
         self._idle = trio.Event()
+        self._released = trio.Event()
+
+    async def run(self) -> None:
+        """Wake the watches whenever another release is in force, until cancelled."""
+        while True:
+            index = self._replica.machine.releases.current.index
+            while self._replica.machine.releases.current.index == index:
+                await self._replica.driver.changed.wait()
+            self._released.set()
+            self._released = trio.Event()
 
     async def finish(self) -> None:
         """Wait for the commands under way before a planned stop."""
@@ -48,9 +60,19 @@
         match ASKS.decode(payload):
             case FetchDocuments(after):
                 return REPLIES.encode(self._documents(after))
+            case WatchRelease(after):
+                return REPLIES.encode(await self._watch_release(after))
             case Submit(command):
                 return REPLIES.encode(await self._submit(command))
 
+    async def _watch_release(self, after) -> ReleaseSeen:
+        """Wait a bounded time for a release after an index."""
+        with trio.move_on_after(WATCH_S):
+            while self._replica.machine.releases.current.index <= after:
+                await self._released.wait()
+        current = self._replica.machine.releases.current
+        return ReleaseSeen(current if current.index > after else NO_RELEASE)
+
     def _documents(self, after) -> Documents:
         machine = self._replica.machine
         held = machine.documents.after(after)
--- /dev/null
+++ b/persimmonhall/control/serve_releases.py
@@ -0,0 +1,109 @@
+"""Serve releases on a control VM and introduce nodes to each other."""
+
+import random
+import time
+from dataclasses import dataclass, field, replace
+
+import trio
+from absl import logging
+
+from persimmonhall.address import Address
+from persimmonhall.control.replica import Replica
+from persimmonhall.dialect import Dialect
+from persimmonhall.errors import ErrorKind, refuse
+from persimmonhall.events import Event, EventLog
+from persimmonhall.http.callers import CallerServer, Exchange
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.http.reading import Message
+from persimmonhall.http.refusals import refusal_answer
+from persimmonhall.membership.control_members import CONTROL_SERVICE
+from persimmonhall.membership.gossip import Gossiper
+from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.release.api import ReleaseApi
+from persimmonhall.settings import ControlSection
+from persimmonhall.wire.link import LinkPool
+
+REGION = "default"
+
+
+@dataclass
+class ReleaseParts:
+    """Hold what the release side of a control VM needs."""
+
+    dialect: Dialect
+    log: EventLog
+    gossiper: Gossiper | None = field(default=None)
+
+    def join_members(self, own: ControlSection, links: LinkPool):
+        """Become a member and return the handler of membership asks."""
+        frames = own.advertise or own.frames
+        member = Member(
+            node=own.name,
+            zone=own.zone,
+            region=REGION,
+            frames=str(frames),
+            incarnation=time.time_ns() // 1_000_000,
+            version=0,
+            service=CONTROL_SERVICE,
+            slots=1,
+            state=MemberState.READY,
+        )
+        rng = random.Random(own.seed or None)
+        self.gossiper = Gossiper(MemberTable(member), links, own.peers, rng)
+        self.gossiper.set_frames(own.frames, frames)
+        return self.gossiper.handle
+
+    def reload(self, peers: tuple[Address, ...]) -> None:
+        """Take in the control VMs that the settings name now."""
+        if self.gossiper is not None:
+            self.gossiper.set_seeds(peers)
+
+
+class _TaskApi:
+    """Answer each request in a task of its own."""
+
+    def __init__(self, api: ReleaseApi, nursery: trio.Nursery):
+        self._api = api
+        self._nursery = nursery
+
+    def begin(self, message: Message, exchange: Exchange) -> None:
+        """Start to answer a request."""
+        self._nursery.start_soon(self._answer, message, exchange)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Let a change go on: its operator may ask again and finds it made."""
+
+    async def _answer(self, message: Message, exchange: Exchange) -> None:
+        target = message.target.decode("latin-1")
+        request = HttpRequest(message.method, target, message.headers, message.body)
+        try:
+            answer = await self._api.handle(request)
+        except Exception:
+            # A fault met by one request must not end the process.
+            logging.exception("request failed target=%s", target)
+            detail = "the request met a fault of the system"
+            answer = refusal_answer(refuse(ErrorKind.INTERNAL, detail))
+        exchange.answer_whole(answer)
+
+
+async def serve_releases(
+    parts: ReleaseParts, own: ControlSection, replica: Replica, nursery: trio.Nursery
+) -> Address | None:
+    """Serve the release API, if it has an address, and gossip."""
+    nursery.start_soon(parts.gossiper.run)
+    nursery.start_soon(parts.log.run)
+    parts.log.emit(Event.START, zone=own.zone, disk=replica.core.id)
+    if own.releases is None:
+        return None
+    api = ReleaseApi(replica, parts.dialect, len(own.peers), parts.log)
+    server = CallerServer(_TaskApi(api, nursery), own.releases)
+    return await nursery.start(server.run)
+
+
+def with_frames_port(own: ControlSection) -> ControlSection:
+    """Return the settings with the frames of peers, whose API has another port."""
+    if not own.frames_port:
+        return own
+    peers = tuple(Address(peer.host, own.frames_port) for peer in own.peers)
+    return replace(own, peers=peers)
--- /dev/null
+++ b/persimmonhall/dialect.py
@@ -0,0 +1,172 @@
+"""Define how the outside names headers and calls; the product's own names too."""
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+import xxhash
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address, parse_address
+from persimmonhall.checked import read_table
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.ids import InstanceId, ReleaseDigest, ServiceName
+from persimmonhall.release.schema import Release, check_release
+
+
+@dataclass(frozen=True)
+class HeaderNames:
+    """Name the headers that concern the system, in lower case."""
+
+    attempt: bytes = b"persimmonhall-attempt"
+    deadline_ms: bytes = b"persimmonhall-deadline-ms"
+    expected_instance: bytes = b"persimmonhall-expected-instance"
+    caller_service: bytes = b"persimmonhall-caller-service"
+    not_executed: bytes = b"persimmonhall-not-executed"
+
+
+class InstanceState(Enum):
+    """Tell whether an instance takes new requests."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class InstanceReport:
+    """Hold what an instance of a backend server says of itself.
+
+    `born_ms` is the Unix time of its start: it orders the instances that follow
+    each other at one address. `sequence` orders the reports of one instance.
+    """
+
+    instance: InstanceId
+    born_ms: int
+    sequence: int
+    service: ServiceName
+    address: Address
+    slots: int
+    state: InstanceState
+    warm_up_ms: int
+
+
+@dataclass(frozen=True)
+class ReportCall:
+    """An instance reports on itself."""
+
+    report: InstanceReport
+
+
+@dataclass(frozen=True)
+class LeaveCall:
+    """An instance is leaving for good and takes no new requests."""
+
+    instance: InstanceId
+
+
+@dataclass(frozen=True)
+class MalformedCall:
+    """A call cannot be read; nothing follows from it."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class PutReleaseCall:
+    """An operator puts a release."""
+
+    text: bytes
+
+
+@dataclass(frozen=True)
+class ReadReleaseCall:
+    """An operator reads the newest release."""
+
+
+NodeCall = ReportCall | LeaveCall | MalformedCall
+ControlCall = PutReleaseCall | ReadReleaseCall
+
+
+class Dialect(Protocol):
+    """Translate what comes from outside into the product's types."""
+
+    headers: HeaderNames
+    ready_path: str
+
+    def node_call(self, request: HttpRequest) -> NodeCall | None:
+        """Return what a backend server says to its node, None if it is no such call."""
+
+    def control_call(self, request: HttpRequest) -> ControlCall | None:
+        """Return what an operator asks of a control VM, None if it is no such call."""
+
+    def decode_release(self, text: bytes) -> Result[Release, str]:
+        """Return a checked release, or what is wrong with it."""
+
+    def release_digest(self, text: bytes) -> ReleaseDigest:
+        """Return what is equal for texts of the same release only."""
+
+
+def digest_of(body: object) -> ReleaseDigest:
+    """Return the digest of a JSON value, whatever its layout."""
+    text = json.dumps(body, sort_keys=True, separators=(",", ":"))
+    return ReleaseDigest(xxhash.xxh3_128_hexdigest(text.encode()))
+
+
+def read_address(text: object) -> Address:
+    """Read an address; raise ValueError if it is none."""
+    match parse_address(text) if isinstance(text, str) else Failure(f"{text!r}"):
+        case Success(address):
+            return address
+        case Failure(reason):
+            raise ValueError(reason)
+
+
+class OwnDialect:
+    """Speak the product's own names: JSON with the fields of the types."""
+
+    headers = HeaderNames()
+    ready_path = "/-/ready"
+
+    def node_call(self, request: HttpRequest) -> NodeCall | None:
+        """Read a report or a leave."""
+        match (request.method, request.target.split("/")[1:]):
+            case ("POST", ["-", "instances"]):
+                return self._report(request.body)
+            case ("DELETE", ["-", "instances", instance]):
+                return LeaveCall(InstanceId(instance))
+        return None
+
+    def control_call(self, request: HttpRequest) -> ControlCall | None:
+        """Read a put or a read of the release."""
+        match (request.method, request.target):
+            case ("PUT", "/release"):
+                return PutReleaseCall(request.body)
+            case ("GET", "/release"):
+                return ReadReleaseCall()
+        return None
+
+    def decode_release(self, text: bytes) -> Result[Release, str]:
+        """Read a release with the fields of its type."""
+        return _read_json(Release, text).bind(check_release)
+
+    def release_digest(self, text: bytes) -> ReleaseDigest:
+        """Return the digest of the JSON value."""
+        return digest_of(json.loads(text))
+
+    def _report(self, body: bytes) -> NodeCall:
+        match _read_json(InstanceReport, body):
+            case Success(report):
+                return ReportCall(report)
+            case Failure(reason):
+                return MalformedCall(reason)
+
+
+def _read_json(cls: type, text: bytes) -> Result:
+    try:
+        table = json.loads(text)
+    except ValueError as error:
+        return Failure(f"not valid JSON: {error}")
+    if not isinstance(table, dict):
+        return Failure("must be a JSON object")
+    return read_table(cls, table).alt(lambda problems: problems[0].text)
--- a/persimmonhall/errors.py
+++ b/persimmonhall/errors.py
@@ -51,6 +51,11 @@
     NOT_FOUND = "notFound"
     NOT_LEADER = "notLeader"
     STORAGE_FAILED = "storageFailed"
+    NO_RELEASE = "noRelease"
+    UNKNOWN_ROUTE = "unknownRoute"
+    INVALID_RELEASE = "invalidRelease"
+    RELEASE_CONFLICT = "releaseConflict"
+    NOT_EXECUTED = "notExecuted"
     INTERNAL = "internal"
 
 
@@ -96,6 +101,11 @@
     ErrorKind.NOT_FOUND: ErrorAnswer(404, "Not found", Ran.NO),
     ErrorKind.NOT_LEADER: ErrorAnswer(503, "Not the leader", Ran.NO, 0.5),
     ErrorKind.STORAGE_FAILED: ErrorAnswer(507, "Storage failed", Ran.UNKNOWN, 5.0),
+    ErrorKind.NO_RELEASE: ErrorAnswer(503, "No release in force yet", Ran.NO, 1.0),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(404, "No route for the request", Ran.NO),
+    ErrorKind.INVALID_RELEASE: ErrorAnswer(400, "Invalid release", Ran.NO),
+    ErrorKind.RELEASE_CONFLICT: ErrorAnswer(412, "Release conflict", Ran.NO),
+    ErrorKind.NOT_EXECUTED: ErrorAnswer(503, "Not executed", Ran.NO, 1.0),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error", Ran.UNKNOWN),
 }
 
--- /dev/null
+++ b/persimmonhall/events.py
@@ -0,0 +1,134 @@
+"""Write one structured line for each decision, bounded and never blocking."""
+
+import json
+import os
+import time
+from collections import Counter, deque
+from enum import Enum
+
+import trio
+import xxhash
+
+MAX_BUFFERED_LINES = 5000  # about 1 MB at 200 bytes a line
+FLUSH_S = 0.1
+# Lines of one event a second; a surge refuses thousands of requests a second.
+MAX_LINES_PER_S = 100
+# One request in so many is logged from end to end when nothing goes wrong.
+SAMPLED_ONE_IN = 200
+
+
+class Event(Enum):
+    """List every event that is logged; docs/OPERATIONS.md explains each."""
+
+    START = "start"
+    STOP = "stop"
+    STOPPED = "stopped"
+    RELOAD = "reload"
+    RELOAD_FAILED = "reload_failed"
+    LOG = "log"
+    LINES_DROPPED = "lines_dropped"
+
+    REQUEST_ROUTED = "request_routed"
+    REQUEST_ANSWERED = "request_answered"
+    REQUEST_REFUSED = "request_refused"
+    REQUEST_RESENT = "request_resent"
+    REQUEST_ABANDONED = "request_abandoned"
+    CALL_ADMITTED = "call_admitted"
+    CALL_REFUSED = "call_refused"
+    CALL_SENT = "call_sent"
+    CALL_FAILED = "call_failed"
+
+    INSTANCE_SEEN = "instance_seen"
+    INSTANCE_GONE = "instance_gone"
+    INSTANCE_REPORT_REFUSED = "instance_report_refused"
+    MEMBER = "member"
+    LINK_LOST = "link_lost"
+    LINK_REGAINED = "link_regained"
+    CONTROL_LOST = "control_lost"
+    CONTROL_REGAINED = "control_regained"
+    RELEASE_PUT = "release_put"
+    RELEASE_IN_FORCE = "release_in_force"
+    RELEASE_UNREADABLE = "release_unreadable"
+    SHED_LEVEL = "shed_level"
+    CALL_GRAPH = "call_graph"
+    CLUSTER_FOUNDED = "cluster_founded"
+
+
+# What is written however many lines there are: it is rare, and others follow from it.
+UNBOUNDED = frozenset({Event.START, Event.STOP, Event.STOPPED, Event.LINES_DROPPED})
+
+
+def is_sampled(request: str) -> bool:
+    """Tell whether all lines of a request are kept; every node decides alike."""
+    return xxhash.xxh3_64_intdigest(request.encode()) % SAMPLED_ONE_IN == 0
+
+
+class EventLog:
+    """Buffer lines and hand them to a descriptor that may be slow or stuck."""
+
+    def __init__(self, node: str, fd: int = 1):
+        self._node = node
+        self._fd = fd
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._written: Counter[Event] = Counter()
+        self._dropped: Counter[Event] = Counter()
+        self._dropped_total = 0
+
+    @property
+    def dropped(self) -> int:
+        """Return how many lines were dropped since the start."""
+        return self._dropped_total
+
+    def emit(self, event: Event, **fields: object) -> None:
+        """Write one line unless too many of its kind came within the second."""
+        if event not in UNBOUNDED and self._is_full(event):
+            self._dropped[event] += 1
+            self._dropped_total += 1
+            return
+        self._written[event] += 1
+        line = {"t": round(time.time(), 4), "node": self._node, "event": event.value}
+        line.update((k, v) for k, v in fields.items() if v is not None)
+        self._lines.append(json.dumps(line, default=str).encode() + b"\n")
+
+    async def run(self) -> None:
+        """Write what is buffered until cancelled."""
+        # A reader that stands still must not hold up the process.
+        os.set_blocking(self._fd, False)
+        second = trio.current_time()
+        while True:
+            await trio.sleep(FLUSH_S)
+            now = trio.current_time()
+            if now - second >= 1:
+                second = now
+                self._end_second()
+            self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the descriptor takes now."""
+        data = self._rest + b"".join(self._lines)
+        self._lines.clear()
+        if not data:
+            return
+        try:
+            written = os.write(self._fd, data)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads any more, and there is no other place to say so.
+            self._dropped_total += data.count(b"\n")
+            self._rest = b""
+            return
+        self._rest = data[written:]
+
+    def _is_full(self, event: Event) -> bool:
+        if self._written[event] >= MAX_LINES_PER_S:
+            return True
+        return len(self._lines) + self._rest.count(b"\n") >= MAX_BUFFERED_LINES
+
+    def _end_second(self) -> None:
+        self._written.clear()
+        if self._dropped:
+            counts = {event.value: count for event, count in self._dropped.items()}
+            self._dropped.clear()
+            self.emit(Event.LINES_DROPPED, counts=counts, total=self._dropped_total)
--- /dev/null
+++ b/persimmonhall/http/backends.py
@@ -0,0 +1,306 @@
+"""Send requests to the own backend server and match its answers by their ids."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import trio
+
+from persimmonhall.address import Address
+from persimmonhall.http.messages import LENGTH_HEADERS, NO_BODY_STATUSES, Headers
+from persimmonhall.http.reading import AnswerReader, BadMessageError, Message
+from persimmonhall.wire.duplex import Duplex
+
+CONNECT_TIMEOUT_S = 0.5  # the server is on the same machine
+MAX_HEADER_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+DEFAULT_IDLE_S = 4.0  # for servers that do not say when they close
+IDLE_MARGIN = 0.7  # of the time that a server gives, so that it never closes first
+
+
+class SendFault(Enum):
+    """Tell why a request got no whole answer."""
+
+    NOT_LISTENING = "notListening"
+    NOT_CONNECTED = "notConnected"
+    LOST = "lost"
+    CUT = "cut"
+    UNREADABLE = "unreadable"
+
+
+@dataclass(frozen=True)
+class BackendFailure:
+    """Tell how a request failed and whether the backend server may have run it."""
+
+    fault: SendFault
+    detail: str
+
+    @property
+    def was_sent(self) -> bool:
+        """Tell whether any byte may have reached the backend server."""
+        return self.fault not in (SendFault.NOT_LISTENING, SendFault.NOT_CONNECTED)
+
+
+@dataclass(frozen=True)
+class BackendAnswer:
+    """Hold the whole answer of a backend server."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+BackendResult = BackendAnswer | BackendFailure
+
+
+class BackendRequest:
+    """Wait for the answer to one request; the attempt id marks its answer."""
+
+    __slots__ = ("data", "attempt", "is_head", "may_repeat", "done", "connection")
+
+    def __init__(
+        self,
+        data: bytes,
+        attempt: bytes,
+        done: Callable[[BackendResult], None],
+        *,
+        is_head: bool,
+        may_repeat: bool,
+    ):
+        self.data = data
+        self.attempt = attempt
+        self.is_head = is_head
+        self.may_repeat = may_repeat
+        self.done = done
+        self.connection: _Connection | None = None
+
+
+class _Connection:
+    """Send one request at a time; its task reads all the while."""
+
+    def __init__(self, pool: "BackendPool", request: BackendRequest):
+        self._pool = pool
+        self._request: BackendRequest | None = request
+        self._duplex: Duplex | None = None
+        self._scope = trio.CancelScope()
+        self._reader = AnswerReader(MAX_HEADER_BYTES)
+        self._message: Message | None = None
+        self._skipped = False
+        self.usable_until = 0.0
+
+    @property
+    def is_quiet(self) -> bool:
+        """Tell whether neither bytes nor the end have arrived."""
+        return not self._duplex.readable
+
+    async def run(self) -> None:
+        """Connect, send and read until the connection ends."""
+        fault = BackendFailure(SendFault.NOT_CONNECTED, "no connection in time")
+        try:
+            with self._scope:
+                stream = await self._connect()
+                if stream is not None:
+                    self._duplex = Duplex(stream, self._pool.nursery)
+                    if self._request is not None:
+                        self._duplex.send(self._request.data)
+                        fault = None
+                        await self._read()
+        except ConnectionRefusedError as error:
+            fault = BackendFailure(SendFault.NOT_LISTENING, str(error))
+        except OSError as error:
+            fault = BackendFailure(SendFault.NOT_CONNECTED, str(error))
+        finally:
+            self._pool.forget(self)
+            if self._duplex is not None:
+                self._duplex.close()
+        if fault is not None:
+            self._fail(fault)
+
+    def send(self, request: BackendRequest) -> None:
+        """Send the next request."""
+        self._request = request
+        request.connection = self
+        self._reader = AnswerReader(MAX_HEADER_BYTES)
+        self._message = None
+        self._duplex.send(request.data)
+
+    def close(self) -> None:
+        """End the connection and forget its request."""
+        self._request = None
+        self._scope.cancel()
+
+    async def _connect(self) -> trio.SocketStream | None:
+        address = self._pool.address
+        socket = trio.socket.socket()
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await socket.connect((address.host, address.port))
+                return trio.SocketStream(socket)
+            except BaseException:
+                socket.close()
+                raise
+        return None
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = await self._duplex.receive()
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                self._fail(self._broken(str(error)))
+                return
+            if not data:
+                self._end()
+                return
+            if self._request is None:
+                # Bytes that belong to no request: nothing more is sent here.
+                return
+            try:
+                self._reader.feed(data)
+                if not self._take():
+                    return
+            except BadMessageError as error:
+                self._fail(BackendFailure(SendFault.UNREADABLE, str(error)))
+                return
+
+    def _take(self) -> bool:
+        """Finish the request if its answer is whole; tell whether to read on."""
+        while True:
+            if self._message is None:
+                self._message = self._reader.take()
+                if self._message is None:
+                    return True
+            message, request = self._message, self._request
+            if message.size > MAX_ANSWER_BYTES:
+                detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+                self._fail(BackendFailure(SendFault.CUT, detail))
+                return False
+            if not self._is_whole(message, request):
+                self._reader.check()
+                return True
+            self._message = None
+            if self._belongs(message, request):
+                return self._finish(message)
+            self._skipped = True
+
+    def _is_whole(self, message: Message, request: BackendRequest) -> bool:
+        if request.is_head or message.status in NO_BODY_STATUSES:
+            return True
+        return message.is_whole
+
+    def _belongs(self, message: Message, request: BackendRequest) -> bool:
+        name = self._pool.attempt_header
+        return any(k == name and v == request.attempt for k, v in message.headers)
+
+    def _finish(self, message: Message) -> bool:
+        request, self._request = self._request, None
+        is_clean = not self._reader.has_surplus and not self._skipped
+        keeps = message.keeps_alive and is_clean and not request.is_head
+        if keeps:
+            self._pool.give_back(self, _idle_s(message.headers))
+        request.done(BackendAnswer(message.status, message.headers, message.body))
+        return keeps
+
+    def _end(self) -> None:
+        """Take the end of the connection as the end of an answer without length."""
+        message, request = self._message, self._request
+        if request is None:
+            return
+        if message is None:
+            self._fail(self._broken("it ended before an answer"))
+        elif any(name in LENGTH_HEADERS for name, _ in message.headers):
+            self._fail(BackendFailure(SendFault.CUT, "it ended within the answer"))
+        elif not self._belongs(message, request):
+            self._fail(self._broken("it ended after the answer to another request"))
+        else:
+            self._request = None
+            request.done(BackendAnswer(message.status, message.headers, message.body))
+
+    def _broken(self, reason: str) -> BackendFailure:
+        fault = SendFault.CUT if self._message is not None else SendFault.LOST
+        return BackendFailure(fault, reason or "the connection was reset")
+
+    def _fail(self, failure: BackendFailure) -> None:
+        request, self._request = self._request, None
+        if request is not None:
+            request.done(failure)
+
+
+class BackendPool:
+    """Keep connections to one backend server and reuse the latest first."""
+
+    def __init__(
+        self,
+        address: Address,
+        nursery: trio.Nursery,
+        attempt_header: bytes,
+        max_connections: int,
+    ):
+        self.address = address
+        self.nursery = nursery
+        self.attempt_header = attempt_header
+        self._max_connections = max_connections
+        self._idle: list[_Connection] = []
+        self._open: set[_Connection] = set()
+        self.opened = 0
+
+    def send(self, request: BackendRequest) -> None:
+        """Send a request; its callback is called once, unless it is aborted."""
+        connection = self._take_idle(trio.current_time(), request.may_repeat)
+        if connection is not None:
+            connection.send(request)
+            return
+        if len(self._open) >= self._max_connections:
+            detail = f"{self._max_connections} connections are open"
+            request.done(BackendFailure(SendFault.NOT_CONNECTED, detail))
+            return
+        connection = request.connection = _Connection(self, request)
+        self._open.add(connection)
+        self.opened += 1
+        self.nursery.start_soon(connection.run)
+
+    def abort(self, request: BackendRequest) -> None:
+        """Stop a request; the backend server sees its connection close."""
+        if request.connection is not None:
+            request.connection.close()
+
+    def give_back(self, connection: _Connection, idle_s: float) -> None:
+        """Take back a connection that may serve another request."""
+        connection.usable_until = trio.current_time() + idle_s
+        self._idle.append(connection)
+
+    def forget(self, connection: _Connection) -> None:
+        """Drop a connection that has ended."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+
+    def close_idle(self, now: float) -> None:
+        """End connections that the backend server may close soon."""
+        while self._idle and self._idle[0].usable_until <= now:
+            self._idle.pop(0).close()
+
+    def close(self) -> None:
+        """End the idle connections and reuse no other."""
+        for connection in self._idle:
+            connection.close()
+        self._idle.clear()
+
+    def _take_idle(self, now: float, may_repeat: bool) -> _Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable_until > now and (may_repeat or connection.is_quiet):
+                return connection
+            connection.close()
+        return None
+
+
+def _idle_s(headers: Headers) -> float:
+    """Return how long a connection may stay idle, from the Keep-Alive header."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, seconds = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.isdigit():
+                return int(seconds) * IDLE_MARGIN
+    return DEFAULT_IDLE_S
--- /dev/null
+++ b/persimmonhall/http/callers.py
@@ -0,0 +1,357 @@
+"""Serve callers who may send several requests before the first is answered."""
+
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+from http import HTTPStatus
+from typing import Protocol
+
+import trio
+from absl import logging
+
+from persimmonhall.address import Address
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.http.accepting import accept_each
+from persimmonhall.http.messages import NO_BODY_STATUSES, HttpAnswer
+from persimmonhall.http.reading import BadMessageError, Message, RequestReader
+from persimmonhall.http.refusals import refusal_answer
+from persimmonhall.http.writing import GO_AHEAD
+from persimmonhall.release.schema import CallerLimits
+from persimmonhall.wire.duplex import Duplex
+
+BACKLOG = 1024
+# More requests of one connection wait unread, so that it cannot fill the memory.
+MAX_PIPELINED = 64
+MAX_UNSENT_BYTES = 1024 * 1024
+CHECK_S = 0.5
+# A caller that takes nothing of its answer for this long is given up.
+SLOW_READER_S = 10.0
+BODY_TIMEOUT_S = 20.0
+# Closing at once with unread bytes would reset the connection under the last answer.
+LINGER_S = 1.0
+LINGER_STEP_S = 0.02
+
+STATUS_LINES = {
+    status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
+    for status in HTTPStatus
+}
+
+
+class Exchange:
+    """Wait for the answer to one request of a connection."""
+
+    __slots__ = ("_connection", "_is_head", "closes", "data", "context", "end_reason")
+
+    def __init__(self, connection: "CallerConnection", *, is_head: bool, closes: bool):
+        self._connection = connection
+        self._is_head = is_head
+        self.closes = closes
+        self.data: bytes | None = None
+        self.context: object = None
+        self.end_reason = ""
+
+    @property
+    def peer_host(self) -> str:
+        """Return the IP number that the request came from."""
+        return self._connection.peer_host
+
+    def answer(self, status: int, head: bytes, body: bytes) -> None:
+        """Send an answer after those before it; each line of the head ends in CRLF."""
+        if self.data is not None:
+            return
+        line = STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status
+        if self._connection.closes_after(self):
+            self.closes = True
+            head += b"connection: close\r\n"
+        if self._is_head or status in NO_BODY_STATUSES:
+            self.data = b"%s%s\r\n" % (line, head)
+        else:
+            size = len(body)
+            self.data = b"%s%scontent-length: %d\r\n\r\n%s" % (line, head, size, body)
+        self._connection.flush()
+
+    def answer_whole(self, answer: HttpAnswer) -> None:
+        """Send an answer whose headers are pairs."""
+        head = b"".join(b"%s: %s\r\n" % pair for pair in answer.headers)
+        self.answer(answer.status, head, answer.body)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal."""
+        self.answer_whole(refusal_answer(refusal))
+
+
+class RequestHandler(Protocol):
+    """Answer requests, now or later."""
+
+    def begin(self, message: Message, exchange: Exchange) -> None:
+        """Take in a whole request."""
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Stop working on a request whose caller is gone."""
+
+
+class CallerConnection:
+    """Read the requests of one connection and send their answers in order."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        server: "CallerServer",
+        nursery: trio.Nursery,
+    ):
+        self._server = server
+        self._duplex = Duplex(stream, nursery)
+        self._limits = server.limits()
+        self._reader = RequestReader(self._limits.max_header_bytes)
+        self._incoming: Message | None = None
+        self._pending: deque[Exchange] = deque()
+        self._answered_last = False
+        self._reads_on = True
+        self._room = trio.Event()
+        self._scope = trio.CancelScope()
+        self._since = trio.current_time()
+        self._unsent_before = 0
+        self._end_reason = "closed here"
+        self.peer_host = stream.socket.getpeername()[0]
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress or arriving."""
+        return not self._pending and not self._reader.is_inside
+
+    async def run(self) -> None:
+        """Serve until the connection ends."""
+        try:
+            with self._scope:
+                await self._read()
+                self._end_reason = "the caller closed the connection"
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            # The caller is gone; what it asked for is abandoned below.
+            self._end_reason = f"the connection broke: {error}"
+        finally:
+            self._abandon_all()
+            self._duplex.close()
+
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Tell whether the answer to a request must be the last one."""
+        if exchange.closes:
+            return True
+        is_newest = self._pending and self._pending[-1] is exchange
+        return bool(self._server.draining and is_newest and self._incoming is None)
+
+    def flush(self) -> None:
+        """Send the answers that are due in the order of their requests."""
+        parts = []
+        while self._pending and self._pending[0].data is not None:
+            exchange = self._pending.popleft()
+            parts.append(exchange.data)
+            if exchange.closes:
+                self._answered_last = True
+                self._drop_pending()
+                break
+        if parts:
+            self._since = trio.current_time()
+            self._duplex.send(b"".join(parts) if len(parts) > 1 else parts[0])
+        self._room.set()
+        if self._answered_last:
+            self._server.linger(self)
+
+    async def linger(self) -> None:
+        """Let the last answer arrive, then end the connection."""
+        with trio.move_on_after(SLOW_READER_S):
+            while self._duplex.unsent_bytes:
+                await trio.sleep(LINGER_STEP_S)
+        self._duplex.shut_down_sending()
+        await trio.sleep(LINGER_S)
+        self._scope.cancel()
+
+    def check(self, now: float) -> None:
+        """End the connection if it has been idle or stuck for too long."""
+        idle_s = now - self._since
+        limits = self._limits = self._server.limits()
+        if self._duplex.unsent_bytes:
+            is_stuck = self._duplex.unsent_bytes == self._unsent_before
+            if is_stuck and idle_s > SLOW_READER_S:
+                self._scope.cancel()
+        elif self._incoming is not None:
+            if idle_s > BODY_TIMEOUT_S:
+                self._scope.cancel()
+        elif self._reader.is_inside:
+            if idle_s > limits.header_timeout_ms / 1000:
+                self._scope.cancel()
+        elif not self._pending and idle_s > limits.idle_timeout_ms / 1000:
+            self._scope.cancel()
+        self._unsent_before = self._duplex.unsent_bytes
+
+    def close_if_idle(self) -> None:
+        """End the connection unless a request is in progress."""
+        if self.is_idle:
+            self._scope.cancel()
+
+    def close(self) -> None:
+        """End the connection."""
+        self._scope.cancel()
+
+    async def _read(self) -> None:
+        while True:
+            while self._is_full():
+                self._room = trio.Event()
+                await self._room.wait()
+            data = await self._duplex.receive()
+            if not data:
+                return
+            if self._answered_last or not self._reads_on:
+                continue
+            self._since = trio.current_time()
+            self._reader.feed(data)
+            try:
+                self._take_requests()
+            except BadMessageError as error:
+                kind = ErrorKind.BAD_REQUEST
+                if error.too_long:
+                    kind = ErrorKind.HEADER_TOO_LARGE
+                self._refuse_rest(refuse(kind, str(error)))
+
+    def _is_full(self) -> bool:
+        unsent = self._duplex.unsent_bytes > MAX_UNSENT_BYTES
+        return unsent or len(self._pending) >= MAX_PIPELINED
+
+    def _take_requests(self) -> None:
+        while self._reads_on:
+            if self._incoming is None:
+                self._incoming = self._reader.take()
+                if self._incoming is None:
+                    return
+                if self._incoming.awaits_go_ahead and not self._incoming.is_whole:
+                    self._duplex.send(GO_AHEAD)
+            message = self._incoming
+            if max(message.size, message.announced_size) > self._limits.max_body_bytes:
+                detail = f"the body is over {self._limits.max_body_bytes} bytes"
+                self._refuse_rest(refuse(ErrorKind.BODY_TOO_LARGE, detail))
+                return
+            if not message.is_whole:
+                self._reader.check()
+                return
+            self._incoming = None
+            self._begin(message)
+
+    def _begin(self, message: Message) -> None:
+        exchange = Exchange(
+            self, is_head=message.method == "HEAD", closes=not message.keeps_alive
+        )
+        self._reads_on = message.keeps_alive
+        self._pending.append(exchange)
+        try:
+            self._server.handler.begin(message, exchange)
+        except Exception:
+            # A fault met by one request must not end the process.
+            logging.exception("request failed target=%s", message.target)
+            detail = "the request met a fault of the system"
+            exchange.refuse(refuse(ErrorKind.INTERNAL, detail))
+
+    def _refuse_rest(self, refusal: Refusal) -> None:
+        self._reads_on = False
+        self._incoming = None
+        exchange = Exchange(self, is_head=False, closes=True)
+        self._pending.append(exchange)
+        exchange.refuse(refusal)
+
+    def _drop_pending(self) -> None:
+        """Forget requests behind an answer that closes; they count as not read."""
+        for exchange in self._pending:
+            if exchange.data is None:
+                exchange.end_reason = "it stood behind an answer that closes"
+                self._server.handler.abandon(exchange)
+        self._pending.clear()
+
+    def _abandon_all(self) -> None:
+        for exchange in self._pending:
+            if exchange.data is None:
+                exchange.data = b""
+                exchange.end_reason = self._end_reason
+                self._server.handler.abandon(exchange)
+        self._pending.clear()
+
+
+class CallerServer:
+    """Accept connections on one address and serve them with one handler."""
+
+    def __init__(
+        self,
+        handler: RequestHandler,
+        address: Address,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ):
+        self.handler = handler
+        self.limits = limits
+        self.draining = False
+        self._address = address
+        self._connections: set[CallerConnection] = set()
+        self._accepting = trio.CancelScope()
+        self._lingering: set[CallerConnection] = set()
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is in progress."""
+        return all(connection.is_idle for connection in self._connections)
+
+    async def run(
+        self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        [listener] = await trio.open_tcp_listeners(
+            self._address.port, host=self._address.host, backlog=BACKLOG
+        )
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._check_forever)
+            task_status.started(Address(*listener.socket.getsockname()[:2]))
+            with self._accepting:
+                await accept_each(listener, self._take)
+            await listener.aclose()
+            await trio.sleep_forever()
+
+    def stop_accepting(self) -> None:
+        """Take no new connections."""
+        self._accepting.cancel()
+
+    def close_idle(self) -> None:
+        """End the connections on which no request is in progress."""
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    def linger(self, connection: CallerConnection) -> None:
+        """End a connection once its last answer has arrived."""
+        if connection not in self._lingering and self._nursery is not None:
+            self._lingering.add(connection)
+            self._nursery.start_soon(connection.linger)
+
+    def _take(self, stream: trio.SocketStream) -> None:
+        try:
+            connection = CallerConnection(stream, self, self._nursery)
+        except OSError:
+            # It was reset before it was accepted.
+            stream.socket.close()
+            return
+        self._nursery.start_soon(partial(self._serve, connection))
+
+    async def _serve(self, connection: CallerConnection) -> None:
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            self._lingering.discard(connection)
+
+    async def _check_forever(self) -> None:
+        while True:
+            await trio.sleep(CHECK_S)
+            now = trio.current_time()
+            for connection in tuple(self._connections):
+                connection.check(now)
--- /dev/null
+++ b/persimmonhall/http/refusals.py
@@ -0,0 +1,37 @@
+"""Answer refused requests that came by a route."""
+
+import json
+
+from persimmonhall.errors import ANSWERS, PROBLEM_TYPE_PREFIX, Ran, Refusal
+from persimmonhall.http.messages import HttpAnswer
+
+NOT_RUN_STATUS = 503
+MAY_HAVE_RUN_STATUS = 502
+FIRST_SERVER_ERROR = 500
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the status; 503 promises that the request has not run and never will."""
+    status = ANSWERS[refusal.kind].status
+    if refusal.ran is Ran.NO:
+        return NOT_RUN_STATUS if status >= FIRST_SERVER_ERROR else status
+    return MAY_HAVE_RUN_STATUS if status == NOT_RUN_STATUS else status
+
+
+def refusal_answer(refusal: Refusal) -> HttpAnswer:
+    """Turn a refusal into problem JSON; Retry-After may be a fraction of a second."""
+    status = status_of(refusal)
+    body = {
+        "type": PROBLEM_TYPE_PREFIX + refusal.kind.value,
+        "title": ANSWERS[refusal.kind].title,
+        "status": status,
+        "detail": refusal.detail,
+        "ran": refusal.ran.value,
+    }
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (b"persimmonhall-ran", refusal.ran.value.encode()),
+    ]
+    if refusal.ran is Ran.NO and refusal.retry_after_s > 0:
+        headers.append((b"retry-after", b"%.3f" % refusal.retry_after_s))
+    return HttpAnswer(status, tuple(headers), json.dumps(body).encode())
--- a/persimmonhall/logs.py
+++ b/persimmonhall/logs.py
@@ -1,9 +1,12 @@
 """Set up the log lines of every program."""
 
+import logging as standard_logging
 import sys
 
 from absl import logging
 
+from persimmonhall.events import Event, EventLog
+
 LEVELS = {
     "debug": logging.DEBUG,
     "info": logging.INFO,
@@ -17,3 +20,26 @@
     logging.use_absl_handler()
     logging.get_absl_handler().python_handler.stream = sys.stderr
     logging.set_verbosity(LEVELS[level])
+
+
+class _EventHandler(standard_logging.Handler):
+    """Turn log records into structured lines."""
+
+    def __init__(self, log: EventLog):
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: standard_logging.LogRecord) -> None:
+        """Write one record."""
+        text = record.getMessage()
+        if record.exc_info:
+            text += " " + standard_logging.Formatter().formatException(record.exc_info)
+        self._log.emit(Event.LOG, level=record.levelname.lower(), text=text)
+
+
+def log_to_events(log: EventLog) -> None:
+    """Write the log lines of all modules as structured lines of one log."""
+    logger = standard_logging.getLogger("absl")
+    logger.handlers = [_EventHandler(log)]
+    logger.propagate = False
+    logging.set_verbosity(logging.INFO)
--- a/persimmonhall/membership/core.py
+++ b/persimmonhall/membership/core.py
@@ -103,6 +103,10 @@
         version = self._view.own.version + 1
         self._view.set_own(replace(member, version=version))
 
+    def set_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Take in the nodes that are asked when no other is known."""
+        self._seeds = seeds
+
     def set_documents(self, documents: LogIndex) -> list[Effect]:
         """Tell a few members at once how far the own documents reach."""
         if documents <= self._documents:
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -96,6 +96,10 @@
         self._bound = bound
         self._table.set_own(replace(self._table.own, frames=str(advertised)))
 
+    def set_seeds(self, seeds: tuple[Address, ...]) -> None:
+        """Take in the nodes that are asked when no other is known."""
+        self._core.set_seeds(seeds)
+
     def set_documents(self, documents: LogIndex) -> None:
         """Tell peers how far the documents of this node reach."""
         self._due += self._core.set_documents(documents)
--- /dev/null
+++ b/persimmonhall/platform/names.py
@@ -0,0 +1,20 @@
+"""Name what the platform calls things on the wire; each is decoded here once."""
+
+from persimmonhall.dialect import HeaderNames
+
+SETTINGS_VARIABLE = "PERSIMMONHALL_CONFIG"
+
+HEADERS = HeaderNames(
+    attempt=b"x-attempt-id",
+    deadline_ms=b"x-deadline-ms",
+    expected_instance=b"x-expected-instance",
+    caller_service=b"x-caller-service",
+    not_executed=b"x-not-executed",
+)
+
+READY_PATH = "/ready"
+CALLS_PATH = "/rpc"
+REPORT_CALL = "instances.heartbeat"
+LEAVE_CALL = "instances.deregister"
+PUT_CALL = "configuration.replace"
+READ_CALL = "configuration.read"
--- /dev/null
+++ b/persimmonhall/platform/tests/test_dialect.py
@@ -0,0 +1,149 @@
+"""Check that the platform's calls and bodies become the product's types."""
+
+import json
+
+import pytest
+
+from persimmonhall.dialect import (
+    InstanceState,
+    LeaveCall,
+    MalformedCall,
+    PutReleaseCall,
+    ReadReleaseCall,
+    ReportCall,
+)
+from persimmonhall.http.messages import HttpRequest
+from persimmonhall.platform.dialect import PlatformDialect
+from persimmonhall.release.schema import RouteKind
+
+DIALECT = PlatformDialect()
+REPORT = "/rpc?call=instances.heartbeat&of=i-7"
+
+
+def report_body(**changes):
+    """Build the body of a report, with some fields of another kind."""
+    info = {"service": "cue", "version": "v1", "zone": "suva", "maxConcurrency": 69}
+    status = {"state": "ready", "sequence": 4, "warmupRemainingMs": 0}
+    body = {"address": "10.0.0.9:80", "info": info, "status": status, "born": 17}
+    for name, value in changes.items():
+        part = info if name in info else status if name in status else body
+        part[name] = value
+    return json.dumps(body).encode()
+
+
+def configuration(**changes):
+    """Build the body of a configuration."""
+    route = {
+        "name": "r-1",
+        "host": "a.example",
+        "pathPrefix": "/a/",
+        "routeKind": "non_idempotent",
+        "timeoutMs": 1200,
+        "targetLatencyMs": 1500,
+        "priority": 0,
+        "weightedServices": [
+            {"service": "cue", "weight": 90},
+            {"service": "maps", "weight": 10},
+        ],
+        "maxAttempts": 2,
+    }
+    body = {
+        "version": "0000000c",
+        "baseVersion": "0000000a",
+        "routes": [route | changes],
+        "services": [{"name": "cue", "maxConnections": 5}, {"name": "maps"}],
+        "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 15000},
+    }
+    return json.dumps(body).encode()
+
+
+def test_report_is_read():
+    """Read a report with its instance from the path."""
+    match DIALECT.node_call(HttpRequest("POST", REPORT, (), report_body())):
+        case ReportCall(report):
+            assert (report.instance, report.born_ms, report.slots) == ("i-7", 17, 69)
+            assert report.state is InstanceState.READY
+        case other:
+            raise AssertionError(other)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"address": 5},
+        {"state": "asleep"},
+        {"sequence": "four"},
+        {"maxConcurrency": None},
+        {"service": ""},
+        {"born": 1.5},
+        {"info": []},
+    ],
+)
+def test_odd_report_names_no_server(changes):
+    """Refuse fields of another type or value."""
+    call = DIALECT.node_call(HttpRequest("POST", REPORT, (), report_body(**changes)))
+    assert isinstance(call, MalformedCall)
+
+
+def test_bytes_that_are_no_json_name_no_server():
+    """Refuse what cannot be read at all."""
+    call = DIALECT.node_call(HttpRequest("POST", REPORT, (), b"\xff{"))
+    assert isinstance(call, MalformedCall)
+
+
+@pytest.mark.parametrize(
+    ("target", "expected"),
+    [
+        ("/rpc?call=configuration.replace", PutReleaseCall(b"x")),
+        ("/rpc?call=configuration.read", ReadReleaseCall()),
+        ("/rpc?call=other", None),
+        ("/elsewhere", None),
+    ],
+)
+def test_control_calls(target, expected):
+    """Tell the operator's calls apart."""
+    assert DIALECT.control_call(HttpRequest("POST", target, (), b"x")) == expected
+
+
+def test_leave_is_read():
+    """Read which instance leaves."""
+    target = "/rpc?call=instances.deregister&of=i-7"
+    assert DIALECT.node_call(HttpRequest("POST", target, ())) == LeaveCall("i-7")
+
+
+def test_configuration_becomes_a_release():
+    """Read versions, routes and limits."""
+    release = DIALECT.decode_release(configuration()).unwrap()
+    [route] = release.routes
+    assert (release.version, release.base) == (12, 10)
+    assert route.kind is RouteKind.NON_IDEMPOTENT
+    assert [target.weight for target in route.targets] == [90, 10]
+    assert release.limits.idle_timeout_ms == 15000
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"routeKind": "odd"},
+        {"maxAttempts": 0},
+        {"timeoutMs": 700_000},
+        {"timeoutMs": None},
+        {"weightedServices": [{"service": "nowhere", "weight": 1}]},
+        {"weightedServices": []},
+    ],
+)
+def test_invalid_configuration_is_refused(changes):
+    """Refuse what no node could put in force."""
+    assert DIALECT.decode_release(configuration(**changes)).failure()
+
+
+def test_configuration_that_is_cut_short_is_refused():
+    """Refuse a body that ends early."""
+    assert DIALECT.decode_release(configuration()[:-9]).failure()
+
+
+def test_layout_does_not_change_the_digest():
+    """Know a configuration again whatever the order of its keys."""
+    one = b'{"version": "01", "routes": []}'
+    two = b'{"routes":[],"version":"01"}'
+    assert DIALECT.release_digest(one) == DIALECT.release_digest(two)
--- /dev/null
+++ b/persimmonhall/platform/tests/test_settings.py
@@ -0,0 +1,71 @@
+"""Check that the platform's settings become the product's."""
+
+import json
+
+from persimmonhall.address import Address
+from persimmonhall.platform.settings import read_control_settings, read_node_settings
+
+COMMON = {
+    "nodeName": "n-1",
+    "zone": "suva",
+    "region": "viti",
+    "ipAddress": "10.1.0.8",
+    "internalPortRange": [7620, 7635],
+    "seedNodes": ["10.1.0.13:8306", "10.2.0.12:8306"],
+    "bounds": ["retryBudgetRatio=0.3", "retryBudgetSlack=98", "gracePeriodS=5"],
+    "somethingNew": {"a": 1},
+}
+NODE = COMMON | {
+    "listenAddresses": {
+        "inbound": "10.1.0.8:8300",
+        "outbound": "10.1.0.8:8304",
+        "ready": "10.1.0.8:8302",
+        "controlPlane": "10.1.0.8:8306",
+    },
+    "applicationAddress": "10.1.0.8:8301",
+    "service": "huvo",
+}
+CONTROL = COMMON | {
+    "listenAddresses": {"controlPlane": "10.1.0.13:8306"},
+    "dataDirectory": "/data/x",
+    "bootstrap": True,
+}
+
+
+def write(folder, fields):
+    """Write a settings file."""
+    path = folder / "settings.json"
+    path.write_text(json.dumps(fields))
+    return path
+
+
+def test_node_settings(tmp_path):
+    """Read addresses, bounds given as texts and the control VMs' frames."""
+    settings = read_node_settings(write(tmp_path, NODE)).unwrap()
+    assert settings.node.callers == Address("10.1.0.8", 8304)
+    assert settings.node.frames == Address("10.1.0.8", 7620)
+    assert settings.peers.frames_port == 7620
+    assert settings.releases.resend_ratio == 0.3
+    assert settings.releases.resend_slack == 98
+    assert settings.releases.grace_s == 5
+
+
+def test_bounds_may_be_a_table(tmp_path):
+    """Read bounds in their plain form too."""
+    fields = NODE | {"bounds": {"retryBudgetSlack": 7}}
+    assert (
+        read_node_settings(write(tmp_path, fields)).unwrap().releases.resend_slack == 7
+    )
+
+
+def test_control_settings_name_the_frames_of_peers(tmp_path):
+    """Reach the other control VMs at their frames."""
+    own = read_control_settings(write(tmp_path, CONTROL)).unwrap().control
+    assert own.found
+    assert own.peers == (Address("10.1.0.13", 7620), Address("10.2.0.12", 7620))
+
+
+def test_missing_key_is_named(tmp_path):
+    """Say in one line what is missing."""
+    fields = {k: v for k, v in NODE.items() if k != "zone"}
+    assert "missing key 'zone'" in read_node_settings(write(tmp_path, fields)).failure()
--- /dev/null
+++ b/persimmonhall/release/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the routes of all services in force as one release."""
--- /dev/null
+++ b/persimmonhall/release/api.py
@@ -0,0 +1,98 @@
+"""Let an operator put and read releases on a control VM."""
+
+from returns.result import Failure, Success
+
+from persimmonhall.control.replica import Replica
+from persimmonhall.dialect import Dialect, PutReleaseCall, ReadReleaseCall
+from persimmonhall.errors import ErrorKind, Refusal, refuse
+from persimmonhall.events import Event, EventLog
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.refusals import refusal_answer
+from persimmonhall.release.messages import (
+    PutRelease,
+    PutReleaseReply,
+    ReleaseOutcome,
+)
+from persimmonhall.release.schema import Release
+
+JSON_TYPE = (b"content-type", b"application/json")
+OUTCOMES = {
+    ReleaseOutcome.CONFLICT: ErrorKind.RELEASE_CONFLICT,
+    ReleaseOutcome.NOT_NEWER: ErrorKind.INVALID_RELEASE,
+}
+
+
+class ReleaseApi:
+    """Check releases, put them in the log and read the newest back."""
+
+    def __init__(
+        self, replica: Replica, dialect: Dialect, founders: int, log: EventLog
+    ):
+        self._replica = replica
+        self._dialect = dialect
+        self._founders = founders
+        self._log = log
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answer one request."""
+        match self._dialect.control_call(request):
+            case PutReleaseCall(text):
+                return await self._put(text)
+            case ReadReleaseCall():
+                return await self._read()
+        refusal = refuse(ErrorKind.NOT_FOUND, f"no {request.target} here")
+        return refusal_answer(refusal)
+
+    async def _put(self, text: bytes) -> HttpAnswer:
+        match self._dialect.decode_release(text):
+            case Failure(reason):
+                refusal = refuse(ErrorKind.INVALID_RELEASE, reason)
+                self._note(None, refusal)
+                return refusal_answer(refusal)
+            case Success(release):
+                pass
+        refusal = self._refusal_while_founding()
+        if refusal is None:
+            refusal = await self._submit(release, text)
+        self._note(release, refusal)
+        if refusal is not None:
+            return refusal_answer(refusal)
+        return HttpAnswer(200, (JSON_TYPE,), b"{}")
+
+    async def _submit(self, release: Release, text: bytes) -> Refusal | None:
+        digest = self._dialect.release_digest(text)
+        command = PutRelease(digest, release.version, release.base, text)
+        match await self._replica.submit(command):
+            case Success(PutReleaseReply(ReleaseOutcome.ACCEPTED)):
+                return None
+            case Success(PutReleaseReply(outcome, current)):
+                detail = f"version {current} is in force"
+                return refuse(OUTCOMES[outcome], detail)
+            case Failure(refusal):
+                return refusal
+
+    def _refusal_while_founding(self) -> Refusal | None:
+        """Accept nothing while the loss of one disk could lose it."""
+        voters = len(self._replica.core.replicas.voters)
+        if voters >= self._founders:
+            return None
+        detail = f"{voters} of {self._founders} control VMs have joined"
+        return refuse(ErrorKind.NO_QUORUM, detail)
+
+    async def _read(self) -> HttpAnswer:
+        match await self._replica.read_barrier():
+            case Failure(refusal):
+                return refusal_answer(refusal)
+        held = self._replica.machine.releases.current
+        if not held.text:
+            return refusal_answer(refuse(ErrorKind.NO_RELEASE, "none was accepted"))
+        return HttpAnswer(200, (JSON_TYPE,), held.text)
+
+    def _note(self, release: Release | None, refusal: Refusal | None) -> None:
+        self._log.emit(
+            Event.RELEASE_PUT,
+            version=release.version if release else None,
+            base=release.base if release else None,
+            outcome=refusal.kind.value if refusal else "accepted",
+            reason=refusal.detail if refusal else None,
+        )
--- /dev/null
+++ b/persimmonhall/release/routes.py
@@ -0,0 +1,69 @@
+"""Find the route of a request and the service that its share falls to."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from persimmonhall.ids import RouteName, ServiceName
+from persimmonhall.release.schema import Release, Route
+
+
+@dataclass
+class _Share:
+    """Count how far a service lags behind its share of a route's requests."""
+
+    service: ServiceName
+    weight: float
+    credit: float = 0.0
+
+
+class RouteTable:
+    """Hold the routes of one release for lookups by host and path."""
+
+    def __init__(self, release: Release):
+        self._release = release
+        self._hosts: dict[str, list[Route]] = defaultdict(list)
+        for route in release.routes:
+            self._hosts[route.host.lower()].append(route)
+        for routes in self._hosts.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._shares: dict[RouteName, list[_Share]] = {
+            route.name: [_Share(t.service, t.weight) for t in route.targets]
+            for route in release.routes
+        }
+        priorities = sorted({route.priority for route in release.routes})
+        self._ranks = {priority: rank for rank, priority in enumerate(priorities)}
+
+    @property
+    def release(self) -> Release:
+        """Return the release that the table was built from."""
+        return self._release
+
+    @property
+    def ranks(self) -> int:
+        """Return how many different priorities the routes have."""
+        return max(1, len(self._ranks))
+
+    def rank_of(self, route: Route) -> int:
+        """Return the place of a route's priority among all, 0 for the most urgent."""
+        return self._ranks[route.priority]
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route with the longest prefix of the path, if there is any."""
+        path = target.partition("?")[0]
+        for route in self._hosts.get(host.partition(":")[0].lower(), ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def choose_service(self, route: Route) -> ServiceName:
+        """Return the service whose share is furthest behind."""
+        shares = self._shares[route.name]
+        if len(shares) == 1:
+            return shares[0].service
+        total = 0.0
+        for share in shares:
+            share.credit += share.weight
+            total += share.weight
+        chosen = max(shares, key=lambda share: share.credit)
+        chosen.credit -= total
+        return chosen.service
--- /dev/null
+++ b/persimmonhall/release/schema.py
@@ -0,0 +1,113 @@
+"""Define a release: all routes, services and limits that hold together."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from persimmonhall.ids import ReleaseVersion, RouteName, ServiceName
+
+LONGEST_TIMEOUT_MS = 10 * 60 * 1000  # the platform's contract: over it is invalid
+
+
+class RouteKind(Enum):
+    """Tell what may be repeated."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    DOWNLOAD = "download"
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """Give a service its share of a route's requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Say where the requests of one host and path prefix go, and how.
+
+    Priority 0 is the most urgent. `latency_objective_ms` is the time within which
+    an answer is worth most; `max_servers` bounds how many servers one request may
+    be sent to.
+    """
+
+    name: RouteName
+    host: str
+    path_prefix: str
+    kind: RouteKind
+    timeout_ms: int
+    latency_objective_ms: int
+    priority: int
+    targets: tuple[WeightedService, ...]
+    max_servers: int
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Tell whether a request may run more than once."""
+        return self.kind is not RouteKind.NON_IDEMPOTENT
+
+
+@dataclass(frozen=True)
+class ReleasedService:
+    """Describe a service that routes may lead to."""
+
+    name: ServiceName
+    max_connections: int
+
+
+@dataclass(frozen=True)
+class CallerLimits:
+    """Bound what a caller may send and how long it may stay idle."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 64 * 1024 * 1024
+    header_timeout_ms: int = 3000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclass(frozen=True)
+class Release:
+    """Hold everything that is put in force together; base is what it replaces."""
+
+    version: ReleaseVersion
+    base: ReleaseVersion
+    routes: tuple[Route, ...]
+    services: tuple[ReleasedService, ...]
+    limits: CallerLimits
+
+
+def check_release(release: Release) -> Result[Release, str]:
+    """Return the release, or what is wrong with it."""
+    for problem in _problems(release):
+        return Failure(problem)
+    return Success(release)
+
+
+def _problems(release: Release):
+    known = {service.name for service in release.services}
+    places = set()
+    if release.version <= release.base:
+        yield f"version {release.version} is not above its base {release.base}"
+    for route in release.routes:
+        name = f"route {route.name!r}"
+        place = (route.host, route.path_prefix)
+        if place in places:
+            yield f"{name}: another route has the same host and path prefix"
+        places.add(place)
+        if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
+            yield f"{name}: the path prefix must begin and end with a slash"
+        if not 0 < route.timeout_ms <= LONGEST_TIMEOUT_MS:
+            yield f"{name}: a timeout of {route.timeout_ms} ms is out of range"
+        if route.max_servers < 1:
+            yield f"{name}: no server may be tried"
+        for target in route.targets:
+            if target.service not in known:
+                yield f"{name}: unknown service {target.service!r}"
+            if target.weight < 0:
+                yield f"{name}: a weight is negative"
+        if sum(target.weight for target in route.targets) <= 0:
+            yield f"{name}: no service has a weight"
--- /dev/null
+++ b/persimmonhall/routed_node.py
@@ -0,0 +1,273 @@
+"""Run a node that serves callers by the routes of the release in force."""
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+from returns.result import Failure, Result, Success
+
+from persimmonhall.address import Address
+from persimmonhall.call.routed_entry import OwnNode, RoutedEntry
+from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.dialect import Dialect
+from persimmonhall.events import Event, EventLog
+from persimmonhall.http.callers import CallerServer, Exchange
+from persimmonhall.http.messages import HttpAnswer, HttpRequest
+from persimmonhall.http.reading import Message
+from persimmonhall.ids import ServiceName
+from persimmonhall.logs import log_to_events
+from persimmonhall.membership.control_members import ControlMembers
+from persimmonhall.membership.gossip import Gossiper
+from persimmonhall.membership.instances import InstanceWatch
+from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.release.follow import ReleaseFollower
+from persimmonhall.release.in_force import ReleaseInForce
+from persimmonhall.release.schema import CallerLimits
+from persimmonhall.reload import SettingsSource, watch_settings
+from persimmonhall.routing.call_graph import CallGraph
+from persimmonhall.routing.resend_budget import ResendBudget
+from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.router import Router
+from persimmonhall.settings import NodeSettings
+from persimmonhall.signals import wait_for_stop_signal
+from persimmonhall.timers import Timers
+from persimmonhall.wire.call_link import CallLinks
+from persimmonhall.wire.frames import Channel
+from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.link_server import serve_links
+
+STEP_S = 0.1
+# Of the grace period: new calls of peers are refused after the first share, callers
+# are served up to the second, and what is open after the third gets its answer.
+GATE_SHARE = 0.35
+CALLERS_SHARE = 0.8
+LAST_SHARE = 0.93
+# Callers are told twice, a second apart, that the node is not ready before they go.
+CALLERS_LEAVE_S = 2.5
+# Without any peer after this long, the node is alone and serves what it can.
+ALONE_S = 2.0
+JSON_TYPE = (b"content-type", b"application/json")
+
+
+@dataclass(frozen=True)
+class RoutedAddresses:
+    """Name the addresses that a running node listens on."""
+
+    callers: Address
+    local: Address
+    frames: Address
+
+
+class _SyncApi:
+    """Answer each request at once through a function."""
+
+    def __init__(self, answer: Callable[[HttpRequest], HttpAnswer]):
+        self._answer = answer
+
+    def begin(self, message: Message, exchange: Exchange) -> None:
+        """Answer a request."""
+        exchange.answer_whole(self._answer(request_of(message)))
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Every request is answered at once: nothing is left to stop."""
+
+
+def request_of(message: Message) -> HttpRequest:
+    """Return a message that has arrived whole as a request."""
+    target = message.target.decode("latin-1")
+    return HttpRequest(message.method, target, message.headers, message.body)
+
+
+class RoutedNode:
+    """Put the parts of a node together."""
+
+    def __init__(self, settings: NodeSettings, dialect: Dialect, nursery: trio.Nursery):
+        own = settings.node
+        releases = settings.releases
+        self.settings = settings
+        self.log = EventLog(own.name)
+        log_to_events(self.log)
+        rng = random.Random(own.seed or None)
+        self._dialect = dialect
+        self._started = trio.current_time()
+        self.stopping = False
+        self.timers = Timers()
+        self._pool = LinkPool(nursery, own.frames.host)
+        self._table = MemberTable(_own_member(settings))
+        control = _control_frames(settings)
+        self._control = ControlMembers(self._table, control)
+        self.gossiper = Gossiper(self._table, self._pool, control, rng)
+        graph = CallGraph()
+        self._levels = RouteLevels(graph)
+        self.gate = RoutedGate(
+            dialect.headers,
+            nursery,
+            self.timers,
+            graph,
+            self._levels,
+            self.log,
+            lambda: self.instances.take_down(),
+        )
+        self.instances = InstanceWatch(
+            self.gate, self.gossiper, releases.service, releases.backend, self.log
+        )
+        self.releases = ReleaseInForce(dialect.decode_release, self.log)
+        self.follower = ReleaseFollower(
+            self.releases, self._control, self._pool, rng, self.log
+        )
+        self.entry = RoutedEntry(
+            OwnNode(own.name, own.callers.host, releases.service),
+            dialect.headers,
+            self.releases,
+            self._table,
+            Router(self._table, own.zone, rng),
+            self.gate,
+            lambda: self.links,
+            ResendBudget(releases.resend_ratio, releases.resend_slack),
+            graph,
+            self._levels,
+            self.timers,
+            rng,
+            self.log,
+        )
+        self.links = CallLinks(self.entry, nursery, self.log)
+        self.callers = CallerServer(self.entry, own.callers, self._limits)
+        self.local = CallerServer(_SyncApi(self._answer_local), own.local)
+        self.ready = CallerServer(_SyncApi(self._answer_ready), releases.ready)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether callers should send requests here."""
+        if self.stopping or self.releases.routes is None:
+            return False
+        is_alone = trio.current_time() - self._started > ALONE_S
+        return is_alone or len(self._table.peers()) > 0
+
+    async def start(self, nursery: trio.Nursery) -> RoutedAddresses:
+        """Listen and run every part."""
+        handlers = {Channel.MEMBERSHIP: self.gossiper.handle}
+        own = self.settings.node
+        frames = await nursery.start(serve_links, handlers, own.frames, self.gate)
+        self.gossiper.set_frames(frames, own.advertise or frames)
+        callers = await nursery.start(self.callers.run)
+        local = await nursery.start(self.local.run)
+        await nursery.start(self.ready.run)
+        for part in (
+            self.log.run,
+            self.timers.run,
+            self.gossiper.run,
+            self.links.run,
+            self.gate.run,
+            self.instances.run,
+            self.follower.run,
+            self._follow_ranks,
+        ):
+            nursery.start_soon(part)
+        return RoutedAddresses(callers, local, frames)
+
+    async def leave(self) -> None:
+        """Take the steps of a planned stop, within the grace period."""
+        begin = trio.current_time()
+        grace_s = self.settings.releases.grace_s
+        self.stopping = True
+        self.callers.draining = True
+        self.gossiper.leave()
+        await trio.sleep(GATE_SHARE * grace_s)
+        self.gate.leave()
+        while trio.current_time() < begin + CALLERS_SHARE * grace_s:
+            is_over = trio.current_time() > begin + CALLERS_LEAVE_S
+            if is_over and self.gate.is_idle and not self.callers.connections:
+                break
+            await trio.sleep(STEP_S)
+        self.callers.stop_accepting()
+        self.callers.close_idle()
+        while trio.current_time() < begin + LAST_SHARE * grace_s:
+            if self.gate.is_idle and self.callers.is_idle:
+                break
+            await trio.sleep(STEP_S)
+        self.gossiper.say_left()
+        await trio.sleep(STEP_S)
+
+    def reload(self, settings: NodeSettings) -> None:
+        """Take in the control VMs that the settings name now."""
+        self.settings = settings
+        control = _control_frames(settings)
+        self._control.set_seeds(control)
+        self.gossiper.set_seeds(control)
+
+    async def _follow_ranks(self) -> None:
+        while True:
+            if self.releases.routes is not None:
+                ranks = self.releases.routes.ranks
+                self._levels.set_ranks(ranks)
+                self.gate.set_ranks(ranks)
+            await trio.sleep(STEP_S)
+
+    def _limits(self) -> CallerLimits:
+        routes = self.releases.routes
+        return routes.release.limits if routes is not None else CallerLimits()
+
+    def _answer_local(self, request: HttpRequest) -> HttpAnswer:
+        call = self._dialect.node_call(request)
+        if call is None:
+            return HttpAnswer(404, ())
+        is_read = self.instances.take(call)
+        return HttpAnswer(200 if is_read else 400, (JSON_TYPE,), b"{}")
+
+    def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
+        if request.target != self._dialect.ready_path:
+            return HttpAnswer(404, ())
+        return HttpAnswer(200 if self.is_ready else 503, ())
+
+
+async def run_routed_node(
+    source: SettingsSource[NodeSettings],
+    dialect: Dialect,
+    on_ready: Callable[[RoutedAddresses], None],
+) -> Result[None, str]:
+    """Serve until a stop signal, then finish what is in flight."""
+    match source.load():
+        case Failure(reason):
+            return Failure(reason)
+        case Success(settings):
+            pass
+    async with trio.open_nursery() as nursery:
+        node = RoutedNode(settings, dialect, nursery)
+        node.log.emit(Event.START, zone=settings.node.zone)
+        stop = trio.Event()
+        nursery.start_soon(wait_for_stop_signal, stop)
+        addresses = await node.start(nursery)
+        nursery.start_soon(watch_settings, source, node.reload, node.log)
+        on_ready(addresses)
+        await stop.wait()
+        node.log.emit(Event.STOP, in_flight=node.entry.in_flight)
+        await node.leave()
+        node.log.emit(Event.STOPPED, in_flight=node.entry.in_flight)
+        node.log.flush()
+        nursery.cancel_scope.cancel()
+    return Success(None)
+
+
+def _control_frames(settings: NodeSettings) -> tuple[Address, ...]:
+    """Return where control VMs take frames; their API has another port."""
+    port = settings.peers.frames_port
+    control = settings.peers.control
+    return tuple(Address(a.host, port or a.port) for a in control)
+
+
+def _own_member(settings: NodeSettings) -> Member:
+    own = settings.node
+    return Member(
+        node=own.name,
+        zone=own.zone,
+        region=own.region,
+        frames=str(own.frames),
+        incarnation=time.time_ns() // 1_000_000,
+        version=0,
+        service=ServiceName(""),
+        slots=0,
+        state=MemberState.EMPTY,
+    )
--- /dev/null
+++ b/persimmonhall/routing/call_graph.py
@@ -0,0 +1,124 @@
+"""Learn which calls the runs of each route make, from counts alone.
+
+Calls carry no chain: a node sees how many runs of each route its backend server
+started and how many calls it made in the same short time. Chance makes these
+counts vary apart, so that least squares over many intervals tells them apart.
+"""
+
+from collections import defaultdict
+
+from persimmonhall.ids import RouteName
+
+INTERVAL_S = 0.1
+# Old intervals fade, as a release or a new version of a server changes the calls.
+HALF_LIFE_INTERVALS = 200
+KEEP = 0.5 ** (1 / HALF_LIFE_INTERVALS)
+# Before so many intervals with runs, every call is taken for one of every route.
+LEAST_INTERVALS = 30
+SOLVE_EVERY = 10
+RIDGE = 1.0
+# Calls a run below which a route does not lead to a call; one in five runs may.
+LEAST_CALLS = 0.2
+MAX_ROUTES = 12
+
+
+class CallGraph:
+    """Count runs and calls by interval and solve for the calls of one run."""
+
+    def __init__(self):
+        self._runs: dict[RouteName, float] = defaultdict(float)
+        self._previous: dict[RouteName, float] = {}
+        self._calls: dict[RouteName, float] = defaultdict(float)
+        self._pairs: dict[tuple[RouteName, RouteName], float] = defaultdict(float)
+        self._products: dict[tuple[RouteName, RouteName], float] = defaultdict(float)
+        self._routes: dict[RouteName, None] = {}
+        self._called: dict[RouteName, None] = {}
+        self._intervals = 0
+        self._weights: dict[RouteName, dict[RouteName, float]] = {}
+
+    @property
+    def weights(self) -> dict[RouteName, dict[RouteName, float]]:
+        """Return the calls that one run of each route makes, by route called."""
+        return self._weights
+
+    def count_run(self, route: RouteName) -> None:
+        """Count a run that the backend server starts."""
+        self._runs[route] += 1
+
+    def count_call(self, route: RouteName) -> None:
+        """Count a call that the backend server makes."""
+        self._calls[route] += 1
+
+    def calls_of(self, route: RouteName) -> tuple[RouteName, ...]:
+        """Return the routes that runs of a route call, or may call."""
+        if self._intervals < LEAST_INTERVALS or route not in self._weights:
+            return tuple(self._called)
+        weights = self._weights[route]
+        return tuple(called for called, count in weights.items() if count > LEAST_CALLS)
+
+    def end_interval(self) -> None:
+        """Take in the counts of one interval."""
+        # Calls of a run come after its start, so half of them in the next interval.
+        runs = {
+            route: 0.5 * (self._runs.get(route, 0) + self._previous.get(route, 0))
+            for route in {*self._runs, *self._previous}
+        }
+        self._previous = dict(self._runs)
+        calls = dict(self._calls)
+        self._runs.clear()
+        self._calls.clear()
+        if not any(runs.values()):
+            return
+        self._remember(runs, calls)
+        self._intervals += 1
+        if self._intervals % SOLVE_EVERY == 0:
+            self._solve()
+
+    def _remember(self, runs: dict, calls: dict) -> None:
+        for route in runs:
+            if len(self._routes) < MAX_ROUTES:
+                self._routes.setdefault(route)
+        for route in calls:
+            if len(self._called) < MAX_ROUTES:
+                self._called.setdefault(route)
+        for totals in (self._pairs, self._products):
+            for key in totals:
+                totals[key] *= KEEP
+        for a, runs_a in runs.items():
+            if a not in self._routes:
+                continue
+            for b, runs_b in runs.items():
+                self._pairs[a, b] += runs_a * runs_b
+            for called, count in calls.items():
+                self._products[a, called] += runs_a * count
+
+    def _solve(self) -> None:
+        routes = list(self._routes)
+        weights = {route: {} for route in routes}
+        for called in self._called:
+            rows = [
+                [self._pairs[a, b] + RIDGE * (a == b) for b in routes]
+                + [self._products[a, called]]
+                for a in routes
+            ]
+            for route, count in zip(routes, _solution(rows), strict=True):
+                weights[route][called] = count
+        self._weights = weights
+
+
+def _solution(rows: list[list[float]]) -> list[float]:
+    """Solve linear equations by elimination; the last column is the right side."""
+    size = len(rows)
+    for pivot in range(size):
+        best = max(range(pivot, size), key=lambda row: abs(rows[row][pivot]))
+        rows[pivot], rows[best] = rows[best], rows[pivot]
+        divisor = rows[pivot][pivot] or RIDGE
+        rows[pivot] = [value / divisor for value in rows[pivot]]
+        for row in range(size):
+            factor = rows[row][pivot]
+            if row != pivot and factor:
+                rows[row] = [
+                    value - factor * base
+                    for value, base in zip(rows[row], rows[pivot], strict=True)
+                ]
+    return [row[-1] for row in rows]
--- /dev/null
+++ b/persimmonhall/routing/tests/test_resend_budget.py
@@ -0,0 +1,42 @@
+"""Check that all nodes together resend no more than a service may get."""
+
+import random
+
+from persimmonhall.routing.resend_budget import RATIO_SHARE, ResendBudget
+
+RATIO = 0.2
+SLACK = 48.0
+NODES = 13
+
+
+def test_nodes_that_lose_everything_stay_within_the_sum():
+    """Spend whenever possible on every node, and stay under the bound in any window."""
+    budgets = [ResendBudget(RATIO, SLACK) for _ in range(NODES)]
+    rng = random.Random(1)
+    spent = []
+    for _ in range(20_000):
+        budget = rng.choice(budgets)
+        budget.earn("maps", NODES)
+        spent.append(budget.spend("maps", NODES))
+    window = 2000
+    for start in range(0, len(spent) - window, 100):
+        assert sum(spent[start : start + window]) <= RATIO * window + SLACK
+
+
+def test_share_of_the_ratio_is_what_requests_earn():
+    """Earn one resend for as many requests as the share says."""
+    budget = ResendBudget(RATIO, 0.0)
+    assert budget.spend("maps", NODES)
+    needed = round(1 / (RATIO * RATIO_SHARE))
+    for _ in range(needed - 1):
+        budget.earn("maps", NODES)
+    assert not budget.spend("maps", NODES)
+    budget.earn("maps", NODES)
+    assert budget.spend("maps", NODES)
+
+
+def test_services_do_not_share():
+    """Keep the resends of one service from another."""
+    budget = ResendBudget(RATIO, 0.0)
+    assert budget.spend("maps", NODES)
+    assert budget.spend("cue", NODES)
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -7,7 +7,7 @@
 
 from persimmonhall.address import Address
 from persimmonhall.checked import T, bounded, read_toml
-from persimmonhall.ids import NodeName, ZoneName
+from persimmonhall.ids import NodeName, ServiceName, ZoneName
 from persimmonhall.wire.answer_memory import DEFAULT_LIMIT_BYTES
 
 NAME_PATTERN = r"[a-z0-9][a-z0-9.-]{0,62}"
@@ -34,6 +34,24 @@
 
     control: tuple[Address, ...]
     seeds: tuple[Address, ...] = ()
+    # Where the addresses of control name their API: the port of their frames.
+    frames_port: int = bounded(0, least=0, most=65535)
+
+
+@dataclass(frozen=True)
+class ReleasesSection:
+    """Say how a node serves the routes of releases.
+
+    The resend settings hold for all nodes together: a service gets at most `ratio`
+    times its requests plus `slack` resends in any window.
+    """
+
+    ready: Address
+    service: ServiceName = ServiceName("")
+    backend: Address | None = None
+    resend_ratio: float = bounded(0.2, least=0.0, most=1.0)
+    resend_slack: float = bounded(50.0, least=0.0)
+    grace_s: float = bounded(6.0, least=0.5, most=600.0)
 
 
 @dataclass(frozen=True)
@@ -53,6 +71,7 @@
     node: NodeSection
     peers: PeersSection
     limits: LimitsSection = field(default_factory=LimitsSection)
+    releases: ReleasesSection | None = None
 
 
 @dataclass(frozen=True)
@@ -61,9 +80,12 @@
 
     name: NodeName = bounded(pattern=NAME_PATTERN)
     zone: ZoneName = bounded(pattern=NAME_PATTERN)
-    admin: Address
     frames: Address
     data_folder: str
+    admin: Address | None = None
+    releases: Address | None = None
+    found: bool = False
+    frames_port: int = bounded(0, least=0, most=65535)
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
     snapshot_entries: int = bounded(5000, least=100, most=100_000)
@@ -84,7 +106,7 @@
     """Hold the settings of persimmonhall-control."""
 
     control: ControlSection
-    teams: tuple[TeamSection, ...]
+    teams: tuple[TeamSection, ...] = ()
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/persimmonhall/wire/call_link.py
@@ -0,0 +1,279 @@
+"""Carry calls between nodes over one connection a direction and pair."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import trio
+
+from persimmonhall.address import Address
+from persimmonhall.errors import Ran
+from persimmonhall.events import Event, EventLog
+from persimmonhall.ids import CallNumber
+from persimmonhall.wire.calls import (
+    NUMBER,
+    PREAMBLE,
+    CallFrameError,
+    CallFrameReader,
+    FrameType,
+    RoutedCall,
+    RoutedReply,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+    frame,
+)
+from persimmonhall.wire.duplex import Duplex
+
+CONNECT_TIMEOUT_S = 0.5  # 25 times the longest way between two zones of a region
+CHECK_S = 0.1
+# Silence on a link with calls under way: first a ping, then the link is given up.
+PING_AFTER_S = 0.3
+SILENT_AFTER_S = 0.8
+# A link that takes no more has a peer that does not read: its calls are lost.
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+RETRY_CONNECT_S = 0.25
+ENDINGS = (
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    OSError,
+    CallFrameError,
+)
+PING = frame(FrameType.PING)
+PONG = frame(FrameType.PONG)
+
+
+class ReplyTaker(Protocol):
+    """Take what comes of calls that were sent."""
+
+    def take_reply(self, reply: RoutedReply) -> None:
+        """Take in a reply."""
+
+    def take_link_failure(self, number: CallNumber, ran: Ran, detail: str) -> None:
+        """Take in that a call got no reply since its link has failed."""
+
+
+class CallLink:
+    """Send calls to one peer; the link is given up when the peer is silent."""
+
+    def __init__(self, address: Address, taker: ReplyTaker, log: EventLog):
+        self.address = address
+        self._taker = taker
+        self._log = log
+        self._calls: set[CallNumber] = set()
+        self._unsent: list[bytes] = []
+        self._duplex: Duplex | None = None
+        self._scope = trio.CancelScope()
+        self._heard_at = 0.0
+        self._pinged = False
+        self.closed = False
+        self.reason = "closed"
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Connect and read replies until the link fails."""
+        try:
+            with self._scope:
+                await self._connect(nursery)
+                await self._read()
+        except ENDINGS as error:
+            self.reason = str(error) or type(error).__name__
+        finally:
+            self._close()
+
+    def send(self, call: RoutedCall) -> None:
+        """Send a call, or keep it until the link is connected."""
+        self._calls.add(call.number)
+        data = frame(FrameType.CALL, encode_call(call))
+        if self._duplex is None:
+            self._unsent.append(data)
+            return
+        if len(self._calls) == 1:
+            self._heard_at = trio.current_time()
+        self._duplex.send(data)
+
+    def cancel(self, number: CallNumber) -> None:
+        """Tell the peer that nobody waits for a call."""
+        if number not in self._calls:
+            return
+        self._calls.discard(number)
+        if self._duplex is not None:
+            self._duplex.send(frame(FrameType.CANCEL, NUMBER.pack(number)))
+
+    def check(self, now: float) -> None:
+        """Ping a silent peer, then give the link up."""
+        if self._duplex is None or self.closed:
+            return
+        if self._duplex.unsent_bytes > MAX_UNSENT_BYTES:
+            self.drop("the peer does not read")
+            return
+        if not self._calls:
+            return
+        silent_s = now - self._heard_at
+        if silent_s > SILENT_AFTER_S and self._pinged:
+            self.drop(f"silent for {silent_s:.2f} s")
+        elif silent_s > PING_AFTER_S and not self._pinged:
+            self._pinged = True
+            self._duplex.send(PING)
+
+    def forgive(self, now: float) -> None:
+        """Count the silence anew, for this process stood still."""
+        self._heard_at = now
+        self._pinged = False
+
+    def drop(self, reason: str) -> None:
+        """End the link."""
+        self.reason = reason
+        self._scope.cancel()
+
+    async def _connect(self, nursery: trio.Nursery) -> None:
+        socket = trio.socket.socket()
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                await socket.connect((self.address.host, self.address.port))
+        except trio.TooSlowError as error:
+            socket.close()
+            raise OSError(f"no connection within {CONNECT_TIMEOUT_S} s") from error
+        except BaseException:
+            socket.close()
+            raise
+        socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        self._duplex = Duplex(trio.SocketStream(socket), nursery)
+        self._heard_at = trio.current_time()
+        self._duplex.send(PREAMBLE + b"".join(self._unsent))
+        self._unsent.clear()
+
+    async def _read(self) -> None:
+        reader = CallFrameReader()
+        while data := await self._duplex.receive():
+            self._heard_at = trio.current_time()
+            self._pinged = False
+            for kind, payload in reader.feed(data):
+                if kind == FrameType.REPLY:
+                    reply = decode_reply(payload)
+                    if reply.number in self._calls:
+                        self._calls.discard(reply.number)
+                        self._taker.take_reply(reply)
+        self.reason = "ended by the peer"
+
+    def _close(self) -> None:
+        self.closed = True
+        ran = Ran.NO if self._duplex is None else Ran.UNKNOWN
+        if self._duplex is not None:
+            self._duplex.close()
+        calls, self._calls = self._calls, set()
+        if calls or self._duplex is None:
+            self._log.emit(
+                Event.LINK_LOST,
+                peer=str(self.address),
+                reason=self.reason,
+                calls=len(calls),
+                ran=ran.value,
+            )
+        for number in calls:
+            self._taker.take_link_failure(number, ran, self.reason)
+
+
+class CallLinks:
+    """Keep one link to each peer and open it anew when it has failed."""
+
+    def __init__(self, taker: ReplyTaker, nursery: trio.Nursery, log: EventLog):
+        self._taker = taker
+        self._nursery = nursery
+        self._log = log
+        self._links: dict[Address, CallLink] = {}
+        self._failed_at: dict[Address, float] = {}
+
+    def send(self, address: Address, call: RoutedCall) -> None:
+        """Send a call; what comes of it goes to the taker."""
+        link = self._links.get(address)
+        if link is None or link.closed:
+            now = trio.current_time()
+            if now - self._failed_at.get(address, -RETRY_CONNECT_S) < RETRY_CONNECT_S:
+                detail = f"{address} took no connection just now"
+                self._taker.take_link_failure(call.number, Ran.NO, detail)
+                return
+            link = self._links[address] = CallLink(address, self._taker, self._log)
+            self._nursery.start_soon(self._run, link)
+        link.send(call)
+
+    def cancel(self, address: Address, number: CallNumber) -> None:
+        """Tell a peer that nobody waits for a call."""
+        link = self._links.get(address)
+        if link is not None and not link.closed:
+            link.cancel(number)
+
+    async def run(self) -> None:
+        """Watch for silent peers until cancelled."""
+        last = trio.current_time()
+        while True:
+            await trio.sleep(CHECK_S)
+            now = trio.current_time()
+            # This process was late itself: what came meanwhile is not read yet.
+            is_late = now - last > 2 * CHECK_S
+            last = now
+            for link in tuple(self._links.values()):
+                if is_late:
+                    link.forgive(now)
+                else:
+                    link.check(now)
+
+    async def _run(self, link: CallLink) -> None:
+        await link.run(self._nursery)
+        if self._links.get(link.address) is link:
+            del self._links[link.address]
+        if link.reason.startswith("no connection") or link.reason.startswith("[Errno"):
+            self._failed_at[link.address] = trio.current_time()
+
+
+class CallHandler(Protocol):
+    """Run the calls of other nodes."""
+
+    def begin(
+        self,
+        origin: object,
+        call: RoutedCall,
+        reply: Callable[[RoutedReply], None],
+    ) -> None:
+        """Take in a call; origin and number identify it."""
+
+    def cancel(self, origin: object, number: CallNumber) -> None:
+        """Stop a call that nobody waits for."""
+
+    def cancel_all(self, origin: object) -> None:
+        """Stop all calls of an origin that is gone."""
+
+
+class CallServerConnection:
+    """Pass the calls of one incoming link to the handler and send its replies."""
+
+    def __init__(
+        self, stream: trio.SocketStream, handler: CallHandler, nursery: trio.Nursery
+    ):
+        self._duplex = Duplex(stream, nursery)
+        self._handler = handler
+
+    async def run(self, rest: bytes) -> None:
+        """Serve until the link ends; the rest is what came with the preamble."""
+        reader = CallFrameReader()
+        try:
+            data = rest
+            while True:
+                for kind, payload in reader.feed(data):
+                    self._take(kind, payload)
+                data = await self._duplex.receive()
+                if not data:
+                    return
+        finally:
+            self._handler.cancel_all(self)
+            self._duplex.close()
+
+    def _take(self, kind: int, payload: bytes) -> None:
+        if kind == FrameType.CALL:
+            self._handler.begin(self, decode_call(payload), self._reply)
+        elif kind == FrameType.CANCEL:
+            self._handler.cancel(self, NUMBER.unpack(payload)[0])
+        elif kind == FrameType.PING:
+            self._duplex.send(PONG)
+
+    def _reply(self, reply: RoutedReply) -> None:
+        self._duplex.send(frame(FrameType.REPLY, encode_reply(reply)))
--- a/persimmonhall/wire/link_server.py
+++ b/persimmonhall/wire/link_server.py
@@ -7,6 +7,9 @@
 from absl import logging
 
 from persimmonhall.address import Address
+from persimmonhall.wire.call_link import ENDINGS as CALL_ENDINGS
+from persimmonhall.wire.call_link import CallHandler, CallServerConnection
+from persimmonhall.wire.calls import PREAMBLE as CALL_PREAMBLE
 from persimmonhall.wire.credit import Credit
 from persimmonhall.wire.direct_stream import DirectStream
 from persimmonhall.wire.frame_writer import FrameWriter
@@ -21,6 +24,7 @@
 )
 
 MAX_MESSAGE_BYTES = 96 * 1024 * 1024
+PREAMBLE_PAUSE_S = 0.01
 
 
 @dataclass(frozen=True)
@@ -135,16 +139,44 @@
         )
 
 
+async def _brings_calls(stream: trio.SocketStream) -> bool:
+    """Read the preamble if it is that of a link for calls, and nothing else."""
+    size = len(CALL_PREAMBLE)
+    while True:
+        await trio.lowlevel.wait_readable(stream.socket)
+        try:
+            seen = await stream.socket.recv(size, trio.socket.MSG_PEEK)
+        except OSError:
+            # The link server meets the same fault and reports it.
+            return False
+        if seen == CALL_PREAMBLE:
+            await stream.socket.recv(size)
+            return True
+        if not seen or not CALL_PREAMBLE.startswith(seen):
+            return False
+        await trio.sleep(PREAMBLE_PAUSE_S)
+
+
 async def serve_links(
     handlers: Handlers,
     address: Address,
+    calls: CallHandler | None = None,
     *,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Answer frame connections on an address."""
+    """Answer frame connections on an address; those with calls go to their handler."""
 
     async def serve(stream: trio.SocketStream) -> None:
-        await _LinkServer(DirectStream(stream), handlers).run()
+        if calls is None or not await _brings_calls(stream):
+            await _LinkServer(DirectStream(stream), handlers).run()
+            return
+        async with trio.open_nursery() as nursery:
+            connection = CallServerConnection(stream, calls, nursery)
+            try:
+                await connection.run(b"")
+            except CALL_ENDINGS as error:
+                logging.info("call link ended: %s", error)
+            nursery.cancel_scope.cancel()
 
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
     host, port = listeners[0].socket.getsockname()[:2]
--- /dev/null
+++ b/persimmonhall/wire/tests/test_calls.py
@@ -0,0 +1,53 @@
+"""Check that calls and replies come through frames as they were sent."""
+
+import pytest
+
+from persimmonhall.errors import ErrorKind, Ran
+from persimmonhall.release.tests.builders import make_call
+from persimmonhall.wire.calls import (
+    CallFrameError,
+    CallFrameReader,
+    FrameType,
+    GateLoad,
+    RoutedReply,
+    decode_call,
+    decode_reply,
+    encode_call,
+    encode_reply,
+    frame,
+)
+
+LOAD = GateLoad(3, 2, 40, 2.25)
+
+
+def test_call_survives_the_wire():
+    """Read what was written."""
+    call = make_call(7, is_nested=True, body=b"{}", rank=2)
+    assert decode_call(encode_call(call)) == call
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        RoutedReply(1, LOAD, 200, b"x-a: b\r\n", b"body", run_s=0.25),
+        RoutedReply(2, LOAD, error=ErrorKind.OVERLOADED, detail="full", ran=Ran.NO),
+    ],
+)
+def test_reply_survives_the_wire(reply):
+    """Read what was written, answers and refusals alike."""
+    assert decode_reply(encode_reply(reply)) == reply
+
+
+@pytest.mark.parametrize("cut", [1, 20, 60])
+def test_damaged_call_is_refused(cut):
+    """Refuse a call with bytes missing."""
+    with pytest.raises(CallFrameError):
+        decode_call(encode_call(make_call())[:-cut])
+
+
+def test_frames_are_cut_wherever_bytes_arrive():
+    """Return each frame once it is whole."""
+    data = frame(FrameType.CALL, b"abc") + frame(FrameType.PING)
+    reader = CallFrameReader()
+    frames = [f for byte in data for f in reader.feed(bytes([byte]))]
+    assert frames == [(FrameType.CALL, b"abc"), (FrameType.PING, b"")]
--- /dev/null
+++ b/tests/test_boundary.py
@@ -0,0 +1,31 @@
+"""Check that only the adapter knows the platform's names."""
+
+import re
+from pathlib import Path
+
+PACKAGE = Path(__file__).parents[1] / "persimmonhall"
+ADAPTER = PACKAGE / "platform"
+NAMES = re.compile(
+    r"(?i:X-(Attempt-Id|Deadline-Ms|Expected-Instance|Caller-Service|Server-Stamp"
+    r"|Not-Executed))|configuration\.(replace|read)|instances\.(heartbeat|deregister)"
+    r"|routeKind|weightedServices|maxAttempts|seedNodes|applicationAddress"
+    r"|(?i:payoff|manifest|work unit|fence number|status check)"
+)
+
+
+def test_names_of_the_platform_stay_in_the_adapter():
+    """Find none of the platform's names or words in the product."""
+    found = [
+        f"{path.relative_to(PACKAGE)}: {match.group()}"
+        for path in sorted(PACKAGE.rglob("*.py"))
+        if ADAPTER not in path.parents
+        for match in NAMES.finditer(path.read_text())
+    ]
+    assert found == []
+
+
+def test_adapter_decides_nothing_by_itself():
+    """Keep sockets, clocks and randomness out of the adapter."""
+    imports = re.compile(r"^(?:import|from) (socket|random|time)\b", re.MULTILINE)
+    for path in ADAPTER.glob("*.py"):
+        assert imports.findall(path.read_text()) == [], path.name
