--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -77,6 +77,7 @@
         levels: RouteLevels,
         log: EventLog,
         on_down: Callable[[], None] = lambda: None,
+        make_pool: Callable[..., BackendPool] = BackendPool,
     ):
         self._headers = headers
         self._nursery = nursery
@@ -85,6 +86,7 @@
         self._levels = levels
         self._log = log
         self._on_down = on_down
+        self._make_pool = make_pool
         self._instance: InstanceReport | None = None
         self._pool: BackendPool | None = None
         self._closed: ErrorKind | None = ErrorKind.NO_SERVER
@@ -215,7 +217,7 @@
     def _open_pool(self, report: InstanceReport) -> None:
         if self._pool is not None:
             self._pool.close()
-        self._pool = BackendPool(
+        self._pool = self._make_pool(
             report.address,
             self._nursery,
             self._headers.attempt,
--- /dev/null
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -0,0 +1,206 @@
+"""Build gates and entries whose servers and links are fakes."""
+
+import random
+
+from persimmonhall.call.routed_entry import OwnNode, RoutedEntry
+from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.dialect import HeaderNames, OwnDialect
+from persimmonhall.events import EventLog
+from persimmonhall.http.backends import BackendAnswer
+from persimmonhall.http.reading import Message
+from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.table import MemberTable
+from persimmonhall.release.in_force import ReleaseInForce
+from persimmonhall.release.messages import HeldRelease
+from persimmonhall.release.tests.builders import make_release, write_release
+from persimmonhall.routing.call_graph import CallGraph
+from persimmonhall.routing.resend_budget import ResendBudget
+from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.router import Router
+from persimmonhall.timers import Timers
+from persimmonhall.wire.calls import GateLoad, RoutedReply
+
+HEADERS = HeaderNames()
+CALM = GateLoad(1, 0, 100, 9.0)
+OWN_HOST = "10.0.0.1"
+CALLER_HOST = "10.9.9.9"
+
+
+class FakePool:
+    """Hold requests until the test answers them."""
+
+    def __init__(self, address, nursery, attempt_header, max_connections):
+        self.sent = []
+        self.aborted = []
+
+    def send(self, request):
+        """Hold a request."""
+        self.sent.append(request)
+
+    def abort(self, request):
+        """Note that a request was stopped."""
+        self.aborted.append(request)
+
+    def close_idle(self, now):
+        """Do nothing."""
+
+    def close(self):
+        """Do nothing."""
+
+    def answer(self, number=0, status=200, headers=(), body=b"ok"):
+        """Answer one of the requests that are held."""
+        self.sent.pop(number).done(BackendAnswer(status, headers, body))
+
+    def fail(self, failure, number=0):
+        """Fail one of the requests that are held."""
+        self.sent.pop(number).done(failure)
+
+
+class GateScene:
+    """Run a gate with a fake server and collect its replies."""
+
+    def __init__(self, report):
+        self.graph = CallGraph()
+        self.levels = RouteLevels(self.graph)
+        self.timers = Timers()
+        self.down = 0
+        self.replies = {}
+        self.gate = RoutedGate(
+            HEADERS,
+            None,
+            self.timers,
+            self.graph,
+            self.levels,
+            EventLog("n"),
+            self._go_down,
+            FakePool,
+        )
+        self.gate.set_ranks(3)
+        if report is not None:
+            self.gate.set_instance(report)
+
+    @property
+    def pool(self):
+        """Return the connections to the server."""
+        return self.gate._pool
+
+    def begin(self, call, origin="entry"):
+        """Send a call to the gate."""
+        self.gate.begin(origin, call, self._take)
+
+    def _take(self, reply):
+        assert reply.number not in self.replies, "two replies to one call"
+        self.replies[reply.number] = reply
+
+    def _go_down(self):
+        self.down += 1
+
+
+class FakeLinks:
+    """Hold calls until the test replies to them."""
+
+    def __init__(self):
+        self.sent = []
+        self.cancelled = []
+
+    def send(self, address, call):
+        """Hold a call."""
+        self.sent.append((address, call))
+
+    def cancel(self, address, number):
+        """Note that nobody waits for a call."""
+        self.cancelled.append(number)
+
+
+class FakeExchange:
+    """Collect the answer to one request."""
+
+    def __init__(self, peer_host=CALLER_HOST):
+        self.peer_host = peer_host
+        self.context = None
+        self.end_reason = ""
+        self.status = None
+        self.head = b""
+        self.body = b""
+        self.refusal = None
+
+    def answer(self, status, head, body):
+        """Take in an answer."""
+        assert self.status is None, "two answers to one request"
+        self.status, self.head, self.body = status, head, body
+
+    def refuse(self, refusal):
+        """Take in a refusal."""
+        assert self.status is None, "two answers to one request"
+        self.status, self.refusal = refusal.kind, refusal
+
+
+def make_member(node, service="maps", zone="suva", host="10.0.0.2"):
+    """Build the record of a node whose server is ready."""
+    return Member(
+        node, zone, "r", f"{host}:7000", 1, 1, service, 100, MemberState.READY
+    )
+
+
+def make_message(path="/charts/1", attempt="a1", method="GET", **headers):
+    """Build a request that has arrived whole."""
+    message = Message()
+    message.method = method
+    message.target = path.encode()
+    own = ((b"host", b"maps.example"), (HEADERS.attempt, attempt.encode()))
+    more = tuple((k.replace("_", "-").encode(), v) for k, v in headers.items())
+    message.headers = own + more
+    message.is_whole = True
+    return message
+
+
+class EntryScene:
+    """Run an entry with fake links to a number of servers."""
+
+    def __init__(self, *routes, servers=3, seed=1):
+        own = make_member("own", service="other", host=OWN_HOST)
+        self.table = MemberTable(own)
+        for number in range(servers):
+            self.table.put(make_member(f"s{number}", host=f"10.0.0.{number + 2}"))
+        graph = CallGraph()
+        self.levels = RouteLevels(graph)
+        self.releases = ReleaseInForce(OwnDialect().decode_release, EventLog("n"))
+        if routes:
+            text = write_release(make_release(*routes))
+            self.releases.apply(HeldRelease(1, 1, text))
+            self.levels.set_ranks(self.releases.routes.ranks)
+        rng = random.Random(seed)
+        self.links = FakeLinks()
+        self.timers = Timers()
+        self.entry = RoutedEntry(
+            OwnNode("own", OWN_HOST, "other"),
+            HEADERS,
+            self.releases,
+            self.table,
+            Router(self.table, "suva", rng),
+            None,
+            lambda: self.links,
+            ResendBudget(0.2, 50.0),
+            graph,
+            self.levels,
+            self.timers,
+            rng,
+            EventLog("n"),
+        )
+
+    def ask(self, peer_host=CALLER_HOST, **message):
+        """Send one request and return its exchange."""
+        exchange = FakeExchange(peer_host)
+        self.entry.begin(make_message(**message), exchange)
+        return exchange
+
+    @property
+    def calls(self):
+        """Return the calls that were sent."""
+        return [call for _, call in self.links.sent]
+
+    def reply(self, number=-1, **fields):
+        """Reply to one of the calls that were sent."""
+        fields = {"load": CALM, "status": 200} | fields
+        call = self.calls[number]
+        self.entry.take_reply(RoutedReply(call.number, **fields))
