--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -24,6 +24,7 @@
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.timers import Timers
 from persimmonhall.wire.calls import GateLoad, RoutedCall, RoutedReply
+from persimmonhall.wire.readiness import Readiness
 
 # Servers turn slow when nearly all of their slots are taken.
 USABLE_SHARE = 0.94
@@ -72,6 +73,7 @@
         self,
         headers: HeaderNames,
         nursery: trio.Nursery,
+        readiness: Readiness,
         timers: Timers,
         graph: CallGraph,
         levels: RouteLevels,
@@ -81,6 +83,7 @@
     ):
         self._headers = headers
         self._nursery = nursery
+        self._readiness = readiness
         self._timers = timers
         self._graph = graph
         self._levels = levels
@@ -220,6 +223,7 @@
         self._pool = self._make_pool(
             report.address,
             self._nursery,
+            self._readiness,
             self._headers.attempt,
             report.slots + SPARE_CONNECTIONS,
         )
--- a/persimmonhall/call/tests/routed_parts.py
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -29,7 +29,7 @@
 class FakePool:
     """Hold requests until the test answers them."""
 
-    def __init__(self, address, nursery, attempt_header, max_connections):
+    def __init__(self, *settings):
         self.sent = []
         self.aborted = []
 
@@ -68,6 +68,7 @@
         self.gate = RoutedGate(
             HEADERS,
             None,
+            None,
             self.timers,
             self.graph,
             self.levels,
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -23,6 +23,7 @@
 from persimmonhall.release.api import ReleaseApi
 from persimmonhall.settings import ControlSection
 from persimmonhall.wire.link import LinkPool
+from persimmonhall.wire.readiness import Readiness
 
 REGION = "default"
 
@@ -97,7 +98,9 @@
     if own.releases is None:
         return None
     api = ReleaseApi(replica, parts.dialect, len(own.peers), parts.log)
-    server = CallerServer(_TaskApi(api, nursery), own.releases)
+    readiness = Readiness()
+    nursery.start_soon(readiness.run)
+    server = CallerServer(_TaskApi(api, nursery), own.releases, readiness)
     return await nursery.start(server.run)
 
 
--- a/persimmonhall/http/backends.py
+++ b/persimmonhall/http/backends.py
@@ -9,7 +9,8 @@
 from persimmonhall.address import Address
 from persimmonhall.http.messages import LENGTH_HEADERS, NO_BODY_STATUSES, Headers
 from persimmonhall.http.reading import AnswerReader, BadMessageError, Message
-from persimmonhall.wire.duplex import Duplex
+from persimmonhall.wire.duplex import ENDED, Duplex
+from persimmonhall.wire.readiness import Readiness
 
 CONNECT_TIMEOUT_S = 0.5  # the server is on the same machine
 MAX_HEADER_BYTES = 64 * 1024
@@ -76,7 +77,7 @@
 
 
 class _Connection:
-    """Send one request at a time; its task reads all the while."""
+    """Send one request at a time."""
 
     def __init__(self, pool: "BackendPool", request: BackendRequest):
         self._pool = pool
@@ -93,28 +94,24 @@
         """Tell whether neither bytes nor the end have arrived."""
         return not self._duplex.readable
 
-    async def run(self) -> None:
-        """Connect, send and read until the connection ends."""
-        fault = BackendFailure(SendFault.NOT_CONNECTED, "no connection in time")
-        try:
-            with self._scope:
-                stream = await self._connect()
-                if stream is not None:
-                    self._duplex = Duplex(stream, self._pool.nursery)
-                    if self._request is not None:
-                        self._duplex.send(self._request.data)
-                        fault = None
-                        await self._read()
-        except ConnectionRefusedError as error:
-            fault = BackendFailure(SendFault.NOT_LISTENING, str(error))
-        except OSError as error:
-            fault = BackendFailure(SendFault.NOT_CONNECTED, str(error))
-        finally:
-            self._pool.forget(self)
-            if self._duplex is not None:
-                self._duplex.close()
-        if fault is not None:
-            self._fail(fault)
+    async def connect(self) -> None:
+        """Connect and send the first request."""
+        fault, detail = SendFault.NOT_CONNECTED, "no connection in time"
+        address = self._pool.address
+        socket = trio.socket.socket()
+        with self._scope, trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await socket.connect((address.host, address.port))
+                if self._request is not None:
+                    self._open(socket)
+                    return
+            except ConnectionRefusedError as error:
+                fault, detail = SendFault.NOT_LISTENING, str(error)
+            except OSError as error:
+                detail = str(error)
+        socket.close()
+        self._pool.forget(self)
+        self._fail(BackendFailure(fault, detail))
 
     def send(self, request: BackendRequest) -> None:
         """Send the next request."""
@@ -128,39 +125,34 @@
         """End the connection and forget its request."""
         self._request = None
         self._scope.cancel()
+        if self._duplex is not None:
+            self._duplex.close()
+            self._pool.forget(self)
 
-    async def _connect(self) -> trio.SocketStream | None:
-        address = self._pool.address
-        socket = trio.socket.socket()
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await socket.connect((address.host, address.port))
-                return trio.SocketStream(socket)
-            except BaseException:
-                socket.close()
-                raise
-        return None
+    def _open(self, socket: trio.socket.SocketType) -> None:
+        self._duplex = Duplex(socket, self._pool.readiness, self._on_data, self._on_end)
+        self._duplex.send(self._request.data)
 
-    async def _read(self) -> None:
-        while True:
-            try:
-                data = await self._duplex.receive()
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-                self._fail(self._broken(str(error)))
-                return
-            if not data:
-                self._end()
-                return
-            if self._request is None:
-                # Bytes that belong to no request: nothing more is sent here.
-                return
-            try:
-                self._reader.feed(data)
-                if not self._take():
-                    return
-            except BadMessageError as error:
-                self._fail(BackendFailure(SendFault.UNREADABLE, str(error)))
-                return
+    def _on_data(self, data: bytes) -> None:
+        if self._request is None:
+            # Bytes that belong to no request: nothing more is sent here.
+            self.close()
+            return
+        try:
+            self._reader.feed(data)
+            goes_on = self._take()
+        except BadMessageError as error:
+            goes_on = False
+            self._fail(BackendFailure(SendFault.UNREADABLE, str(error)))
+        if not goes_on:
+            self.close()
+
+    def _on_end(self, reason: str) -> None:
+        self._pool.forget(self)
+        if reason == ENDED:
+            self._end()
+        else:
+            self._fail(self._broken(reason))
 
     def _take(self) -> bool:
         """Finish the request if its answer is whole; tell whether to read on."""
@@ -232,11 +224,13 @@
         self,
         address: Address,
         nursery: trio.Nursery,
+        readiness: Readiness,
         attempt_header: bytes,
         max_connections: int,
     ):
         self.address = address
-        self.nursery = nursery
+        self.readiness = readiness
+        self._nursery = nursery
         self.attempt_header = attempt_header
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
@@ -256,7 +250,7 @@
         connection = request.connection = _Connection(self, request)
         self._open.add(connection)
         self.opened += 1
-        self.nursery.start_soon(connection.run)
+        self._nursery.start_soon(connection.connect)
 
     def abort(self, request: BackendRequest) -> None:
         """Stop a request; the backend server sees its connection close."""
--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -2,7 +2,6 @@
 
 from collections import deque
 from collections.abc import Callable
-from functools import partial
 from http import HTTPStatus
 from typing import Protocol
 
@@ -18,6 +17,7 @@
 from persimmonhall.http.writing import GO_AHEAD
 from persimmonhall.release.schema import CallerLimits
 from persimmonhall.wire.duplex import Duplex
+from persimmonhall.wire.readiness import Readiness
 
 BACKLOG = 1024
 # More requests of one connection wait unread, so that it cannot fill the memory.
@@ -97,41 +97,25 @@
         self,
         stream: trio.SocketStream,
         server: "CallerServer",
-        nursery: trio.Nursery,
+        readiness: Readiness,
     ):
+        self.peer_host = stream.socket.getpeername()[0]
         self._server = server
-        self._duplex = Duplex(stream, nursery)
         self._limits = server.limits()
         self._reader = RequestReader(self._limits.max_header_bytes)
         self._incoming: Message | None = None
         self._pending: deque[Exchange] = deque()
         self._answered_last = False
         self._reads_on = True
-        self._room = trio.Event()
-        self._scope = trio.CancelScope()
         self._since = trio.current_time()
         self._unsent_before = 0
-        self._end_reason = "closed here"
-        self.peer_host = stream.socket.getpeername()[0]
+        self._duplex = Duplex(stream.socket, readiness, self._take, self._end)
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is in progress or arriving."""
         return not self._pending and not self._reader.is_inside
 
-    async def run(self) -> None:
-        """Serve until the connection ends."""
-        try:
-            with self._scope:
-                await self._read()
-                self._end_reason = "the caller closed the connection"
-        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
-            # The caller is gone; what it asked for is abandoned below.
-            self._end_reason = f"the connection broke: {error}"
-        finally:
-            self._abandon_all()
-            self._duplex.close()
-
     def closes_after(self, exchange: Exchange) -> bool:
         """Tell whether the answer to a request must be the last one."""
         if exchange.closes:
@@ -152,18 +136,20 @@
         if parts:
             self._since = trio.current_time()
             self._duplex.send(b"".join(parts) if len(parts) > 1 else parts[0])
-        self._room.set()
         if self._answered_last:
             self._server.linger(self)
+        elif not self._is_full():
+            self._duplex.resume()
 
     async def linger(self) -> None:
         """Let the last answer arrive, then end the connection."""
         with trio.move_on_after(SLOW_READER_S):
             while self._duplex.unsent_bytes:
                 await trio.sleep(LINGER_STEP_S)
-        self._duplex.shut_down_sending()
-        await trio.sleep(LINGER_S)
-        self._scope.cancel()
+        if not self._duplex.is_closed:
+            self._duplex.shut_down_sending()
+            await trio.sleep(LINGER_S)
+        self.close()
 
     def check(self, now: float) -> None:
         """End the connection if it has been idle or stuck for too long."""
@@ -172,45 +158,53 @@
         if self._duplex.unsent_bytes:
             is_stuck = self._duplex.unsent_bytes == self._unsent_before
             if is_stuck and idle_s > SLOW_READER_S:
-                self._scope.cancel()
+                self.close()
         elif self._incoming is not None:
             if idle_s > BODY_TIMEOUT_S:
-                self._scope.cancel()
+                self.close()
         elif self._reader.is_inside:
             if idle_s > limits.header_timeout_ms / 1000:
-                self._scope.cancel()
+                self.close()
         elif not self._pending and idle_s > limits.idle_timeout_ms / 1000:
-            self._scope.cancel()
+            self.close()
         self._unsent_before = self._duplex.unsent_bytes
+        if not self._is_full():
+            self._duplex.resume()
 
     def close_if_idle(self) -> None:
         """End the connection unless a request is in progress."""
         if self.is_idle:
-            self._scope.cancel()
+            self.close()
 
     def close(self) -> None:
         """End the connection."""
-        self._scope.cancel()
+        if not self._duplex.is_closed:
+            self._duplex.close()
+            self._end("closed here")
 
-    async def _read(self) -> None:
-        while True:
-            while self._is_full():
-                self._room = trio.Event()
-                await self._room.wait()
-            data = await self._duplex.receive()
-            if not data:
-                return
-            if self._answered_last or not self._reads_on:
-                continue
-            self._since = trio.current_time()
-            self._reader.feed(data)
-            try:
-                self._take_requests()
-            except BadMessageError as error:
-                kind = ErrorKind.BAD_REQUEST
-                if error.too_long:
-                    kind = ErrorKind.HEADER_TOO_LARGE
-                self._refuse_rest(refuse(kind, str(error)))
+    def _end(self, reason: str) -> None:
+        pending, self._pending = self._pending, deque()
+        for exchange in pending:
+            if exchange.data is None:
+                exchange.data = b""
+                exchange.end_reason = reason
+                self._server.handler.abandon(exchange)
+        self._server.forget(self)
+
+    def _take(self, data: bytes) -> None:
+        if self._answered_last or not self._reads_on:
+            return
+        self._since = trio.current_time()
+        self._reader.feed(data)
+        try:
+            self._take_requests()
+        except BadMessageError as error:
+            kind = ErrorKind.BAD_REQUEST
+            if error.too_long:
+                kind = ErrorKind.HEADER_TOO_LARGE
+            self._refuse_rest(refuse(kind, str(error)))
+        if self._is_full():
+            self._duplex.pause()
 
     def _is_full(self) -> bool:
         unsent = self._duplex.unsent_bytes > MAX_UNSENT_BYTES
@@ -258,19 +252,12 @@
 
     def _drop_pending(self) -> None:
         """Forget requests behind an answer that closes; they count as not read."""
-        for exchange in self._pending:
-            if exchange.data is None:
-                exchange.end_reason = "it stood behind an answer that closes"
-                self._server.handler.abandon(exchange)
-        self._pending.clear()
-
-    def _abandon_all(self) -> None:
-        for exchange in self._pending:
+        pending, self._pending = self._pending, deque()
+        for exchange in pending:
             if exchange.data is None:
                 exchange.data = b""
-                exchange.end_reason = self._end_reason
+                exchange.end_reason = "it stood behind an answer that closes"
                 self._server.handler.abandon(exchange)
-        self._pending.clear()
 
 
 class CallerServer:
@@ -280,9 +267,11 @@
         self,
         handler: RequestHandler,
         address: Address,
+        readiness: Readiness,
         limits: Callable[[], CallerLimits] = CallerLimits,
     ):
         self.handler = handler
+        self._readiness = readiness
         self.limits = limits
         self.draining = False
         self._address = address
@@ -332,22 +321,19 @@
             self._lingering.add(connection)
             self._nursery.start_soon(connection.linger)
 
+    def forget(self, connection: CallerConnection) -> None:
+        """Drop a connection that has ended."""
+        self._connections.discard(connection)
+        self._lingering.discard(connection)
+
     def _take(self, stream: trio.SocketStream) -> None:
         try:
-            connection = CallerConnection(stream, self, self._nursery)
+            connection = CallerConnection(stream, self, self._readiness)
         except OSError:
             # It was reset before it was accepted.
             stream.socket.close()
             return
-        self._nursery.start_soon(partial(self._serve, connection))
-
-    async def _serve(self, connection: CallerConnection) -> None:
         self._connections.add(connection)
-        try:
-            await connection.run()
-        finally:
-            self._connections.discard(connection)
-            self._lingering.discard(connection)
 
     async def _check_forever(self) -> None:
         while True:
--- a/persimmonhall/http/tests/test_callers.py
+++ b/persimmonhall/http/tests/test_callers.py
@@ -6,6 +6,7 @@
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.http.callers import CallerServer
 from persimmonhall.release.schema import CallerLimits
+from persimmonhall.wire.readiness import Readiness
 
 ANY_PORT = Address("127.0.0.1", 0)
 
@@ -34,7 +35,9 @@
     def __init__(self, nursery, limits=CallerLimits):
         self.nursery = nursery
         self.handler = Handler()
-        self.server = CallerServer(self.handler, ANY_PORT, limits)
+        readiness = Readiness()
+        nursery.start_soon(readiness.run)
+        self.server = CallerServer(self.handler, ANY_PORT, readiness, limits)
         self.address = None
 
     async def connect(self):
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -34,10 +34,11 @@
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.timers import Timers
-from persimmonhall.wire.call_link import CallLinks
+from persimmonhall.wire.call_link import CallLinks, CallService
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.link_server import serve_links
+from persimmonhall.wire.readiness import Readiness
 
 STEP_S = 0.1
 # Of the grace period: new calls of peers are refused after the first share, callers
@@ -95,6 +96,7 @@
         self._started = trio.current_time()
         self.stopping = False
         self.timers = Timers()
+        self.readiness = Readiness()
         self._pool = LinkPool(nursery, own.frames.host)
         self._table = MemberTable(_own_member(settings))
         control = _control_frames(settings)
@@ -105,6 +107,7 @@
         self.gate = RoutedGate(
             dialect.headers,
             nursery,
+            self.readiness,
             self.timers,
             graph,
             self._levels,
@@ -133,10 +136,16 @@
             rng,
             self.log,
         )
-        self.links = CallLinks(self.entry, nursery, self.log)
-        self.callers = CallerServer(self.entry, own.callers, self._limits)
-        self.local = CallerServer(_SyncApi(self._answer_local), own.local)
-        self.ready = CallerServer(_SyncApi(self._answer_ready), releases.ready)
+        self.links = CallLinks(self.entry, nursery, self.readiness, self.log)
+        self.callers = CallerServer(
+            self.entry, own.callers, self.readiness, self._limits
+        )
+        self.local = CallerServer(
+            _SyncApi(self._answer_local), own.local, self.readiness
+        )
+        self.ready = CallerServer(
+            _SyncApi(self._answer_ready), releases.ready, self.readiness
+        )
 
     @property
     def is_ready(self) -> bool:
@@ -150,13 +159,15 @@
         """Listen and run every part."""
         handlers = {Channel.MEMBERSHIP: self.gossiper.handle}
         own = self.settings.node
-        frames = await nursery.start(serve_links, handlers, own.frames, self.gate)
+        calls = CallService(self.readiness, self.gate)
+        frames = await nursery.start(serve_links, handlers, own.frames, calls)
         self.gossiper.set_frames(frames, own.advertise or frames)
         callers = await nursery.start(self.callers.run)
         local = await nursery.start(self.local.run)
         await nursery.start(self.ready.run)
         for part in (
             self.log.run,
+            self.readiness.run,
             self.timers.run,
             self.gossiper.run,
             self.links.run,
--- a/persimmonhall/timers.py
+++ b/persimmonhall/timers.py
@@ -7,6 +7,10 @@
 
 import trio
 
+# Timers that were cancelled stay in the heap: passing over them one by one would
+# cost a turn of the loop each.
+LEAST_SLEEP_S = 0.01
+
 
 class Timer:
     """Hold one call that may still be cancelled."""
@@ -40,7 +44,7 @@
         """Call a function at a time."""
         timer = Timer(callback)
         heapq.heappush(self._heap, (when, next(self._numbers), timer))
-        if when < self._sleeping_until:
+        if when < self._sleeping_until - LEAST_SLEEP_S:
             self._wake.set()
         return timer
 
@@ -53,7 +57,9 @@
         """Call what is due until cancelled."""
         while True:
             self._wake = trio.Event()
-            self.fire_due(trio.current_time())
-            self._sleeping_until = self._heap[0][0] if self._heap else math.inf
+            now = trio.current_time()
+            self.fire_due(now)
+            due = self._heap[0][0] if self._heap else math.inf
+            self._sleeping_until = max(due, now + LEAST_SLEEP_S)
             with trio.move_on_at(self._sleeping_until):
                 await self._wake.wait()
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -1,6 +1,7 @@
 """Carry calls between nodes over one connection a direction and pair."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import trio
@@ -24,6 +25,7 @@
     frame,
 )
 from persimmonhall.wire.duplex import Duplex
+from persimmonhall.wire.readiness import Readiness
 
 CONNECT_TIMEOUT_S = 0.5  # 25 times the longest way between two zones of a region
 CHECK_S = 0.1
@@ -33,12 +35,6 @@
 # A link that takes no more has a peer that does not read: its calls are lost.
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 RETRY_CONNECT_S = 0.25
-ENDINGS = (
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    OSError,
-    CallFrameError,
-)
 PING = frame(FrameType.PING)
 PONG = frame(FrameType.PONG)
 
@@ -63,22 +59,30 @@
         self._calls: set[CallNumber] = set()
         self._unsent: list[bytes] = []
         self._duplex: Duplex | None = None
-        self._scope = trio.CancelScope()
+        self._reader = CallFrameReader()
         self._heard_at = 0.0
         self._pinged = False
         self.closed = False
-        self.reason = "closed"
+        self.reason = f"no connection within {CONNECT_TIMEOUT_S} s"
 
-    async def run(self, nursery: trio.Nursery) -> None:
-        """Connect and read replies until the link fails."""
-        try:
-            with self._scope:
-                await self._connect(nursery)
-                await self._read()
-        except ENDINGS as error:
-            self.reason = str(error) or type(error).__name__
-        finally:
-            self._close()
+    async def connect(self, readiness: Readiness) -> None:
+        """Connect and send what waits."""
+        socket = trio.socket.socket()
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await socket.connect((self.address.host, self.address.port))
+                if not self.closed:
+                    self._open(socket, readiness)
+                    return
+            except OSError as error:
+                self.reason = str(error)
+        socket.close()
+        self._close()
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the link was ever connected."""
+        return self._duplex is not None
 
     def send(self, call: RoutedCall) -> None:
         """Send a call, or keep it until the link is connected."""
@@ -123,39 +127,31 @@
     def drop(self, reason: str) -> None:
         """End the link."""
         self.reason = reason
-        self._scope.cancel()
+        self._close()
 
-    async def _connect(self, nursery: trio.Nursery) -> None:
-        socket = trio.socket.socket()
-        try:
-            with trio.fail_after(CONNECT_TIMEOUT_S):
-                await socket.connect((self.address.host, self.address.port))
-        except trio.TooSlowError as error:
-            socket.close()
-            raise OSError(f"no connection within {CONNECT_TIMEOUT_S} s") from error
-        except BaseException:
-            socket.close()
-            raise
+    def _open(self, socket: trio.socket.SocketType, readiness: Readiness) -> None:
         socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        self._duplex = Duplex(trio.SocketStream(socket), nursery)
+        self._duplex = Duplex(socket, readiness, self._take, self.drop)
         self._heard_at = trio.current_time()
         self._duplex.send(PREAMBLE + b"".join(self._unsent))
         self._unsent.clear()
 
-    async def _read(self) -> None:
-        reader = CallFrameReader()
-        while data := await self._duplex.receive():
-            self._heard_at = trio.current_time()
-            self._pinged = False
-            for kind, payload in reader.feed(data):
+    def _take(self, data: bytes) -> None:
+        self._heard_at = trio.current_time()
+        self._pinged = False
+        try:
+            for kind, payload in self._reader.feed(data):
                 if kind == FrameType.REPLY:
                     reply = decode_reply(payload)
                     if reply.number in self._calls:
                         self._calls.discard(reply.number)
                         self._taker.take_reply(reply)
-        self.reason = "ended by the peer"
+        except CallFrameError as error:
+            self.drop(str(error))
 
     def _close(self) -> None:
+        if self.closed:
+            return
         self.closed = True
         ran = Ran.NO if self._duplex is None else Ran.UNKNOWN
         if self._duplex is not None:
@@ -176,9 +172,16 @@
 class CallLinks:
     """Keep one link to each peer and open it anew when it has failed."""
 
-    def __init__(self, taker: ReplyTaker, nursery: trio.Nursery, log: EventLog):
+    def __init__(
+        self,
+        taker: ReplyTaker,
+        nursery: trio.Nursery,
+        readiness: Readiness,
+        log: EventLog,
+    ):
         self._taker = taker
         self._nursery = nursery
+        self._readiness = readiness
         self._log = log
         self._links: dict[Address, CallLink] = {}
         self._failed_at: dict[Address, float] = {}
@@ -193,7 +196,7 @@
                 self._taker.take_link_failure(call.number, Ran.NO, detail)
                 return
             link = self._links[address] = CallLink(address, self._taker, self._log)
-            self._nursery.start_soon(self._run, link)
+            self._nursery.start_soon(self._connect, link)
         link.send(call)
 
     def cancel(self, address: Address, number: CallNumber) -> None:
@@ -211,17 +214,17 @@
             # This process was late itself: what came meanwhile is not read yet.
             is_late = now - last > 2 * CHECK_S
             last = now
-            for link in tuple(self._links.values()):
-                if is_late:
+            for address, link in tuple(self._links.items()):
+                if link.closed:
+                    del self._links[address]
+                elif is_late:
                     link.forgive(now)
                 else:
                     link.check(now)
 
-    async def _run(self, link: CallLink) -> None:
-        await link.run(self._nursery)
-        if self._links.get(link.address) is link:
-            del self._links[link.address]
-        if link.reason.startswith("no connection") or link.reason.startswith("[Errno"):
+    async def _connect(self, link: CallLink) -> None:
+        await link.connect(self._readiness)
+        if not link.is_connected:
             self._failed_at[link.address] = trio.current_time()
 
 
@@ -247,25 +250,25 @@
     """Pass the calls of one incoming link to the handler and send its replies."""
 
     def __init__(
-        self, stream: trio.SocketStream, handler: CallHandler, nursery: trio.Nursery
+        self,
+        socket: trio.socket.SocketType,
+        readiness: Readiness,
+        handler: CallHandler,
     ):
-        self._duplex = Duplex(stream, nursery)
         self._handler = handler
+        self._reader = CallFrameReader()
+        self._duplex = Duplex(socket, readiness, self._on_data, self._on_end)
 
-    async def run(self, rest: bytes) -> None:
-        """Serve until the link ends; the rest is what came with the preamble."""
-        reader = CallFrameReader()
+    def _on_data(self, data: bytes) -> None:
         try:
-            data = rest
-            while True:
-                for kind, payload in reader.feed(data):
-                    self._take(kind, payload)
-                data = await self._duplex.receive()
-                if not data:
-                    return
-        finally:
-            self._handler.cancel_all(self)
+            for kind, payload in self._reader.feed(data):
+                self._take(kind, payload)
+        except CallFrameError as error:
             self._duplex.close()
+            self._on_end(str(error))
+
+    def _on_end(self, reason: str) -> None:
+        self._handler.cancel_all(self)
 
     def _take(self, kind: int, payload: bytes) -> None:
         if kind == FrameType.CALL:
@@ -277,3 +280,16 @@
 
     def _reply(self, reply: RoutedReply) -> None:
         self._duplex.send(frame(FrameType.REPLY, encode_reply(reply)))
+
+
+@dataclass(frozen=True)
+class CallService:
+    """Serve calls on the connections that bring them."""
+
+    readiness: Readiness
+    handler: CallHandler
+
+    def take(self, socket: trio.socket.SocketType) -> None:
+        """Take over a connection whose preamble was read."""
+        socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        CallServerConnection(socket, self.readiness, self.handler)
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -1,22 +1,42 @@
-"""Read a connection in one task and write to it from any."""
+"""Read and write one connection through callbacks."""
 
 import os
 import select
+import socket as sockets
+from collections.abc import Callable
 
 import trio
 
+from persimmonhall.wire.readiness import Readiness
+
 RECEIVE_BYTES = 64 * 1024
+READ = select.EPOLLIN | select.EPOLLRDHUP
+WRITE = select.EPOLLOUT
+ENDED = "ended by the peer"
+
+DataTaker = Callable[[bytes], None]
+EndTaker = Callable[[str], None]
 
 
 class Duplex:
-    """Write at once what the connection takes and the rest as it makes room."""
+    """Hand over what arrives; send at once what the connection takes."""
 
-    def __init__(self, stream: trio.SocketStream, nursery: trio.Nursery):
-        self._stream = stream
-        self._nursery = nursery
-        self._fd = stream.socket.fileno()
+    def __init__(
+        self,
+        socket: trio.socket.SocketType,
+        readiness: Readiness,
+        on_data: DataTaker,
+        on_end: EndTaker,
+    ):
+        self._socket = socket
+        self._fd = socket.fileno()
+        self._readiness = readiness
+        self._on_data = on_data
+        self._on_end = on_end
         self._unsent = bytearray()
+        self._is_paused = False
         self._closed = False
+        readiness.add(self._fd, READ, self._on_ready)
 
     @property
     def unsent_bytes(self) -> int:
@@ -35,61 +55,81 @@
         poll.register(self._fd, select.POLLIN)
         return bool(poll.poll(0))
 
-    async def receive(self) -> bytes:
-        """Return the next bytes, or none at the end; raise BrokenResourceError."""
-        while True:
-            if self._closed:
-                raise trio.ClosedResourceError("the connection was closed here")
-            await trio.lowlevel.wait_readable(self._fd)
-            try:
-                return os.read(self._fd, RECEIVE_BYTES)
-            except BlockingIOError:
-                continue
-            except OSError as error:
-                raise trio.BrokenResourceError(str(error)) from error
-
     def send(self, data: bytes) -> None:
-        """Send bytes in the order of the calls; a fault shows where the task reads."""
+        """Send bytes in the order of the calls; a fault ends the connection later."""
         if self._closed:
             return
         if self._unsent:
             self._unsent += data
             return
-        try:
-            written = os.write(self._fd, data)
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # The task that reads meets the same fault and ends the connection.
-            return
+        written = self._write(data)
         if written < len(data):
-            self._unsent += data[written:]
-            self._nursery.start_soon(self._drain)
+            self._unsent += memoryview(data)[written:]
+            self._watch()
+
+    def pause(self) -> None:
+        """Read nothing until resumed; the peer waits."""
+        if not self._is_paused and not self._closed:
+            self._is_paused = True
+            self._watch()
+
+    def resume(self) -> None:
+        """Read again."""
+        if self._is_paused and not self._closed:
+            self._is_paused = False
+            self._watch()
 
     def shut_down_sending(self) -> None:
         """Tell the peer that nothing follows."""
         try:
-            self._stream.socket.shutdown(trio.socket.SHUT_WR)
+            self._socket.shutdown(sockets.SHUT_WR)
         except OSError:
             # The peer has closed already.
             return
 
     def close(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once; nothing is called back any more."""
         if self._closed:
             return
         self._closed = True
         self._unsent.clear()
-        self._stream.socket.close()
+        self._readiness.remove(self._fd)
+        self._socket.close()
 
-    async def _drain(self) -> None:
+    def _watch(self) -> None:
+        events = 0 if self._is_paused else READ
+        self._readiness.change(self._fd, events | (WRITE if self._unsent else 0))
+
+    def _on_ready(self, events: int) -> None:
+        if events & WRITE and self._unsent:
+            del self._unsent[: self._write(self._unsent)]
+            if not self._unsent:
+                self._watch()
+        if events & ~WRITE and not self._closed:
+            self._read()
+
+    def _read(self) -> None:
         try:
-            while self._unsent and not self._closed:
-                await trio.lowlevel.wait_writable(self._fd)
-                if not self._closed:
-                    del self._unsent[: os.write(self._fd, self._unsent)]
+            data = os.read(self._fd, RECEIVE_BYTES)
         except BlockingIOError:
-            self._nursery.start_soon(self._drain)
-        except (OSError, trio.ClosedResourceError):
-            # As in send: the reading task ends the connection.
-            self._unsent.clear()
+            return
+        except OSError as error:
+            self._end(str(error))
+            return
+        if data:
+            self._on_data(data)
+        else:
+            self._end(ENDED)
+
+    def _write(self, data) -> int:
+        try:
+            return os.write(self._fd, data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            # Reading meets the same fault and ends the connection.
+            return len(data)
+
+    def _end(self, reason: str) -> None:
+        self.close()
+        self._on_end(reason)
--- a/persimmonhall/wire/link_server.py
+++ b/persimmonhall/wire/link_server.py
@@ -7,8 +7,7 @@
 from absl import logging
 
 from persimmonhall.address import Address
-from persimmonhall.wire.call_link import ENDINGS as CALL_ENDINGS
-from persimmonhall.wire.call_link import CallHandler, CallServerConnection
+from persimmonhall.wire.call_link import CallService
 from persimmonhall.wire.calls import PREAMBLE as CALL_PREAMBLE
 from persimmonhall.wire.credit import Credit
 from persimmonhall.wire.direct_stream import DirectStream
@@ -160,23 +159,18 @@
 async def serve_links(
     handlers: Handlers,
     address: Address,
-    calls: CallHandler | None = None,
+    calls: CallService | None = None,
     *,
     task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Answer frame connections on an address; those with calls go to their handler."""
 
     async def serve(stream: trio.SocketStream) -> None:
-        if calls is None or not await _brings_calls(stream):
+        if calls is not None and await _brings_calls(stream):
+            # A socket of its own, as this one closes with its task.
+            calls.take(stream.socket.dup())
+        else:
             await _LinkServer(DirectStream(stream), handlers).run()
-            return
-        async with trio.open_nursery() as nursery:
-            connection = CallServerConnection(stream, calls, nursery)
-            try:
-                await connection.run(b"")
-            except CALL_ENDINGS as error:
-                logging.info("call link ended: %s", error)
-            nursery.cancel_scope.cancel()
 
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
     host, port = listeners[0].socket.getsockname()[:2]
