--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -184,7 +184,7 @@
         work = self._work.pop((origin, number), None)
         if work is None:
             return
-        if work.waiting is not None and work.request is None:
+        if work.waiting is not None:
             self._line.remove(work.waiting)
             return
         if work.request is not None and self._pool is not None:
@@ -302,6 +302,7 @@
 
     def _start(self, work: _Work, now: float) -> None:
         call = work.call
+        work.waiting = None
         left_ms = max(1, int((work.deadline - now) * 1000))
         names = self._headers
         end = b"%s: %d\r\n%s: %s\r\n" % (
@@ -337,6 +338,8 @@
     def _end(self, work: _Work, result: BackendResult) -> None:
         if self._work.pop((work.origin, work.call.number), None) is None:
             return
+        # Cycles would be left to the garbage collector, one for each call.
+        work.request = None
         self._in_flight -= 1
         now = trio.current_time()
         if isinstance(result, BackendFailure):
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -157,7 +157,8 @@
             pool.take_latency(view, seen.path, seen.latency_s, now)
         if not probed:
             return
-        usual_s = pool.baselines[seen.path].latency_s if pool.baselines else 0.0
+        baseline = pool.baselines.get(seen.path)
+        usual_s = baseline.latency_s if baseline is not None else 0.0
         if seen.outcome is CallOutcome.FAILED:
             pool.eject(node, EjectReason.FAILING, self._rng, now)
         elif view.reason is EjectReason.SLOW and (
--- a/persimmonhall/routing/tests/test_router.py
+++ b/persimmonhall/routing/tests/test_router.py
@@ -214,3 +214,16 @@
     assert traffic.router.choose(CUE, exclude, 0.0).member.node == "suva-cue-101"
     exclude.append("suva-cue-101")
     assert traffic.router.choose(CUE, exclude, 0.0) is None
+
+
+def test_failure_on_a_path_never_seen_before_is_judged():
+    """Take in a failed probe although no answer of its path is known."""
+    traffic = Traffic(near=3)
+    traffic.run(20)
+    choice = traffic.router.choose(CUE, (), traffic.now)
+    node = choice.member.node
+    view = traffic.router._pools[CUE].views[node]
+    view.probing = True
+    failed = Observation(CallOutcome.FAILED, "/other", NORMAL_S)
+    traffic.router.observe(CUE, node, failed, traffic.now)
+    assert view.reason is not None
--- a/persimmonhall/timers.py
+++ b/persimmonhall/timers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import trio
+from absl import logging
 
 # Timers that were cancelled stay in the heap: passing over them one by one would
 # cost a turn of the loop each.
@@ -27,8 +28,13 @@
     def fire(self) -> None:
         """Call unless cancelled."""
         callback, self._callback = self._callback, None
-        if callback is not None:
+        if callback is None:
+            return
+        try:
             callback()
+        except Exception:
+            # A fault met by one request must not end the process.
+            logging.exception("timer failed")
 
 
 class Timers:
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 import trio
+from absl import logging
 
 from persimmonhall.wire.readiness import Readiness
 
@@ -101,6 +102,14 @@
         self._readiness.change(self._fd, events | (WRITE if self._unsent else 0))
 
     def _on_ready(self, events: int) -> None:
+        try:
+            self._handle(events)
+        except Exception:
+            # A fault met by one connection must not end the process.
+            logging.exception("connection failed")
+            self._end("a fault of the system")
+
+    def _handle(self, events: int) -> None:
         if events & WRITE and self._unsent:
             del self._unsent[: self._write(self._unsent)]
             if not self._unsent:
--- a/persimmonhall/wire/readiness.py
+++ b/persimmonhall/wire/readiness.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 import trio
-from absl import logging
 
 # Events handled before other tasks get their turn.
 MAX_EVENTS = 64
@@ -49,11 +48,5 @@
         for fd, events in self._epoll.poll(0, MAX_EVENTS):
             # An earlier callback of the same round may have closed this one.
             callback = self._callbacks.get(fd)
-            if callback is None:
-                continue
-            try:
+            if callback is not None:
                 callback(events)
-            except Exception:
-                # A fault met by one connection must not end the process.
-                logging.exception("connection failed fd=%d", fd)
-                self.remove(fd)
