Tell roots from calls by where a route is asked for; hold the level until it shows

Cause: callers and servers reach their node from the same address, so that every request counted as a call of a running one and no root was ever refused early. Ruled out: the peer address (the same for both), the attempt id (its form is not promised). A route asked for next to its own service is asked for by callers. The level overshot in the new model of load (harness/load_model): it now waits for what it let in to show, and small routes count as one rank more urgent.

--- /dev/null
+++ b/harness/load_model/__main__.py
@@ -0,0 +1,43 @@
+"""Run an experiment from a TOML file."""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+
+from harness.load_model.report import report_of
+from harness.load_model.scenario import load_scenario
+from harness.load_model.world import play
+from persimmonhall.status import ExitStatus
+
+EXAMPLES = """\
+examples:
+  python -m harness.load_model examples/model/hakepuu_surge.toml
+  python -m harness.load_model examples/model/vanua_surge.toml --json out.json"""
+
+
+def main(arguments: list[str] | None = None) -> ExitStatus:
+    """Run the experiment and return the exit status."""
+    parser = argparse.ArgumentParser(
+        prog="python -m harness.load_model",
+        description="Play a call graph under load in virtual time.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("scenario", type=Path, help="TOML file of the experiment")
+    parser.add_argument("--json", type=Path, metavar="FILE", help="write JSON too")
+    given = parser.parse_args(arguments)
+    try:
+        scenario = load_scenario(given.scenario)
+    except (OSError, ValueError) as error:
+        print(f"{parser.prog}: error: {error}", file=sys.stderr)
+        return ExitStatus.USAGE
+    report = report_of(play(scenario))
+    print(report.table())
+    if given.json is not None:
+        given.json.write_text(json.dumps(report.as_dict(), indent=1))
+    return ExitStatus.SUCCESS
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/harness/load_model/callers.py
@@ -0,0 +1,152 @@
+"""Play callers who come at random and return as they are told, or at once."""
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from harness.load_model.clock import Events
+from harness.load_model.scenario import Kind, Scenario
+from harness.load_model.servers import ModelExchange, make_message
+
+# Callers wait for as much of their time as this, whatever they are told.
+MOST_WAIT_SHARE = 1 / 3
+EAGER_PAUSE_S = 0.01
+
+
+@dataclass
+class KindCount:
+    """Count what became of the requests of one kind."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    seconds: list[float] = field(default_factory=list)
+
+    @property
+    def served(self) -> float:
+        """Return the share that was served at all."""
+        return (self.in_time + self.late) / max(1, self.asked)
+
+
+class Callers:
+    """Send the requests of all kinds to the entries of all zones."""
+
+    def __init__(self, scenario: Scenario, entries, events: Events, rng: random.Random):
+        self._scenario = scenario
+        self._entries = entries
+        self._events = events
+        self._rng = rng
+        self.counts: dict[str, KindCount] = defaultdict(KindCount)
+        self.by_second: dict[int, float] = defaultdict(float)
+
+    def start(self) -> None:
+        """Schedule the first request of each kind."""
+        for kind in self._scenario.kinds:
+            if kind.per_s > 0:
+                self._schedule(kind)
+
+    def _schedule(self, kind: Kind) -> None:
+        rate = kind.per_s * self._burst()
+        self._events.after(self._rng.expovariate(rate), lambda: self._arrive(kind))
+
+    def _arrive(self, kind: Kind) -> None:
+        if self._events.now < self._scenario.length_s:
+            self._schedule(kind)
+            _Request(self, kind).send(0)
+
+    def _active(self):
+        now = self._events.now
+        return [
+            d for d in self._scenario.disturbances if d.at_s <= now < d.at_s + d.for_s
+        ]
+
+    def _burst(self) -> float:
+        factor = 1.0
+        for disturbance in self._active():
+            factor *= disturbance.burst
+        return factor
+
+    def eager_tries(self) -> int:
+        """Draw how often more than usual a caller tries at once."""
+        for disturbance in self._active():
+            if self._rng.random() < disturbance.eager_share:
+                return disturbance.eager_times
+        return 0
+
+
+class _Request:
+    """Follow one request through its tries."""
+
+    def __init__(self, callers: Callers, kind: Kind):
+        self._callers = callers
+        self._kind = kind
+        self._began = callers._events.now
+        self._deadline = self._began + kind.deadline_ms / 1000
+        self._eager = callers.eager_tries()
+        self._tries_left = kind.retries + self._eager
+        self._done = False
+        callers.counts[kind.name].asked += 1
+        callers._events.call_at(self._deadline, self._give_up)
+        self._exchange = None
+        self._entry = None
+
+    def send(self, number: int) -> None:
+        """Send one try to an entry of a random zone."""
+        if self._done:
+            return
+        callers = self._callers
+        self._entry = callers._rng.choice(callers._entries)
+        self._exchange = ModelExchange(self._take)
+        entry, exchange = self._entry, self._exchange
+        attempt = f"{self._kind.name}-{callers._rng.getrandbits(48):x}"
+        one_way_s = callers._scenario.to_callers_ms / 1000
+        left_ms = (self._deadline - callers._events.now) * 1000
+        message = make_message(self._kind, attempt, left_ms)
+        callers._events.after(one_way_s, lambda: entry.begin(message, exchange))
+
+    def _take(self, status: int, retry_after_s: float) -> None:
+        one_way_s = self._callers._scenario.to_callers_ms / 1000
+        self._callers._events.after(
+            one_way_s, lambda: self._end_try(status, retry_after_s)
+        )
+
+    def _end_try(self, status: int, retry_after_s: float) -> None:
+        if self._done:
+            return
+        if status < 400:
+            self._finish(served=True)
+            return
+        left_s = self._deadline - self._callers._events.now
+        may_return = status == 503 or self._kind.may_repeat
+        if self._tries_left > 0 and may_return and left_s > 0:
+            self._tries_left -= 1
+            wait_s = min(retry_after_s, left_s * MOST_WAIT_SHARE)
+            if self._eager:
+                wait_s = EAGER_PAUSE_S
+            self._callers._events.after(wait_s, lambda: self.send(1))
+        else:
+            self._finish(served=False, refused=status == 503)
+
+    def _give_up(self) -> None:
+        if not self._done:
+            self._finish(served=False)
+            self._entry.abandon(self._exchange)
+
+    def _finish(self, *, served: bool, refused: bool = False) -> None:
+        self._done = True
+        count = self._callers.counts[self._kind.name]
+        took_s = self._callers._events.now - self._began
+        second = int(self._began)
+        if not served:
+            count.refused += refused
+            count.failed += not refused
+            return
+        count.seconds.append(took_s)
+        if took_s <= self._kind.objective_ms / 1000:
+            count.in_time += 1
+            self._callers.by_second[second] += self._kind.worth
+        else:
+            count.late += 1
+            self._callers.by_second[second] += self._kind.late_worth
--- /dev/null
+++ b/harness/load_model/scenario.py
@@ -0,0 +1,86 @@
+"""Read what is played: services, kinds of request, callers and disturbances."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from persimmonhall.checked import bounded, read_toml
+
+
+@dataclass(frozen=True)
+class Calls:
+    """Say which calls one run makes, one after the other or together."""
+
+    kind: str
+    times: int = bounded(1, least=1, most=100)
+    together: bool = False
+
+
+@dataclass(frozen=True)
+class Kind:
+    """Describe one kind of request; a rate of 0 is one that only servers send."""
+
+    name: str
+    service: str
+    work_ms: float = bounded(least=0.0)
+    objective_ms: int = bounded(least=1)
+    deadline_ms: int = bounded(least=1)
+    priority: int = bounded(0, least=0)
+    per_s: float = bounded(0.0, least=0.0)
+    worth: float = 0.0
+    late_worth: float = 0.0
+    retries: int = 0
+    spread: float = 0.5
+    may_repeat: bool = True
+    calls: tuple[Calls, ...] = ()
+
+
+@dataclass(frozen=True)
+class Service:
+    """Describe the servers of a service, spread over the zones in turn."""
+
+    name: str
+    servers: int = bounded(least=1)
+    slots: int = bounded(least=1)
+    # Work takes so many times as long on the servers in turn.
+    speeds: tuple[float, ...] = (1.0,)
+
+
+@dataclass(frozen=True)
+class Disturbance:
+    """Change something for a while: a burst of load or slow servers of a service."""
+
+    at_s: float
+    for_s: float
+    burst: float = 1.0
+    slow_service: str = ""
+    slow_times: float = 1.0
+    slow_servers: int = 1
+    # Callers who return at once, so many times more, in this share.
+    eager_share: float = 0.0
+    eager_times: int = 0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """Hold everything that one experiment plays."""
+
+    services: tuple[Service, ...]
+    kinds: tuple[Kind, ...]
+    zones: int = bounded(3, least=1)
+    length_s: float = bounded(20.0, least=1.0)
+    between_zones_ms: float = 1.4
+    to_callers_ms: float = 8.0
+    seed: int = 1
+    disturbances: tuple[Disturbance, ...] = ()
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Read a TOML file; raise ValueError with its first problem."""
+    result = read_toml(Scenario, path.read_text(encoding="utf-8"))
+    if result.failure is not None and not _is_success(result):
+        raise ValueError(f"{path}: {result.failure()[0]}")
+    return result.unwrap()
+
+
+def _is_success(result) -> bool:
+    return result.value_or(None) is not None
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -25,6 +25,7 @@
 from persimmonhall.routing.patience import Patience
 from persimmonhall.routing.resend_budget import ResendBudget
 from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Observation, Router
 from persimmonhall.routing.views import CallOutcome
 from persimmonhall.timers import Timer, Timers
@@ -64,7 +65,6 @@
     """Name this node and the service of the backend server next to it."""
 
     node: NodeName
-    host: str
     service: ServiceName
 
 
@@ -128,6 +128,7 @@
         budget: ResendBudget,
         graph: CallGraph,
         levels: RouteLevels,
+        origins: RouteOrigins,
         timers: Timers,
         rng: random.Random,
         log: EventLog,
@@ -156,6 +157,7 @@
         self._budget = budget
         self._graph = graph
         self._levels = levels
+        self._origins = origins
         self._timers = timers
         self._rng = rng
         self._log = log
@@ -187,7 +189,7 @@
         flight.attempt = attempt
         flight.rank = routes.rank_of(route)
         flight.service = routes.choose_service(route)
-        flight.is_nested = exchange.peer_host == self._own.host
+        flight.is_nested = self._is_nested(route)
         flight.is_head = message.method == "HEAD"
         flight.is_logged = is_sampled(attempt)
         flight.deadline = now + _usable_s(wait_ms, route)
@@ -225,6 +227,8 @@
         self._observe(flight, member, reply, now)
         if reply.load.limit:
             self._levels.note(flight.route.name, reply.load.level, now)
+            if reply.load.is_asked_by_callers:
+                self._origins.mark(flight.route.name)
         if reply.error is None:
             self._take_answer(flight, reply, now)
         elif reply.ran is Ran.NO:
@@ -263,6 +267,15 @@
         lines.append(self._caller_line)
         return host, AttemptId(attempt), wait_ms, b"".join(lines)
 
+    def _is_nested(self, route: Route) -> bool:
+        """Tell whether a request is a call of a request that runs already."""
+        if self._origins.is_asked_by_callers(route.name):
+            return False
+        if any(target.service == self._own.service for target in route.targets):
+            self._origins.mark(route.name)
+            return False
+        return True
+
     def _lets_in(self, flight: _Flight, now: float) -> bool:
         level = self._levels.level(flight.route.name, now)
         share = share_let_in(level, flight.rank)
@@ -323,6 +336,7 @@
             flight.is_nested,
             route.is_idempotent,
             flight.is_head,
+            len(flight.tried) > 1,
             max(0, int((flight.deadline - now) * 1000)),
             route.latency_objective_ms,
             flight.head,
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -1,11 +1,12 @@
 """Run the calls of routes at the one backend server next to this node."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import trio
 
-from persimmonhall.admission.level import INTERVAL_S, LevelController
+from persimmonhall.admission.level import INTERVAL_S, LevelController, WorkShares
 from persimmonhall.admission.urgency import NESTED_RANK, UrgencyLine, Waiting
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
 from persimmonhall.errors import ErrorKind, Ran
@@ -22,12 +23,13 @@
 from persimmonhall.ids import CallNumber, RouteName
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.timers import Timers
 from persimmonhall.wire.calls import GateLoad, RoutedCall, RoutedReply
 from persimmonhall.wire.readiness import Readiness
 
-# Servers turn slow when nearly all of their slots are taken.
-USABLE_SHARE = 0.94
+# Servers turn slow when this share of their slots is taken.
+SLOW_SHARE = 0.95
 # Connections beyond the slots: a few close while others open in their place.
 SPARE_CONNECTIONS = 16
 # Of its latency objective a root may wait here: a refusal before an eighth of the
@@ -38,6 +40,8 @@
 # waste what ran before.
 NESTED_WAIT_SHARE = 0.6
 RUN_WEIGHT = 0.1
+# Before any call that waits, as none waits for longer than its deadline.
+SMALL_ROUTE_LEAD_S = 60.0
 MISDIRECTED_STATUS = 421
 DROPPED = HOP_BY_HOP | LENGTH_HEADERS
 
@@ -77,6 +81,7 @@
         timers: Timers,
         graph: CallGraph,
         levels: RouteLevels,
+        origins: RouteOrigins,
         log: EventLog,
         on_down: Callable[[], None] = lambda: None,
         make_pool: Callable[..., BackendPool] = BackendPool,
@@ -87,6 +92,7 @@
         self._timers = timers
         self._graph = graph
         self._levels = levels
+        self._origins = origins
         self._log = log
         self._on_down = on_down
         self._make_pool = make_pool
@@ -99,6 +105,7 @@
         self._line: UrgencyLine[_Work] = UrgencyLine()
         self._work: dict[tuple[object, CallNumber], _Work] = {}
         self._controller = LevelController(1)
+        self._shares: WorkShares[RouteName] = WorkShares()
         self._run_s: dict[RouteName, float] = {}
         self._mean_run_s = 0.0
         self._expiry = None
@@ -147,7 +154,7 @@
             return
         if known is None or known.instance != report.instance or self._pool is None:
             self._open_pool(report)
-        self._limit = max(1, int(report.slots * USABLE_SHARE))
+        self._limit = usable_slots(report.slots)
         self._closed = ErrorKind.LEAVING if self._leaving else None
         self._start_waiting()
 
@@ -173,7 +180,11 @@
             self._refuse(work, *refusal)
             return
         self._work[origin, call.number] = work
-        self._controller.sample(self._in_flight, len(self._line), self._limit)
+        if not call.is_rerouted:
+            # Elsewhere its work was counted already.
+            run_s = self._expected_s(call.route)
+            self._controller.arrive(run_s)
+            self._shares.arrive(call.route, run_s)
         if self._in_flight < self._limit and not len(self._line):
             self._start(work, now)
         else:
@@ -203,19 +214,29 @@
         while True:
             await trio.sleep(INTERVAL_S)
             now = trio.current_time()
-            self._controller.step(
-                self._in_flight, len(self._line), self._limit, now - last
-            )
+            self.step(now, now - last)
             last = now
-            self._graph.end_interval()
-            if self._pool is not None:
-                self._pool.close_idle(now)
-            self._note_level()
+
+    def step(self, now: float, passed_s: float) -> None:
+        """Adjust the level and close idle connections."""
+        self._controller.step(len(self._line), self._limit, passed_s)
+        self._shares.step()
+        self._graph.end_interval()
+        if self._pool is not None:
+            self._pool.close_idle(now)
+        self._note_level()
 
     def load(self, route: RouteName, now: float) -> GateLoad:
         """Return how busy the gate is, with the level of all that a route leads to."""
-        level = min(self._controller.level, self._levels.level_below(route, now))
-        return GateLoad(self._in_flight, len(self._line), self._limit, level)
+        own_level = self._controller.level + self._shares.is_small(route)
+        level = min(own_level, self._levels.level_below(route, now))
+        return GateLoad(
+            self._in_flight,
+            len(self._line),
+            self._limit,
+            level,
+            self._origins.is_asked_by_callers(route),
+        )
 
     def _open_pool(self, report: InstanceReport) -> None:
         if self._pool is not None:
@@ -246,6 +267,9 @@
             most_s = max(LEAST_WAIT_S, ROOT_WAIT_SHARE * call.objective_ms / 1000)
         latest = min(now + most_s, work.deadline - self._expected_s(call.route))
         start_by = now + ROOT_WAIT_SHARE * call.objective_ms / 1000
+        if not call.is_nested and self._shares.is_small(call.route):
+            # A route that brings little work delays the others little.
+            start_by = now - SMALL_ROUTE_LEAD_S
         work.waiting = Waiting(work, rank, start_by, latest)
         self._line.add(work.waiting)
         if now + self._wait_s() > latest:
@@ -431,3 +455,8 @@
             limit=self._limit,
             run_ms=round(self._mean_run_s * 1000, 1),
         )
+
+
+def usable_slots(slots: int) -> int:
+    """Return how many slots may be taken before a server turns slow."""
+    return max(1, math.ceil(slots * SLOW_SHARE) - 1)
--- a/persimmonhall/call/tests/routed_parts.py
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -16,6 +16,7 @@
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.resend_budget import ResendBudget
 from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Router
 from persimmonhall.timers import Timers
 from persimmonhall.wire.calls import GateLoad, RoutedReply
@@ -23,7 +24,6 @@
 HEADERS = HeaderNames()
 CALM = GateLoad(1, 0, 100, 9.0)
 OWN_HOST = "10.0.0.1"
-CALLER_HOST = "10.9.9.9"
 
 
 class FakePool:
@@ -62,6 +62,7 @@
     def __init__(self, report):
         self.graph = CallGraph()
         self.levels = RouteLevels(self.graph)
+        self.origins = RouteOrigins()
         self.timers = Timers()
         self.down = 0
         self.replies = {}
@@ -72,6 +73,7 @@
             self.timers,
             self.graph,
             self.levels,
+            self.origins,
             EventLog("n"),
             self._go_down,
             FakePool,
@@ -113,11 +115,24 @@
         self.cancelled.append(number)
 
 
+class FakeGate:
+    """Hold the calls to the own gate."""
+
+    def __init__(self):
+        self.calls = []
+
+    def begin(self, origin, call, reply):
+        """Hold a call."""
+        self.calls.append(call)
+
+    def cancel(self, origin, number):
+        """Do nothing."""
+
+
 class FakeExchange:
     """Collect the answer to one request."""
 
-    def __init__(self, peer_host=CALLER_HOST):
-        self.peer_host = peer_host
+    def __init__(self):
         self.context = None
         self.end_reason = ""
         self.status = None
@@ -159,39 +174,44 @@
     """Run an entry with fake links to a number of servers."""
 
     def __init__(self, *routes, servers=3, seed=1):
-        own = make_member("own", service="other", host=OWN_HOST)
+        own = make_member("own", service="glyph", host=OWN_HOST)
         self.table = MemberTable(own)
         for number in range(servers):
             self.table.put(make_member(f"s{number}", host=f"10.0.0.{number + 2}"))
         graph = CallGraph()
         self.levels = RouteLevels(graph)
+        self.origins = RouteOrigins()
         self.releases = ReleaseInForce(OwnDialect().decode_release, EventLog("n"))
         if routes:
             text = write_release(make_release(*routes))
             self.releases.apply(HeldRelease(1, 1, text))
             self.levels.set_ranks(self.releases.routes.ranks)
+            for route in routes:
+                self.origins.mark(route.name)
         rng = random.Random(seed)
         self.links = FakeLinks()
+        self.gate = FakeGate()
         self.timers = Timers()
         self.entry = RoutedEntry(
-            OwnNode("own", OWN_HOST, "other"),
+            OwnNode("own", "glyph"),
             HEADERS,
             self.releases,
             self.table,
             Router(self.table, "suva", rng),
-            None,
+            self.gate,
             lambda: self.links,
             ResendBudget(0.2, 50.0),
             graph,
             self.levels,
+            self.origins,
             self.timers,
             rng,
             EventLog("n"),
         )
 
-    def ask(self, peer_host=CALLER_HOST, **message):
+    def ask(self, **message):
         """Send one request and return its exchange."""
-        exchange = FakeExchange(peer_host)
+        exchange = FakeExchange()
         self.entry.begin(make_message(**message), exchange)
         return exchange
 
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -5,17 +5,15 @@
 
 from persimmonhall.call.tests.routed_parts import (
     HEADERS,
-    OWN_HOST,
     EntryScene,
 )
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.http.refusals import status_of
-from persimmonhall.release.schema import RouteKind
+from persimmonhall.release.schema import RouteKind, WeightedService
 from persimmonhall.release.tests.builders import make_route
 from persimmonhall.wire.calls import GateLoad
 
 ONCE = make_route(kind=RouteKind.NON_IDEMPOTENT)
-FULL = GateLoad(100, 50, 100, 1.0)
 
 
 async def test_without_a_release_the_caller_is_told_to_come_back(autojump_clock):
@@ -39,7 +37,7 @@
     }
     scene.ask(**names)
     head = scene.calls[0].head
-    assert b"persimmonhall-caller-service: other\r\n" in head
+    assert b"persimmonhall-caller-service: glyph\r\n" in head
     assert b"accept: text/html\r\n" in head
     assert b"liar" not in head
     assert b"i-9" not in head
@@ -140,7 +138,8 @@
     """Refuse no call of the own server at the entry: its root runs already."""
     scene = EntryScene(make_route(priority=5), make_route("b", prefix="/b/"))
     scene.levels.note("charts", 0.3, trio.current_time())
-    exchanges = [scene.ask(peer_host=OWN_HOST) for _ in range(50)]
+    scene.origins.keep(set())
+    exchanges = [scene.ask() for _ in range(50)]
     assert all(exchange.status is None for exchange in exchanges)
     assert all(call.is_nested for call in scene.calls)
 
@@ -213,3 +212,24 @@
     scene = EntryScene(make_route(timeout_ms=5000))
     scene.ask(**{HEADERS.deadline_ms.decode().replace("-", "_"): wait})
     assert left * 0.89 <= scene.calls[0].remaining_ms <= left
+
+
+async def test_route_asked_for_next_to_its_own_service_is_of_callers(autojump_clock):
+    """Tell roots from calls: no server calls its own service, and callers are
+    everywhere."""
+    route = make_route(targets=(WeightedService("glyph", 1),))
+    scene = EntryScene(route)
+    scene.origins.keep(set())
+    scene.ask()
+    assert not scene.gate.calls[0].is_nested
+
+
+async def test_replies_tell_which_routes_callers_ask_for(autojump_clock):
+    """Learn from the nodes of a service that its route is asked for by callers."""
+    scene = EntryScene(make_route())
+    scene.origins.keep(set())
+    scene.ask()
+    assert scene.calls[0].is_nested
+    scene.reply(load=GateLoad(1, 0, 100, 1.0, is_asked_by_callers=True))
+    scene.ask()
+    assert not scene.calls[1].is_nested
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from persimmonhall.call.routed_gate import ROOT_WAIT_SHARE, USABLE_SHARE
+from persimmonhall.call.routed_gate import ROOT_WAIT_SHARE, usable_slots
 from persimmonhall.call.tests.routed_parts import HEADERS, GateScene
 from persimmonhall.dialect import InstanceState
 from persimmonhall.errors import ErrorKind, Ran
@@ -28,9 +28,9 @@
     scene = GateScene(make_report(slots=10))
     for number in range(100):
         scene.begin(make_call(number, is_nested=True))
-    assert len(scene.pool.sent) == int(10 * USABLE_SHARE)
+    assert len(scene.pool.sent) == usable_slots(10)
     scene.pool.answer()
-    assert len(scene.pool.sent) == int(10 * USABLE_SHARE)
+    assert len(scene.pool.sent) == usable_slots(10)
 
 
 async def test_calls_of_running_requests_push_roots_out_of_a_full_queue(
--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -50,11 +50,6 @@
         self.context: object = None
         self.end_reason = ""
 
-    @property
-    def peer_host(self) -> str:
-        """Return the IP number that the request came from."""
-        return self._connection.peer_host
-
     def answer(self, status: int, head: bytes, body: bytes) -> None:
         """Send an answer after those before it; each line of the head ends in CRLF."""
         if self.data is not None:
@@ -99,7 +94,6 @@
         server: "CallerServer",
         readiness: Readiness,
     ):
-        self.peer_host = stream.socket.getpeername()[0]
         self._server = server
         self._limits = server.limits()
         self._reader = RequestReader(self._limits.max_header_bytes)
@@ -327,13 +321,7 @@
         self._lingering.discard(connection)
 
     def _take(self, stream: trio.SocketStream) -> None:
-        try:
-            connection = CallerConnection(stream, self, self._readiness)
-        except OSError:
-            # It was reset before it was accepted.
-            stream.socket.close()
-            return
-        self._connections.add(connection)
+        self._connections.add(CallerConnection(stream, self, self._readiness))
 
     async def _check_forever(self) -> None:
         while True:
--- a/persimmonhall/release/tests/builders.py
+++ b/persimmonhall/release/tests/builders.py
@@ -67,6 +67,7 @@
         "is_nested": False,
         "is_idempotent": True,
         "is_head": False,
+        "is_rerouted": False,
         "remaining_ms": 5000,
         "objective_ms": 1000,
         "head": b"GET /charts/1 HTTP/1.1\r\nhost: maps.example\r\n",
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -30,6 +30,7 @@
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.resend_budget import ResendBudget
 from persimmonhall.routing.route_levels import RouteLevels
+from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Router
 from persimmonhall.settings import NodeSettings
 from persimmonhall.signals import wait_for_stop_signal
@@ -104,6 +105,7 @@
         self.gossiper = Gossiper(self._table, self._pool, control, rng)
         graph = CallGraph()
         self._levels = RouteLevels(graph)
+        origins = RouteOrigins()
         self.gate = RoutedGate(
             dialect.headers,
             nursery,
@@ -111,6 +113,7 @@
             self.timers,
             graph,
             self._levels,
+            origins,
             self.log,
             lambda: self.instances.take_down(),
         )
@@ -122,7 +125,7 @@
             self.releases, self._control, self._pool, rng, self.log
         )
         self.entry = RoutedEntry(
-            OwnNode(own.name, own.callers.host, releases.service),
+            OwnNode(own.name, releases.service),
             dialect.headers,
             self.releases,
             self._table,
@@ -132,6 +135,7 @@
             ResendBudget(releases.resend_ratio, releases.resend_slack),
             graph,
             self._levels,
+            origins,
             self.timers,
             rng,
             self.log,
--- a/persimmonhall/routing/route_levels.py
+++ b/persimmonhall/routing/route_levels.py
@@ -5,8 +5,10 @@
 from persimmonhall.ids import RouteName
 from persimmonhall.routing.call_graph import CallGraph
 
-# Weight of one reply: the gates of a service differ, and each reply is one of them.
-REPLY_WEIGHT = 0.2
+# The gates of a service differ, and each reply is one of them: average over this time.
+AVERAGE_S = 0.1
+# Weight of a reply that follows the one before it at once.
+LEAST_WEIGHT = 0.1
 # Without replies a level is no longer known; it rises so that requests find out.
 FRESH_S = 0.5
 RISE_PER_S = 1.0
@@ -37,7 +39,8 @@
             self._seen[route] = _Seen(level, now)
             return
         known = self._aged(seen, now)
-        seen.level = known + REPLY_WEIGHT * (level - known)
+        weight = max(LEAST_WEIGHT, min(1.0, (now - seen.at) / AVERAGE_S))
+        seen.level = known + weight * (level - known)
         seen.at = now
 
     def level(self, route: RouteName, now: float) -> float:
--- a/persimmonhall/wire/calls.py
+++ b/persimmonhall/wire/calls.py
@@ -14,13 +14,14 @@
 PREAMBLE = b"PSC1"
 FRAME = struct.Struct("<IB")
 CALL = struct.Struct("<QBBIIHHHII")
-REPLY = struct.Struct("<QBHIHHHHIII")
+REPLY = struct.Struct("<QBBHIHHHHIII")
 NUMBER = struct.Struct("<Q")
 MAX_FRAME_BYTES = 128 * 1024 * 1024
 
 IS_NESTED = 1
 IS_IDEMPOTENT = 2
 IS_HEAD = 4
+IS_REROUTED = 8
 LEVEL_SCALE = 1000
 MAX_U16 = 0xFFFF
 KINDS = {kind.value: kind for kind in ErrorKind}
@@ -47,7 +48,8 @@
     """Carry one request to a gate.
 
     The head has the request line and headers without an end, so that the gate
-    adds its own; `rank` is the place of the route's priority, 0 the most urgent.
+    adds its own. A rerouted call was refused at another gate. `rank` is the place of
+    the route's priority, 0 the most urgent.
     """
 
     number: CallNumber
@@ -58,6 +60,7 @@
     is_nested: bool
     is_idempotent: bool
     is_head: bool
+    is_rerouted: bool
     remaining_ms: int
     objective_ms: int
     head: bytes
@@ -72,6 +75,7 @@
     queued: int
     limit: int
     level: float
+    is_asked_by_callers: bool = False
 
 
 @dataclass(slots=True)
@@ -104,6 +108,7 @@
     attempt = call.attempt.encode("latin-1")
     flags = call.is_nested * IS_NESTED
     flags |= call.is_idempotent * IS_IDEMPOTENT | call.is_head * IS_HEAD
+    flags |= call.is_rerouted * IS_REROUTED
     fixed = CALL.pack(
         call.number,
         flags,
@@ -133,6 +138,7 @@
             bool(flags & IS_NESTED),
             bool(flags & IS_IDEMPOTENT),
             bool(flags & IS_HEAD),
+            bool(flags & IS_REROUTED),
             remaining,
             objective,
             head,
@@ -151,6 +157,7 @@
     fixed = REPLY.pack(
         reply.number,
         ANSWERED if is_answer else RANS.index(reply.ran),
+        load.is_asked_by_callers,
         reply.status,
         int(reply.retry_after_s * 1000),
         min(load.in_flight, MAX_U16),
@@ -170,10 +177,12 @@
         fields = REPLY.unpack_from(data)
     except struct.error as error:
         raise CallFrameError(f"damaged reply: {error}") from error
-    number, outcome, status, retry_ms, in_flight, queued, limit, level = fields[:8]
-    head, body = _cut(data, REPLY.size, fields[9:])
-    load = GateLoad(in_flight, queued, limit, level / LEVEL_SCALE)
-    run_s = fields[8] / 1_000_000
+    number, outcome, is_root, status, retry_ms, *load_fields, level, run_us = fields[
+        :10
+    ]
+    head, body = _cut(data, REPLY.size, fields[10:])
+    load = GateLoad(*load_fields, level / LEVEL_SCALE, bool(is_root))
+    run_s = run_us / 1_000_000
     if outcome == ANSWERED:
         return RoutedReply(number, load, status, head, body, run_s=run_s)
     try:
--- a/persimmonhall/wire/readiness.py
+++ b/persimmonhall/wire/readiness.py
@@ -1,7 +1,9 @@
 """Watch many connections with one task in place of one each.
 
-Every wait of a trio task costs a system call to arm it and a turn of the scheduler;
-with thousands of messages a second that was a third of a node's work.
+A wait of a trio task costs a system call to arm it and a turn of the scheduler.
+With thousands of messages a second that was half of a node's work. While messages
+keep coming, the task here waits for the next one itself, and gives other tasks their
+turn every few milliseconds.
 """
 
 import select
@@ -9,8 +11,12 @@
 
 import trio
 
-# Events handled before other tasks get their turn.
+# Events handled before the time is looked at again.
 MAX_EVENTS = 64
+# Without a message for this long, other tasks and the scheduler have the loop.
+QUIET_S = 0.001
+# Other tasks of a busy node get their turn this often: timers fire this late.
+TURN_S = 0.004
 Callback = Callable[[int], None]
 
 
@@ -40,12 +46,22 @@
         try:
             while True:
                 await trio.lowlevel.wait_readable(self._epoll.fileno())
-                self._handle_ready()
+                await self._handle_burst()
         finally:
             self._epoll.close()
 
-    def _handle_ready(self) -> None:
-        for fd, events in self._epoll.poll(0, MAX_EVENTS):
+    async def _handle_burst(self) -> None:
+        """Handle messages until none has come for a while."""
+        turn = trio.current_time()
+        while ready := self._epoll.poll(QUIET_S, MAX_EVENTS):
+            self._handle(ready)
+            now = trio.current_time()
+            if now - turn > TURN_S:
+                await trio.lowlevel.checkpoint()
+                turn = trio.current_time()
+
+    def _handle(self, ready: list[tuple[int, int]]) -> None:
+        for fd, events in ready:
             # An earlier callback of the same round may have closed this one.
             callback = self._callbacks.get(fd)
             if callback is not None:
