--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from persimmonhall.admission.level import INTERVAL_S, LevelController, WorkShares
+from persimmonhall.admission.level import LevelController, WorkShares
 from persimmonhall.admission.urgency import NESTED_RANK, UrgencyLine, Waiting
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
 from persimmonhall.errors import ErrorKind, Ran
@@ -208,17 +208,8 @@
         for key in [key for key in self._work if key[0] is origin]:
             self.cancel(*key)
 
-    async def run(self) -> None:
-        """Adjust the level and close idle connections until cancelled."""
-        last = trio.current_time()
-        while True:
-            await trio.sleep(INTERVAL_S)
-            now = trio.current_time()
-            self.step(now, now - last)
-            last = now
-
     def step(self, now: float, passed_s: float) -> None:
-        """Adjust the level and close idle connections."""
+        """Adjust the level and close idle connections; call every INTERVAL_S."""
         self._controller.step(len(self._line), self._limit, passed_s)
         self._shares.step()
         self._graph.end_interval()
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import trio
 from absl import logging
@@ -12,7 +12,7 @@
 from persimmonhall.dialect import Dialect
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.events import Event, EventLog
-from persimmonhall.http.callers import CallerServer, Exchange
+from persimmonhall.http.callers import CHECK_S, CallerServer, Exchange
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.http.reading import Message
 from persimmonhall.http.refusals import refusal_answer
@@ -101,12 +101,11 @@
     readiness = Readiness()
     nursery.start_soon(readiness.run)
     server = CallerServer(_TaskApi(api, nursery), own.releases, readiness)
+    nursery.start_soon(_step_forever, server)
     return await nursery.start(server.run)
 
 
-def with_frames_port(own: ControlSection) -> ControlSection:
-    """Return the settings with the frames of peers, whose API has another port."""
-    if not own.frames_port:
-        return own
-    peers = tuple(Address(peer.host, own.frames_port) for peer in own.peers)
-    return replace(own, peers=peers)
+async def _step_forever(server: CallerServer) -> None:
+    while True:
+        await trio.sleep(CHECK_S)
+        server.step(trio.current_time())
--- a/persimmonhall/events.py
+++ b/persimmonhall/events.py
@@ -74,6 +74,7 @@
         self._written: Counter[Event] = Counter()
         self._dropped: Counter[Event] = Counter()
         self._dropped_total = 0
+        self._second = 0.0
 
     @property
     def dropped(self) -> int:
@@ -91,18 +92,23 @@
         line.update((k, v) for k, v in fields.items() if v is not None)
         self._lines.append(json.dumps(line, default=str).encode() + b"\n")
 
+    def open(self) -> None:
+        """Write to the descriptor from now on without ever waiting for its reader."""
+        os.set_blocking(self._fd, False)
+
     async def run(self) -> None:
         """Write what is buffered until cancelled."""
-        # A reader that stands still must not hold up the process.
-        os.set_blocking(self._fd, False)
-        second = trio.current_time()
+        self.open()
         while True:
             await trio.sleep(FLUSH_S)
-            now = trio.current_time()
-            if now - second >= 1:
-                second = now
-                self._end_second()
-            self.flush()
+            self.step(trio.current_time())
+
+    def step(self, now: float) -> None:
+        """Write what is buffered."""
+        if now - self._second >= 1:
+            self._second = now
+            self._end_second()
+        self.flush()
 
     def flush(self) -> None:
         """Write as much as the descriptor takes now."""
--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -287,13 +287,12 @@
     async def run(
         self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled; the owner calls step."""
         [listener] = await trio.open_tcp_listeners(
             self._address.port, host=self._address.host, backlog=BACKLOG
         )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._check_forever)
             task_status.started(Address(*listener.socket.getsockname()[:2]))
             with self._accepting:
                 await accept_each(listener, self._take)
@@ -323,9 +322,7 @@
     def _take(self, stream: trio.SocketStream) -> None:
         self._connections.add(CallerConnection(stream, self, self._readiness))
 
-    async def _check_forever(self) -> None:
-        while True:
-            await trio.sleep(CHECK_S)
-            now = trio.current_time()
-            for connection in tuple(self._connections):
-                connection.check(now)
+    def step(self, now: float) -> None:
+        """End connections that are idle or stuck; call every CHECK_S."""
+        for connection in tuple(self._connections):
+            connection.check(now)
--- a/persimmonhall/http/reading.py
+++ b/persimmonhall/http/reading.py
@@ -13,6 +13,9 @@
 REQUEST_LINE = re.compile(rb"[^ \r\n]+ [^ \r\n]+ HTTP/1\.[01]\r\n")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 FORBIDDEN_IN_VALUE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+HEADER_LINES = re.compile(
+    rb"(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*\r\n"
+)
 VISIBLE = range(0x21, 0x7F)
 CHUNKED = b"chunked"
 FIRST_FINAL_STATUS = 200
@@ -124,12 +127,17 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take in one header of the head or the trailer."""
+        if self._in_body:
+            self._check_trailer(name, value)
+        self._headers.append((name.lower(), value.strip(b" \t")))
+
+    def _check_trailer(self, name: bytes, value: bytes) -> None:
+        """Check what no whole head was checked for."""
         if TOKEN.fullmatch(name) is None or FORBIDDEN_IN_VALUE.search(value):
             self._fail(BadMessageError("illegal header"))
         self._header_bytes += len(name) + len(value)
         if self._header_bytes > self._max_head_bytes:
             self._fail(self._too_long())
-        self._headers.append((name.lower(), value.strip(b" \t")))
 
     def on_headers_complete(self) -> None:
         """Check a whole head."""
@@ -173,9 +181,13 @@
             return None
         self._searched = 0
         head = self._cut(size)
-        if self._first_line.match(head) is None:
+        first_line = self._first_line.match(head)
+        if first_line is None:
             self._error = BadMessageError("illegal first line")
             return None
+        if HEADER_LINES.fullmatch(head, first_line.end()) is None:
+            self._error = BadMessageError("illegal header")
+            return None
         return head
 
     def _cut_body(self) -> bytes:
--- a/persimmonhall/http/tests/test_callers.py
+++ b/persimmonhall/http/tests/test_callers.py
@@ -44,8 +44,14 @@
         """Open a connection."""
         if self.address is None:
             self.address = await self.nursery.start(self.server.run)
+            self.nursery.start_soon(self._step)
         return await trio.open_tcp_stream(self.address.host, self.address.port)
 
+    async def _step(self):
+        while True:
+            await trio.sleep(0.05)
+            self.server.step(trio.current_time())
+
     async def wait_for(self, count):
         """Wait until so many requests have arrived."""
         with trio.fail_after(2):
--- a/persimmonhall/membership/instances.py
+++ b/persimmonhall/membership/instances.py
@@ -19,7 +19,6 @@
 
 # Reports may come seconds late; a server that is gone shows at the next connection.
 SILENCE_S = 12.0
-CHECK_S = 1.0
 
 
 class InstanceWatch:
@@ -64,22 +63,20 @@
         """Tell peers that the backend server takes no connections."""
         self._gossiper.announce(self._own_service, 0, MemberState.EMPTY)
 
-    async def run(self) -> None:
-        """Drop an instance that has been silent for long, until cancelled."""
-        while True:
-            await trio.sleep(CHECK_S)
-            newest = self._newest
-            silent_s = trio.current_time() - self._heard_at
-            if newest is None or silent_s < SILENCE_S:
-                continue
-            self._log.emit(
-                Event.INSTANCE_GONE,
-                instance=newest.instance,
-                reason=f"no report for {silent_s:.0f} s",
-            )
-            self._newest = None
-            self._gate.set_instance(None)
-            self._gossiper.announce(self._own_service, 0, MemberState.EMPTY)
+    def step(self, now: float) -> None:
+        """Drop an instance that has been silent for long."""
+        newest = self._newest
+        silent_s = now - self._heard_at
+        if newest is None or silent_s < SILENCE_S:
+            return
+        self._log.emit(
+            Event.INSTANCE_GONE,
+            instance=newest.instance,
+            reason=f"no report for {silent_s:.0f} s",
+        )
+        self._newest = None
+        self._gate.set_instance(None)
+        self._gossiper.announce(self._own_service, 0, MemberState.EMPTY)
 
     def _take_report(self, report: InstanceReport) -> bool:
         reason = self._reason_against(report)
--- a/persimmonhall/platform/settings.py
+++ b/persimmonhall/platform/settings.py
@@ -6,7 +6,6 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
-from persimmonhall.control.serve_releases import with_frames_port
 from persimmonhall.dialect import read_address
 from persimmonhall.settings import (
     ControlSection,
@@ -15,6 +14,7 @@
     NodeSettings,
     PeersSection,
     ReleasesSection,
+    with_frames_port,
 )
 
 
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -1,5 +1,7 @@
 """Run a node that serves callers by the routes of the release in force."""
 
+import gc
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -41,7 +43,11 @@
 from persimmonhall.wire.link_server import serve_links
 from persimmonhall.wire.readiness import Readiness
 
+# Equal to the intervals of levels and of checks on links.
 STEP_S = 0.1
+SLOW_STEPS = 5
+# Objects of the collector's youngest generation: calls leave no cycles behind.
+COLLECT_AFTER = 20_000
 # Of the grace period: new calls of peers are refused after the first share, callers
 # are served up to the second, and what is open after the third gets its answer.
 GATE_SHARE = 0.35
@@ -170,15 +176,11 @@
         local = await nursery.start(self.local.run)
         await nursery.start(self.ready.run)
         for part in (
-            self.log.run,
             self.readiness.run,
             self.timers.run,
             self.gossiper.run,
-            self.links.run,
-            self.gate.run,
-            self.instances.run,
             self.follower.run,
-            self._follow_ranks,
+            self._step_forever,
         ):
             nursery.start_soon(part)
         return RoutedAddresses(callers, local, frames)
@@ -213,13 +215,30 @@
         self._control.set_seeds(control)
         self.gossiper.set_seeds(control)
 
-    async def _follow_ranks(self) -> None:
-        while True:
-            if self.releases.routes is not None:
-                ranks = self.releases.routes.ranks
-                self._levels.set_ranks(ranks)
-                self.gate.set_ranks(ranks)
+    async def _step_forever(self) -> None:
+        """Do all that is done at intervals in one task: each wait has its cost."""
+        last = trio.current_time()
+        for number in itertools.count():
             await trio.sleep(STEP_S)
+            now = trio.current_time()
+            self._step(now, now - last)
+            if number % SLOW_STEPS == 0:
+                self._step_slowly(now)
+            last = now
+
+    def _step(self, now: float, passed_s: float) -> None:
+        if self.releases.routes is not None:
+            ranks = self.releases.routes.ranks
+            self._levels.set_ranks(ranks)
+            self.gate.set_ranks(ranks)
+        self.gate.step(now, passed_s)
+        self.links.step(now)
+        self.log.step(now)
+
+    def _step_slowly(self, now: float) -> None:
+        for server in (self.callers, self.local, self.ready):
+            server.step(now)
+        self.instances.step(now)
 
     def _limits(self) -> CallerLimits:
         routes = self.releases.routes
@@ -251,10 +270,14 @@
             pass
     async with trio.open_nursery() as nursery:
         node = RoutedNode(settings, dialect, nursery)
+        node.log.open()
         node.log.emit(Event.START, zone=settings.node.zone)
         stop = trio.Event()
         nursery.start_soon(wait_for_stop_signal, stop)
         addresses = await node.start(nursery)
+        # What stands now stays: the collector need not look at it again.
+        gc.freeze()
+        gc.set_threshold(COLLECT_AFTER)
         nursery.start_soon(watch_settings, source, node.reload, node.log)
         on_ready(addresses)
         await stop.wait()
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -1,6 +1,6 @@
 """Define the settings file of each program."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from returns.result import Failure, Result, Success
@@ -124,6 +124,14 @@
     operator: OperatorSection
 
 
+def with_frames_port(own: ControlSection) -> ControlSection:
+    """Return the settings with the frames of peers, whose API has another port."""
+    if not own.frames_port:
+        return own
+    peers = tuple(Address(peer.host, own.frames_port) for peer in own.peers)
+    return replace(own, peers=peers)
+
+
 def load_settings(cls: type[T], path: Path) -> Result[T, str]:
     """Read a settings file or return one line on what is wrong."""
     try:
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -185,6 +185,7 @@
         self._log = log
         self._links: dict[Address, CallLink] = {}
         self._failed_at: dict[Address, float] = {}
+        self._stepped_at = 0.0
 
     def send(self, address: Address, call: RoutedCall) -> None:
         """Send a call; what comes of it goes to the taker."""
@@ -205,22 +206,18 @@
         if link is not None and not link.closed:
             link.cancel(number)
 
-    async def run(self) -> None:
-        """Watch for silent peers until cancelled."""
-        last = trio.current_time()
-        while True:
-            await trio.sleep(CHECK_S)
-            now = trio.current_time()
-            # This process was late itself: what came meanwhile is not read yet.
-            is_late = now - last > 2 * CHECK_S
-            last = now
-            for address, link in tuple(self._links.items()):
-                if link.closed:
-                    del self._links[address]
-                elif is_late:
-                    link.forgive(now)
-                else:
-                    link.check(now)
+    def step(self, now: float) -> None:
+        """Look for silent peers; call every CHECK_S."""
+        # This process was late itself: what came meanwhile is not read yet.
+        is_late = now - self._stepped_at > 2 * CHECK_S
+        self._stepped_at = now
+        for address, link in tuple(self._links.items()):
+            if link.closed:
+                del self._links[address]
+            elif is_late:
+                link.forgive(now)
+            else:
+                link.check(now)
 
     async def _connect(self, link: CallLink) -> None:
         await link.connect(self._readiness)
