Refuse requests that crash servers, expose counts, and stop earlier when idle

A call lost with its connection starts one connection attempt; if the server is found dead, the calls lost just before are told to all nodes, and one that was there at two deaths is refused. Metrics come out on an address of their own. A node that stops waits no longer than its callers ask.

--- a/harness/load_model/servers.py
+++ b/harness/load_model/servers.py
@@ -168,6 +168,10 @@
         del self._runs[request]
         self.busy_s += run_s
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Take every connection."""
+        done(True)
+
     def close_idle(self, now: float) -> None:
         """Keep no connections."""
 
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -8,10 +8,12 @@
 import trio
 
 from persimmonhall.admission.level import share_let_in
+from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.routed_gate import RoutedGate
 from persimmonhall.dialect import HeaderNames
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.events import Event, EventLog, is_sampled
+from persimmonhall.exposition import CallCounts
 from persimmonhall.http.callers import Exchange
 from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS, NO_BODY_STATUSES
 from persimmonhall.http.reading import Message
@@ -132,7 +134,9 @@
         timers: Timers,
         rng: random.Random,
         log: EventLog,
+        suspects: CrashSuspects | None = None,
     ):
+        self._suspects = suspects
         self._own = own
         self._headers = headers
         self._dropped = frozenset(
@@ -164,6 +168,8 @@
         self._patience = Patience()
         self._numbers = itertools.count(1)
         self._flights: dict[CallNumber, _Flight] = {}
+        self.counts = CallCounts()
+        self.asked_at = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -183,7 +189,7 @@
         if route is None:
             self._refuse_unrouted(exchange, attempt, host)
             return
-        now = trio.current_time()
+        now = self.asked_at = trio.current_time()
         flight = _Flight(exchange, route, now)
         exchange.context = flight
         flight.attempt = attempt
@@ -204,6 +210,13 @@
         elif not self._lets_in(flight, now):
             self._refuse_early(flight, now)
             return
+        if self._suspects is not None:
+            refusal = self._suspects.refusal(flight.service, flight.head, flight.body)
+            if refusal is not None:
+                self._finish_refused(
+                    flight, refusal.kind, refusal.detail, refusal.ran, now
+                )
+                return
         self._budget.earn(flight.service, self._members)
         self._send(flight, now)
 
@@ -215,6 +228,7 @@
         self._stop_waiting(flight, CallOutcome.CANCELLED)
         now = trio.current_time()
         reason = exchange.end_reason
+        self.counts.note("abandoned", flight.route.name, now - flight.arrived)
         self._note(Event.REQUEST_ABANDONED, flight, now, reason=reason)
 
     def take_reply(self, reply: RoutedReply) -> None:
@@ -425,6 +439,8 @@
                 bytes=len(reply.body),
             )
         self._clear(flight)
+        age_s = now - flight.arrived
+        self.counts.note(f"status_{reply.status}", flight.route.name, age_s)
         body = b"" if reply.status in NO_BODY_STATUSES else reply.body
         flight.exchange.answer(reply.status, reply.head, body)
 
@@ -459,6 +475,7 @@
 
     def _resend(self, flight: _Flight, reason: str, now: float) -> None:
         flight.sends += 1
+        self.counts.resent += 1
         self._note(
             Event.REQUEST_RESENT,
             flight,
@@ -521,6 +538,7 @@
             **inputs,
         )
         self._clear(flight)
+        self.counts.note(kind.value, flight.route.name, now - flight.arrived)
         flight.exchange.refuse(refusal)
 
     def _return_s(self, flight: _Flight) -> float:
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -11,6 +11,7 @@
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.events import Event, EventLog, is_sampled
+from persimmonhall.exposition import CallCounts
 from persimmonhall.http.backends import (
     BackendAnswer,
     BackendFailure,
@@ -42,6 +43,8 @@
 RUN_WEIGHT = 0.1
 # Before any call that waits, as none waits for longer than its deadline.
 SMALL_ROUTE_LEAD_S = 60.0
+# Calls lost this long before a server was found dead may have killed it.
+DEATH_S = 1.0
 MISDIRECTED_STATUS = 421
 DROPPED = HOP_BY_HOP | LENGTH_HEADERS
 
@@ -84,6 +87,7 @@
         origins: RouteOrigins,
         log: EventLog,
         on_down: Callable[[], None] = lambda: None,
+        on_death: Callable[[list[RoutedCall]], None] = lambda calls: None,
         make_pool: Callable[..., BackendPool] = BackendPool,
     ):
         self._headers = headers
@@ -95,6 +99,9 @@
         self._origins = origins
         self._log = log
         self._on_down = on_down
+        self._on_death = on_death
+        self._lost: list[tuple[float, RoutedCall]] = []
+        self._is_probing = False
         self._make_pool = make_pool
         self._instance: InstanceReport | None = None
         self._pool: BackendPool | None = None
@@ -109,6 +116,7 @@
         self._run_s: dict[RouteName, float] = {}
         self._mean_run_s = 0.0
         self._expiry = None
+        self.counts = CallCounts()
         self._logged_level = 0
 
     @property
@@ -374,6 +382,7 @@
         head = b"".join(
             b"%s: %s\r\n" % pair for pair in answer.headers if pair[0] not in DROPPED
         )
+        self.counts.note(f"status_{answer.status}", route, now - work.arrived)
         load = self.load(route, now)
         work.reply(
             RoutedReply(
@@ -385,8 +394,28 @@
         ran = Ran.UNKNOWN if failure.was_sent else Ran.NO
         if failure.fault is SendFault.NOT_LISTENING:
             self._take_down("it takes no connections")
+        elif failure.was_sent:
+            self._look_for_death(work.call)
         self._refuse(work, FAULTS[failure.fault], failure.detail, ran)
 
+    def _look_for_death(self, call: RoutedCall) -> None:
+        """Find out whether the server has died, and of which calls it may have."""
+        self._lost.append((trio.current_time(), call))
+        if self._is_probing or self._pool is None:
+            return
+        self._is_probing = True
+        self._pool.probe(self._end_probe)
+
+    def _end_probe(self, is_listening: bool) -> None:
+        self._is_probing = False
+        since = trio.current_time() - DEATH_S
+        lost = [call for at, call in self._lost if at > since]
+        self._lost.clear()
+        if is_listening:
+            return
+        self._take_down("it died with calls under way")
+        self._on_death(lost)
+
     def _end_not_executed(self, work: _Work, answer: BackendAnswer) -> None:
         if answer.status == MISDIRECTED_STATUS:
             self._take_down("another instance has its address")
@@ -430,6 +459,7 @@
             in_flight=self._in_flight,
             limit=self._limit,
         )
+        self.counts.note(kind.value, call.route, now - work.arrived)
         load = self.load(call.route, now)
         work.reply(RoutedReply(call.number, load, error=kind, detail=detail, ran=ran))
 
--- a/persimmonhall/call/tests/routed_parts.py
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -32,6 +32,7 @@
     def __init__(self, *settings):
         self.sent = []
         self.aborted = []
+        self.probes = []
 
     def send(self, request):
         """Hold a request."""
@@ -41,6 +42,10 @@
         """Note that a request was stopped."""
         self.aborted.append(request)
 
+    def probe(self, done):
+        """Tell what the test says."""
+        self.probes.append(done)
+
     def close_idle(self, now):
         """Do nothing."""
 
@@ -65,6 +70,7 @@
         self.origins = RouteOrigins()
         self.timers = Timers()
         self.down = 0
+        self.deaths = []
         self.replies = {}
         self.gate = RoutedGate(
             HEADERS,
@@ -76,6 +82,7 @@
             self.origins,
             EventLog("n"),
             self._go_down,
+            self.deaths.append,
             FakePool,
         )
         self.gate.set_ranks(3)
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -142,3 +142,25 @@
     scene.begin(make_call(1))
     scene.pool.answer(headers=ANSWER)
     assert scene.replies[1].load.level < 1.3
+
+
+async def test_calls_under_way_at_a_death_are_reported(autojump_clock):
+    """Name the calls that were lost when the server was found dead, and only then."""
+    scene = GateScene(make_report())
+    for number in (1, 2, 3):
+        scene.begin(make_call(number))
+    for _ in range(2):
+        scene.pool.fail(BackendFailure(SendFault.LOST, "reset"))
+    scene.pool.probes.pop()(False)
+    assert [[call.number for call in calls] for calls in scene.deaths] == [[1, 2]]
+    assert scene.down == 1
+
+
+async def test_lost_connection_of_a_living_server_accuses_no_call(autojump_clock):
+    """Suspect nothing when the server still takes connections."""
+    scene = GateScene(make_report())
+    scene.begin(make_call(1))
+    scene.pool.fail(BackendFailure(SendFault.LOST, "reset"))
+    scene.pool.probes.pop()(True)
+    assert scene.deaths == []
+    assert scene.down == 0
--- /dev/null
+++ b/persimmonhall/exposition.py
@@ -0,0 +1,97 @@
+"""Count requests and calls, and write the counts for a metrics scraper."""
+
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+PREFIX = "persimmonhall_"
+# Seconds; from a hop within a zone to the longest time that callers wait.
+BOUNDS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+
+
+class Durations:
+    """Count durations in buckets."""
+
+    def __init__(self):
+        self._counts = [0] * (len(BOUNDS_S) + 1)
+        self._sum_s = 0.0
+
+    @property
+    def sum_s(self) -> float:
+        """Return the sum of all durations in seconds."""
+        return self._sum_s
+
+    def add(self, seconds: float) -> None:
+        """Count one duration."""
+        self._counts[bisect_left(BOUNDS_S, seconds)] += 1
+        self._sum_s += seconds
+
+    def buckets(self) -> list[tuple[str, int]]:
+        """Return the bounds with how many durations are at or below each."""
+        total = 0
+        rows = []
+        for bound, count in zip((*BOUNDS_S, "+Inf"), self._counts, strict=True):
+            total += count
+            rows.append((str(bound), total))
+        return rows
+
+
+class CallCounts:
+    """Count what an entry or a gate did, by what it came to."""
+
+    def __init__(self):
+        self.outcomes: Counter[str] = Counter()
+        self.resent = 0
+        self.durations: dict[str, Durations] = {}
+
+    def note(self, outcome: str, route: str, seconds: float) -> None:
+        """Count one request or call that ended."""
+        self.outcomes[outcome] += 1
+        durations = self.durations.get(route)
+        if durations is None:
+            durations = self.durations[route] = Durations()
+        durations.add(seconds)
+
+
+Gauges = Callable[[], dict[str, float]]
+
+
+class Exposition:
+    """Write the counts of a node as a page."""
+
+    def __init__(self, requests: CallCounts, calls: CallCounts, gauges: Gauges):
+        self._requests = requests
+        self._calls = calls
+        self._gauges = gauges
+
+    def collect(self) -> Iterator:
+        """Yield every metric, as the client library asks."""
+        from prometheus_client import core
+
+        for name, counts in (("requests", self._requests), ("calls", self._calls)):
+            counter = core.CounterMetricFamily(
+                f"{PREFIX}{name}", f"{name} that ended, by outcome", labels=["outcome"]
+            )
+            for outcome, count in counts.outcomes.items():
+                counter.add_metric([outcome], count)
+            yield counter
+            histogram = core.HistogramMetricFamily(
+                f"{PREFIX}{name}_seconds", f"time that {name} took", labels=["route"]
+            )
+            for route, durations in counts.durations.items():
+                histogram.add_metric([route], durations.buckets(), durations.sum_s)
+            yield histogram
+        yield core.CounterMetricFamily(
+            f"{PREFIX}resent", "requests sent again", value=self._requests.resent
+        )
+        for name, value in self._gauges().items():
+            yield core.GaugeMetricFamily(PREFIX + name, name.replace("_", " "), value)
+
+    def page(self) -> bytes:
+        """Return the page as text."""
+        # Imported when first asked for: it takes 3 MB that a node may never need.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
--- a/persimmonhall/http/backends.py
+++ b/persimmonhall/http/backends.py
@@ -13,6 +13,8 @@
 from persimmonhall.wire.readiness import Readiness
 
 CONNECT_TIMEOUT_S = 0.5  # the server is on the same machine
+# All connections of a process that dies are reset within this time.
+PROBE_DELAY_S = 0.02
 MAX_HEADER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 DEFAULT_IDLE_S = 4.0  # for servers that do not say when they close
@@ -257,6 +259,23 @@
         if request.connection is not None:
             request.connection.close()
 
+    def probe(self, done: Callable[[bool], None]) -> None:
+        """Tell whether the backend server takes connections."""
+        self._nursery.start_soon(self._probe, done)
+
+    async def _probe(self, done: Callable[[bool], None]) -> None:
+        await trio.sleep(PROBE_DELAY_S)
+        with trio.socket.socket() as socket, trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                await socket.connect((self.address.host, self.address.port))
+            except ConnectionRefusedError:
+                done(False)
+                return
+            except OSError:
+                # Any other fault does not prove that the process has ended.
+                pass
+        done(True)
+
     def give_back(self, connection: _Connection, idle_s: float) -> None:
         """Take back a connection that may serve another request."""
         connection.usable_until = trio.current_time() + idle_s
--- a/persimmonhall/once/suspects.py
+++ b/persimmonhall/once/suspects.py
@@ -54,6 +54,11 @@
     def __init__(self):
         self._records: dict[Fingerprint, _Record] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no request is suspected."""
+        return not self._records
+
     def suspicion(self, fingerprint: Fingerprint, now: float) -> Suspicion:
         """Tell how to treat a request."""
         record = self._records.get(fingerprint)
--- a/persimmonhall/platform/settings.py
+++ b/persimmonhall/platform/settings.py
@@ -17,6 +17,9 @@
     with_frames_port,
 )
 
+# As deploy/system.toml says; outside the ports that the settings name.
+METRICS_PORT = 9464
+
 
 def read_node_settings(path: Path) -> Result[NodeSettings, str]:
     """Read the settings of a node, or return one line on what is wrong."""
@@ -60,6 +63,7 @@
             service=fields.get("service") or "",
             # The backend server beside the node, not one of the node's own addresses.
             backend=_optional_address(fields.get("applicationAddress")),
+            metrics=Address(fields["ipAddress"], METRICS_PORT),
             resend_ratio=float(bounds.get("retryBudgetRatio", 0.2)),
             resend_slack=float(bounds.get("retryBudgetSlack", 50)),
             grace_s=float(bounds.get("gracePeriodS", 6)),
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -11,10 +11,12 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
+from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.routed_entry import OwnNode, RoutedEntry
 from persimmonhall.call.routed_gate import RoutedGate
 from persimmonhall.dialect import Dialect
 from persimmonhall.events import Event, EventLog
+from persimmonhall.exposition import Exposition
 from persimmonhall.http.callers import CallerServer, Exchange
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.http.reading import Message
@@ -25,6 +27,8 @@
 from persimmonhall.membership.instances import InstanceWatch
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.once.spread import SuspectSpreader
+from persimmonhall.once.suspects import SuspectTable
 from persimmonhall.release.follow import ReleaseFollower
 from persimmonhall.release.in_force import ReleaseInForce
 from persimmonhall.release.schema import CallerLimits
@@ -55,9 +59,13 @@
 LAST_SHARE = 0.93
 # Callers are told twice, a second apart, that the node is not ready before they go.
 CALLERS_LEAVE_S = 2.5
+# Callers who have asked for nothing for this long have left.
+QUIET_S = 0.5
 # Without any peer after this long, the node is alone and serves what it can.
 ALONE_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
+TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+METRICS_PATH = "/metrics"
 
 
 @dataclass(frozen=True)
@@ -109,6 +117,9 @@
         control = _control_frames(settings)
         self._control = ControlMembers(self._table, control)
         self.gossiper = Gossiper(self._table, self._pool, control, rng)
+        table = SuspectTable()
+        self.spreader = SuspectSpreader(table, self._table, self._pool, nursery, rng)
+        suspects = CrashSuspects(table, self.spreader)
         graph = CallGraph()
         self._levels = RouteLevels(graph)
         origins = RouteOrigins()
@@ -122,6 +133,7 @@
             origins,
             self.log,
             lambda: self.instances.take_down(),
+            lambda calls: suspects.report(calls),
         )
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
@@ -145,18 +157,38 @@
             self.timers,
             rng,
             self.log,
+            suspects,
         )
         self.links = CallLinks(self.entry, nursery, self.readiness, self.log)
+        self._exposition = Exposition(self.entry.counts, self.gate.counts, self._gauges)
         self.callers = CallerServer(
             self.entry, own.callers, self.readiness, self._limits
         )
         self.local = CallerServer(
             _SyncApi(self._answer_local), own.local, self.readiness
         )
+        self.metrics = None
+        if releases.metrics is not None:
+            self.metrics = CallerServer(
+                _SyncApi(self._answer_metrics), releases.metrics, self.readiness
+            )
         self.ready = CallerServer(
             _SyncApi(self._answer_ready), releases.ready, self.readiness
         )
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "requests_in_flight": self.entry.in_flight,
+            "calls_in_flight": self.gate.in_flight,
+            "calls_queued": self.gate.queued,
+            "calls_limit": self.gate.limit,
+            "level": self.gate.level,
+            "release_index": self.releases.index,
+            "members": self.gossiper.members,
+            "log_lines_dropped": self.log.dropped,
+            "ready": float(self.is_ready),
+        }
+
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should send requests here."""
@@ -167,7 +199,10 @@
 
     async def start(self, nursery: trio.Nursery) -> RoutedAddresses:
         """Listen and run every part."""
-        handlers = {Channel.MEMBERSHIP: self.gossiper.handle}
+        handlers = {
+            Channel.MEMBERSHIP: self.gossiper.handle,
+            Channel.ONCE: self.spreader.handle,
+        }
         own = self.settings.node
         calls = CallService(self.readiness, self.gate)
         frames = await nursery.start(serve_links, handlers, own.frames, calls)
@@ -175,10 +210,13 @@
         callers = await nursery.start(self.callers.run)
         local = await nursery.start(self.local.run)
         await nursery.start(self.ready.run)
+        if self.metrics is not None:
+            await nursery.start(self.metrics.run)
         for part in (
             self.readiness.run,
             self.timers.run,
             self.gossiper.run,
+            self.spreader.run,
             self.follower.run,
             self._step_forever,
         ):
@@ -195,8 +233,10 @@
         await trio.sleep(GATE_SHARE * grace_s)
         self.gate.leave()
         while trio.current_time() < begin + CALLERS_SHARE * grace_s:
-            is_over = trio.current_time() > begin + CALLERS_LEAVE_S
-            if is_over and self.gate.is_idle and not self.callers.connections:
+            quiet_s = trio.current_time() - max(
+                begin + CALLERS_LEAVE_S, self.entry.asked_at
+            )
+            if quiet_s > QUIET_S and self.gate.is_idle and not self.entry.in_flight:
                 break
             await trio.sleep(STEP_S)
         self.callers.stop_accepting()
@@ -251,6 +291,11 @@
         is_read = self.instances.take(call)
         return HttpAnswer(200 if is_read else 400, (JSON_TYPE,), b"{}")
 
+    def _answer_metrics(self, request: HttpRequest) -> HttpAnswer:
+        if request.target != METRICS_PATH:
+            return HttpAnswer(404, ())
+        return HttpAnswer(200, (TEXT_TYPE,), self._exposition.page())
+
     def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
         if request.target != self._dialect.ready_path:
             return HttpAnswer(404, ())
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -49,6 +49,7 @@
     ready: Address
     service: ServiceName = ServiceName("")
     backend: Address | None = None
+    metrics: Address | None = None
     resend_ratio: float = bounded(0.2, least=0.0, most=1.0)
     resend_slack: float = bounded(50.0, least=0.0)
     grace_s: float = bounded(6.0, least=0.5, most=600.0)
--- /dev/null
+++ b/tests/test_exposition.py
@@ -0,0 +1,24 @@
+"""Check that counts come out as a page that scrapers read."""
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from persimmonhall.exposition import CallCounts, Exposition
+
+
+def test_page_has_counters_and_histograms():
+    """Write what was counted, with labels and units."""
+    requests, calls = CallCounts(), CallCounts()
+    for seconds in (0.004, 0.3):
+        requests.note("status_200", "charts", seconds)
+    calls.note("overloaded", "charts", 0.01)
+    page = Exposition(requests, calls, lambda: {"level": 2.5}).page().decode()
+    families = {f.name: f for f in text_string_to_metric_families(page)}
+    [counted] = families["persimmonhall_requests"].samples
+    assert (counted.labels, counted.value) == ({"outcome": "status_200"}, 2.0)
+    buckets = {
+        sample.labels["le"]: sample.value
+        for sample in families["persimmonhall_requests_seconds"].samples
+        if sample.name.endswith("_bucket")
+    }
+    assert (buckets["0.005"], buckets["0.25"], buckets["+Inf"]) == (1, 1, 2)
+    assert families["persimmonhall_level"].samples[0].value == 2.5
