--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -9,6 +9,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from persimmonhall.cli.explain import explain
 from persimmonhall.cli.node_client import document_status, drain
 from persimmonhall.cli.operator_definition import operator_parser
 from persimmonhall.cli.operator_status import gather_status, status_table
@@ -34,6 +35,8 @@
     options = operator_parser().parse_args(arguments)
     if options.command == "check":
         return _check(options.file)
+    if options.command == "explain":
+        return explain(options.request, options.files)
     if options.command == "quarantine":
         return _report(trio.run(run_quarantine, options), options)
     if getattr(options, "node", None) is not None:
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -18,7 +18,8 @@
   persimmonhall --settings operator.toml status --json
   persimmonhall quarantine list --node 127.0.0.1:7100
   persimmonhall document status --node 127.0.0.1:7100
-  persimmonhall drain --node 127.0.0.1:7100"""
+  persimmonhall drain --node 127.0.0.1:7100
+  persimmonhall explain 9c41d07be2a35f68 logs/*.log"""
 
 
 def operator_parser() -> argparse.ArgumentParser:
@@ -31,6 +32,11 @@
     check.add_argument("file", type=Path, metavar="FILE")
     commands.add_parser("status", help="show the state of control")
     _add_document(commands)
+    explain = commands.add_parser(
+        "explain", help="show the way of one request through collected logs"
+    )
+    explain.add_argument("request", metavar="ID", help="attempt id of the request")
+    explain.add_argument("files", type=Path, nargs="+", metavar="FILE")
     leave = commands.add_parser("drain", help="let a node leave gracefully")
     add_node(leave)
     add_quarantine(commands)
--- a/persimmonhall/events.py
+++ b/persimmonhall/events.py
@@ -10,6 +10,7 @@
 import xxhash
 
 MAX_BUFFERED_LINES = 5000  # about 1 MB at 200 bytes a line
+LINES_A_WRITE = 100
 FLUSH_S = 0.1
 # Lines of one event a second; a surge refuses thousands of requests a second.
 MAX_LINES_PER_S = 100
@@ -112,25 +113,26 @@
 
     def flush(self) -> None:
         """Write as much as the descriptor takes now."""
-        data = self._rest + b"".join(self._lines)
-        self._lines.clear()
-        if not data:
-            return
-        try:
-            written = os.write(self._fd, data)
-        except BlockingIOError:
-            written = 0
-        except OSError:
-            # Nobody reads any more, and there is no other place to say so.
-            self._dropped_total += data.count(b"\n")
-            self._rest = b""
-            return
-        self._rest = data[written:]
+        while self._rest or self._lines:
+            if not self._rest:
+                count = min(LINES_A_WRITE, len(self._lines))
+                self._rest = b"".join(self._lines.popleft() for _ in range(count))
+            try:
+                written = os.write(self._fd, self._rest)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more, and there is no other place to say so.
+                self._dropped_total += len(self._lines)
+                self._lines.clear()
+                self._rest = b""
+                return
+            self._rest = self._rest[written:]
 
     def _is_full(self, event: Event) -> bool:
         if self._written[event] >= MAX_LINES_PER_S:
             return True
-        return len(self._lines) + self._rest.count(b"\n") >= MAX_BUFFERED_LINES
+        return len(self._lines) >= MAX_BUFFERED_LINES
 
     def _end_second(self) -> None:
         self._written.clear()
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,80 @@
+"""Check that a request's way is found in collected logs."""
+
+import json
+import os
+
+import trio
+
+from persimmonhall.cli.operator import main
+from persimmonhall.events import MAX_LINES_PER_S, Event, EventLog
+from persimmonhall.status import ExitStatus
+
+
+def write(path, *lines):
+    """Write structured lines as a collector does, with a prefix."""
+    path.write_text("".join(f"12.3 n {json.dumps(line)}\n" for line in lines))
+    return str(path)
+
+
+def test_lines_of_a_request_come_in_time_order(tmp_path, capsys):
+    """Join the lines of two nodes, with what happened around them."""
+    entry = write(
+        tmp_path / "a.log",
+        {"t": 2.0, "node": "a", "event": "request_refused", "request": "r1"},
+        {"t": 1.0, "node": "a", "event": "request_routed", "request": "r1"},
+        {"t": 1.5, "node": "a", "event": "link_lost", "peer": "10.0.0.2:7000"},
+        {"t": 9.0, "node": "a", "event": "link_lost", "peer": "late"},
+    )
+    gate = write(
+        tmp_path / "b.log",
+        {"t": 1.2, "node": "b", "event": "call_failed", "request": "r1"},
+        {"t": 1.3, "node": "b", "event": "call_failed", "request": "r2"},
+    )
+    assert main(["explain", "r1", entry, gate]) is ExitStatus.SUCCESS
+    rows = capsys.readouterr().out.splitlines()
+    assert [row.split()[-2 if "peer" in row else -1] for row in rows] == [
+        "request_routed",
+        "call_failed",
+        "link_lost",
+        "request_refused",
+    ]
+
+
+def test_request_without_lines_is_said_to_be_sampled_out(tmp_path, capsys):
+    """Say that nothing went wrong, or that logs are missing."""
+    path = write(tmp_path / "a.log", {"t": 1, "node": "a", "event": "start"})
+    assert main(["explain", "r1", path]) is ExitStatus.REFUSED
+    assert "one in" in capsys.readouterr().out
+
+
+async def test_reader_that_stands_still_holds_up_nothing(autojump_clock):
+    """Keep a bounded number of lines, count the rest and go on at once."""
+    reading, writing = os.pipe()
+    log = EventLog("n", writing)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(log.run)
+        for _ in range(200):
+            for number in range(2 * MAX_LINES_PER_S):
+                log.emit(Event.CALL_REFUSED, request=f"r{number}", reason="x" * 200)
+            await trio.sleep(1)
+        nursery.cancel_scope.cancel()
+    assert log.dropped >= 200 * MAX_LINES_PER_S
+    os.close(reading)
+    os.close(writing)
+
+
+async def test_dropped_lines_are_counted_in_the_log(autojump_clock):
+    """Write how many lines of each event were left out."""
+    reading, writing = os.pipe()
+    log = EventLog("n", writing)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(log.run)
+        for number in range(MAX_LINES_PER_S + 7):
+            log.emit(Event.CALL_REFUSED, request=f"r{number}")
+        await trio.sleep(2.5)
+        nursery.cancel_scope.cancel()
+    text = os.read(reading, 1_000_000).decode()
+    [line] = [json.loads(row) for row in text.splitlines() if "lines_dropped" in row]
+    assert line["counts"] == {"call_refused": 7}
+    os.close(reading)
+    os.close(writing)
--- /dev/null
+++ b/tests/test_load_patterns.py
@@ -0,0 +1,96 @@
+"""Check who is served under each pattern of load, by the model of the call graph.
+
+The bounds are those that the users state: no kind is served less often than a less
+urgent one that leads to the same service by over 5 in 100, none is served less than
+a quarter as often as all, and what is refused is refused before it runs.
+"""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from harness.load_model.report import report_of
+from harness.load_model.scenario import Disturbance, load_scenario
+from harness.load_model.world import play
+
+MODELS = Path(__file__).parents[1] / "examples" / "model"
+SLACK = 0.05
+STARVED_SHARE = 0.25
+CALM_SHARE = 0.99
+
+
+def run(name, *disturbances, length_s=7.0, scale=1.0):
+    """Play a deployment at a share of its size with some disturbances."""
+    scenario = load_scenario(MODELS / f"{name}_surge.toml")
+    kinds = tuple(replace(k, per_s=k.per_s * scale) for k in scenario.kinds)
+    services = tuple(
+        replace(s, slots=max(2, round(s.slots * scale))) for s in scenario.services
+    )
+    scenario = replace(
+        scenario,
+        kinds=kinds,
+        services=services,
+        disturbances=disturbances,
+        length_s=length_s,
+    )
+    return report_of(play(scenario))
+
+
+def served(report, kind):
+    """Return the share of a kind that was served."""
+    return report.kinds[kind]["served"]
+
+
+def test_calm_load_is_served_whole():
+    """Refuse next to nothing at the ordinary rates."""
+    report = run("vanua", length_s=5.0)
+    assert all(kind["served"] >= CALM_SHARE for kind in report.kinds.values())
+
+
+@pytest.fixture(scope="module")
+def surge():
+    """Play a surge of 2.3 on the deployment whose deepest service is smallest."""
+    return run("vanua", Disturbance(at_s=1.0, for_s=6.0, burst=2.3))
+
+
+def test_surge_takes_the_least_urgent_roots_first(surge):
+    """Surge: publishing goes on whole while chart reads give way."""
+    assert served(surge, "seg-publish") >= served(surge, "chart-read") - SLACK
+    assert served(surge, "glyph-read") >= served(surge, "chart-read") - SLACK
+
+
+def test_surge_starves_no_kind(surge):
+    """Surge: serve every kind at least a quarter as often as all."""
+    asked = sum(kind["asked"] for kind in surge.kinds.values())
+    answered = sum(kind["in_time"] + kind["late"] for kind in surge.kinds.values())
+    for kind in surge.kinds.values():
+        assert kind["served"] >= STARVED_SHARE * answered / asked
+
+
+def test_surge_fails_next_to_nothing_that_it_let_in(surge):
+    """Surge: what gives way is refused at once, and its callers are told so."""
+    asked = sum(kind["asked"] for kind in surge.kinds.values())
+    failed = sum(kind["failed"] for kind in surge.kinds.values())
+    assert failed <= 0.01 * asked
+
+
+def test_slow_deep_server_is_relieved_by_the_others():
+    """Slow server: one of four glyph servers five times slower costs few answers."""
+    slow = Disturbance(at_s=1.0, for_s=5.0, slow_service="glyph", slow_times=5.0)
+    report = run("vanua", slow, scale=1.0)
+    assert served(report, "seg-publish") >= 0.95
+
+
+def test_goodput_recovers_soon_after_a_surge():
+    """Surge over: the goodput is back within the four seconds of a window."""
+    report = run("vanua", Disturbance(at_s=3.0, for_s=2.0, burst=2.3), length_s=10.0)
+    assert report.recovery_s <= 4.0
+
+
+def test_callers_who_return_at_once_do_not_push_others_out():
+    """Retrying callers: the most urgent kind is served as before."""
+    eager = Disturbance(at_s=1.0, for_s=4.0, eager_share=0.4, eager_times=3)
+    burst = Disturbance(at_s=1.0, for_s=4.0, burst=1.7)
+    report = run("vanua", eager, burst, length_s=5.0)
+    assert served(report, "seg-publish") >= 0.95
