--- a/persimmonhall/routing/tests/test_call_graph.py
+++ b/persimmonhall/routing/tests/test_call_graph.py
@@ -54,6 +54,27 @@
     assert graph.weights["price"]["index"] == pytest.approx(1, abs=0.3)
 
 
+def test_rare_route_beside_a_busy_one_is_not_taken_for_a_caller():
+    """Find no calls for few bundles among many indexes, in nine of ten cases."""
+    wrong = 0
+    for seed in range(20):
+        graph = CallGraph()
+        rates = {"bundle": 0.43, "index": 8.5}
+        learn(graph, rates, {"index": ["lookup"] * 4}, 100, seed=seed)
+        wrong += graph.calls_of("bundle") != ()
+        assert graph.calls_of("index") == ("lookup",)
+    assert wrong <= 2
+
+
+def test_rare_route_that_makes_many_calls_is_found():
+    """Find the calls of a rare route where they are many."""
+    graph = CallGraph()
+    rates = {"publish": 1.0, "sync": 7.0}
+    calls = {"publish": ["index"] * 2, "sync": ["index"]}
+    learn(graph, rates, calls, 300)
+    assert graph.calls_of("publish") == ("index",)
+
+
 def test_every_call_counts_for_every_route_at_first():
     """Be careful until enough was seen."""
     graph = CallGraph()
