--- a/harness/load_model/world.py
+++ b/harness/load_model/world.py
@@ -198,7 +198,6 @@
         gate = RoutedGate(
             HEADERS,
             None,
-            None,
             self.events,
             graph,
             levels,
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -79,7 +79,6 @@
     def __init__(
         self,
         headers: HeaderNames,
-        nursery: trio.Nursery,
         readiness: Readiness,
         timers: Timers,
         graph: CallGraph,
@@ -91,7 +90,6 @@
         make_pool: Callable[..., BackendPool] = BackendPool,
     ):
         self._headers = headers
-        self._nursery = nursery
         self._readiness = readiness
         self._timers = timers
         self._graph = graph
@@ -242,8 +240,8 @@
             self._pool.close()
         self._pool = self._make_pool(
             report.address,
-            self._nursery,
             self._readiness,
+            self._timers,
             self._headers.attempt,
             report.slots + SPARE_CONNECTIONS,
         )
--- a/persimmonhall/call/tests/routed_parts.py
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -75,7 +75,6 @@
         self.gate = RoutedGate(
             HEADERS,
             None,
-            None,
             self.timers,
             self.graph,
             self.levels,
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -22,6 +22,7 @@
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.release.api import ReleaseApi
 from persimmonhall.settings import ControlSection
+from persimmonhall.timers import Timers
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.readiness import Readiness
 
@@ -98,9 +99,10 @@
     if own.releases is None:
         return None
     api = ReleaseApi(replica, parts.dialect, len(own.peers), parts.log)
-    readiness = Readiness()
+    readiness, timers = Readiness(), Timers()
     nursery.start_soon(readiness.run)
-    server = CallerServer(_TaskApi(api, nursery), own.releases, readiness)
+    nursery.start_soon(timers.run)
+    server = CallerServer(_TaskApi(api, nursery), own.releases, readiness, timers)
     nursery.start_soon(_step_forever, server)
     return await nursery.start(server.run)
 
--- a/persimmonhall/http/backends.py
+++ b/persimmonhall/http/backends.py
@@ -1,5 +1,7 @@
 """Send requests to the own backend server and match its answers by their ids."""
 
+import errno
+import socket as sockets
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -9,6 +11,8 @@
 from persimmonhall.address import Address
 from persimmonhall.http.messages import LENGTH_HEADERS, NO_BODY_STATUSES, Headers
 from persimmonhall.http.reading import AnswerReader, BadMessageError, Message
+from persimmonhall.timers import Timers
+from persimmonhall.wire.connecting import Connecting, FaultTaker, SocketTaker
 from persimmonhall.wire.duplex import ENDED, Duplex
 from persimmonhall.wire.readiness import Readiness
 
@@ -85,7 +89,7 @@
         self._pool = pool
         self._request: BackendRequest | None = request
         self._duplex: Duplex | None = None
-        self._scope = trio.CancelScope()
+        self._connecting: Connecting | None = None
         self._reader = AnswerReader(MAX_HEADER_BYTES)
         self._message: Message | None = None
         self._skipped = False
@@ -96,24 +100,9 @@
         """Tell whether neither bytes nor the end have arrived."""
         return not self._duplex.readable
 
-    async def connect(self) -> None:
+    def connect(self) -> None:
         """Connect and send the first request."""
-        fault, detail = SendFault.NOT_CONNECTED, "no connection in time"
-        address = self._pool.address
-        socket = trio.socket.socket()
-        with self._scope, trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await socket.connect((address.host, address.port))
-                if self._request is not None:
-                    self._open(socket)
-                    return
-            except ConnectionRefusedError as error:
-                fault, detail = SendFault.NOT_LISTENING, str(error)
-            except OSError as error:
-                detail = str(error)
-        socket.close()
-        self._pool.forget(self)
-        self._fail(BackendFailure(fault, detail))
+        self._connecting = self._pool.connect(self._open, self._on_fault)
 
     def send(self, request: BackendRequest) -> None:
         """Send the next request."""
@@ -126,12 +115,19 @@
     def close(self) -> None:
         """End the connection and forget its request."""
         self._request = None
-        self._scope.cancel()
         if self._duplex is not None:
             self._duplex.close()
-            self._pool.forget(self)
+        elif self._connecting is not None:
+            self._connecting.cancel()
+        self._pool.forget(self)
+
+    def _on_fault(self, error: OSError) -> None:
+        self._pool.forget(self)
+        is_refused = error.errno == errno.ECONNREFUSED
+        fault = SendFault.NOT_LISTENING if is_refused else SendFault.NOT_CONNECTED
+        self._fail(BackendFailure(fault, str(error)))
 
-    def _open(self, socket: trio.socket.SocketType) -> None:
+    def _open(self, socket: sockets.socket) -> None:
         self._duplex = Duplex(socket, self._pool.readiness, self._on_data, self._on_end)
         self._duplex.send(self._request.data)
 
@@ -225,14 +221,14 @@
     def __init__(
         self,
         address: Address,
-        nursery: trio.Nursery,
         readiness: Readiness,
+        timers: Timers,
         attempt_header: bytes,
         max_connections: int,
     ):
         self.address = address
         self.readiness = readiness
-        self._nursery = nursery
+        self._timers = timers
         self.attempt_header = attempt_header
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
@@ -252,7 +248,7 @@
         connection = request.connection = _Connection(self, request)
         self._open.add(connection)
         self.opened += 1
-        self._nursery.start_soon(connection.connect)
+        connection.connect()
 
     def abort(self, request: BackendRequest) -> None:
         """Stop a request; the backend server sees its connection close."""
@@ -261,20 +257,23 @@
 
     def probe(self, done: Callable[[bool], None]) -> None:
         """Tell whether the backend server takes connections."""
-        self._nursery.start_soon(self._probe, done)
-
-    async def _probe(self, done: Callable[[bool], None]) -> None:
-        await trio.sleep(PROBE_DELAY_S)
-        with trio.socket.socket() as socket, trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await socket.connect((self.address.host, self.address.port))
-            except ConnectionRefusedError:
-                done(False)
-                return
-            except OSError:
-                # Any other fault does not prove that the process has ended.
-                pass
-        done(True)
+
+        def on_open(socket: sockets.socket) -> None:
+            socket.close()
+            done(True)
+
+        def on_fault(error: OSError) -> None:
+            # Any other fault does not prove that the process has ended.
+            done(error.errno != errno.ECONNREFUSED)
+
+        when = self._timers.now() + PROBE_DELAY_S
+        self._timers.call_at(when, lambda: self.connect(on_open, on_fault))
+
+    def connect(self, on_open: SocketTaker, on_fault: FaultTaker) -> Connecting:
+        """Open a connection, or tell in time why not."""
+        connecting = Connecting(self.address, self.readiness, on_open, on_fault)
+        connecting.limit(self._timers, self._timers.now() + CONNECT_TIMEOUT_S)
+        return connecting
 
     def give_back(self, connection: _Connection, idle_s: float) -> None:
         """Take back a connection that may serve another request."""
--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -1,5 +1,6 @@
 """Serve callers who may send several requests before the first is answered."""
 
+import socket as sockets
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -10,12 +11,13 @@
 
 from persimmonhall.address import Address
 from persimmonhall.errors import ErrorKind, Refusal, refuse
-from persimmonhall.http.accepting import accept_each
 from persimmonhall.http.messages import NO_BODY_STATUSES, HttpAnswer
 from persimmonhall.http.reading import BadMessageError, Message, RequestReader
 from persimmonhall.http.refusals import refusal_answer
 from persimmonhall.http.writing import GO_AHEAD
 from persimmonhall.release.schema import CallerLimits
+from persimmonhall.timers import Timers
+from persimmonhall.wire.connecting import Listening
 from persimmonhall.wire.duplex import Duplex
 from persimmonhall.wire.readiness import Readiness
 
@@ -90,7 +92,7 @@
 
     def __init__(
         self,
-        stream: trio.SocketStream,
+        socket: sockets.socket,
         server: "CallerServer",
         readiness: Readiness,
     ):
@@ -103,7 +105,7 @@
         self._reads_on = True
         self._since = trio.current_time()
         self._unsent_before = 0
-        self._duplex = Duplex(stream.socket, readiness, self._take, self._end)
+        self._duplex = Duplex(socket, readiness, self._take, self._end)
 
     @property
     def is_idle(self) -> bool:
@@ -262,15 +264,17 @@
         handler: RequestHandler,
         address: Address,
         readiness: Readiness,
+        timers: Timers,
         limits: Callable[[], CallerLimits] = CallerLimits,
     ):
         self.handler = handler
         self._readiness = readiness
+        self._timers = timers
         self.limits = limits
         self.draining = False
         self._address = address
         self._connections: set[CallerConnection] = set()
-        self._accepting = trio.CancelScope()
+        self._listening: Listening | None = None
         self._lingering: set[CallerConnection] = set()
         self._nursery: trio.Nursery | None = None
 
@@ -288,20 +292,24 @@
         self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled; the owner calls step."""
-        [listener] = await trio.open_tcp_listeners(
-            self._address.port, host=self._address.host, backlog=BACKLOG
-        )
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            task_status.started(Address(*listener.socket.getsockname()[:2]))
-            with self._accepting:
-                await accept_each(listener, self._take)
-            await listener.aclose()
+            address = self._address
+            listener = sockets.create_server(
+                (address.host, address.port), backlog=BACKLOG
+            )
+            listener.setblocking(False)
+            bound = Address(*listener.getsockname()[:2])
+            self._listening = Listening(
+                listener, self._readiness, self._timers, self._take
+            )
+            task_status.started(bound)
             await trio.sleep_forever()
 
     def stop_accepting(self) -> None:
         """Take no new connections."""
-        self._accepting.cancel()
+        if self._listening is not None:
+            self._listening.close()
 
     def close_idle(self) -> None:
         """End the connections on which no request is in progress."""
@@ -319,8 +327,8 @@
         self._connections.discard(connection)
         self._lingering.discard(connection)
 
-    def _take(self, stream: trio.SocketStream) -> None:
-        self._connections.add(CallerConnection(stream, self, self._readiness))
+    def _take(self, socket: sockets.socket) -> None:
+        self._connections.add(CallerConnection(socket, self, self._readiness))
 
     def step(self, now: float) -> None:
         """End connections that are idle or stuck; call every CHECK_S."""
--- a/persimmonhall/http/tests/test_backends.py
+++ b/persimmonhall/http/tests/test_backends.py
@@ -11,6 +11,7 @@
     BackendRequest,
     SendFault,
 )
+from persimmonhall.timers import Timers
 from persimmonhall.wire.readiness import Readiness
 
 ID = b"x-id"
@@ -64,9 +65,10 @@
         [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.nursery.start_soon(trio.serve_listeners, self.server.serve, [listener])
         address = Address(*listener.socket.getsockname()[:2])
-        readiness = Readiness()
+        readiness, timers = Readiness(), Timers()
         self.nursery.start_soon(readiness.run)
-        self.pool = BackendPool(address, self.nursery, readiness, ID, 10)
+        self.nursery.start_soon(timers.run)
+        self.pool = BackendPool(address, readiness, timers, ID, 10)
 
     async def ask(self, attempt=b"a1", *, may_repeat=True):
         """Send one request and return its result."""
--- a/persimmonhall/http/tests/test_callers.py
+++ b/persimmonhall/http/tests/test_callers.py
@@ -6,6 +6,7 @@
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.http.callers import CallerServer
 from persimmonhall.release.schema import CallerLimits
+from persimmonhall.timers import Timers
 from persimmonhall.wire.readiness import Readiness
 
 ANY_PORT = Address("127.0.0.1", 0)
@@ -35,9 +36,10 @@
     def __init__(self, nursery, limits=CallerLimits):
         self.nursery = nursery
         self.handler = Handler()
-        readiness = Readiness()
+        readiness, timers = Readiness(), Timers()
         nursery.start_soon(readiness.run)
-        self.server = CallerServer(self.handler, ANY_PORT, readiness, limits)
+        nursery.start_soon(timers.run)
+        self.server = CallerServer(self.handler, ANY_PORT, readiness, timers, limits)
         self.address = None
 
     async def connect(self):
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -125,7 +125,6 @@
         origins = RouteOrigins()
         self.gate = RoutedGate(
             dialect.headers,
-            nursery,
             self.readiness,
             self.timers,
             graph,
@@ -159,21 +158,24 @@
             self.log,
             suspects,
         )
-        self.links = CallLinks(self.entry, nursery, self.readiness, self.log)
+        self.links = CallLinks(self.entry, self.readiness, self.timers, self.log)
         self._exposition = Exposition(self.entry.counts, self.gate.counts, self._gauges)
         self.callers = CallerServer(
-            self.entry, own.callers, self.readiness, self._limits
+            self.entry, own.callers, self.readiness, self.timers, self._limits
         )
         self.local = CallerServer(
-            _SyncApi(self._answer_local), own.local, self.readiness
+            _SyncApi(self._answer_local), own.local, self.readiness, self.timers
         )
         self.metrics = None
         if releases.metrics is not None:
             self.metrics = CallerServer(
-                _SyncApi(self._answer_metrics), releases.metrics, self.readiness
+                _SyncApi(self._answer_metrics),
+                releases.metrics,
+                self.readiness,
+                self.timers,
             )
         self.ready = CallerServer(
-            _SyncApi(self._answer_ready), releases.ready, self.readiness
+            _SyncApi(self._answer_ready), releases.ready, self.readiness, self.timers
         )
 
     def _gauges(self) -> dict[str, float]:
--- a/persimmonhall/timers.py
+++ b/persimmonhall/timers.py
@@ -46,6 +46,10 @@
         self._wake = trio.Event()
         self._sleeping_until = math.inf
 
+    def now(self) -> float:
+        """Return the time of the loop's clock."""
+        return trio.current_time()
+
     def call_at(self, when: float, callback: Callable[[], None]) -> Timer:
         """Call a function at a time."""
         timer = Timer(callback)
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -1,5 +1,6 @@
 """Carry calls between nodes over one connection a direction and pair."""
 
+import socket as sockets
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -10,6 +11,7 @@
 from persimmonhall.errors import Ran
 from persimmonhall.events import Event, EventLog
 from persimmonhall.ids import CallNumber
+from persimmonhall.timers import Timers
 from persimmonhall.wire.calls import (
     NUMBER,
     PREAMBLE,
@@ -24,6 +26,7 @@
     encode_reply,
     frame,
 )
+from persimmonhall.wire.connecting import Connecting
 from persimmonhall.wire.duplex import Duplex
 from persimmonhall.wire.readiness import Readiness
 
@@ -65,19 +68,17 @@
         self.closed = False
         self.reason = f"no connection within {CONNECT_TIMEOUT_S} s"
 
-    async def connect(self, readiness: Readiness) -> None:
+    def connect(self, readiness: Readiness, timers: Timers) -> None:
         """Connect and send what waits."""
-        socket = trio.socket.socket()
-        with trio.move_on_after(CONNECT_TIMEOUT_S):
-            try:
-                await socket.connect((self.address.host, self.address.port))
-                if not self.closed:
-                    self._open(socket, readiness)
-                    return
-            except OSError as error:
-                self.reason = str(error)
-        socket.close()
-        self._close()
+
+        def on_open(socket: sockets.socket) -> None:
+            self._open(socket, readiness)
+
+        def on_fault(error: OSError) -> None:
+            self.drop(str(error))
+
+        connecting = Connecting(self.address, readiness, on_open, on_fault)
+        connecting.limit(timers, timers.now() + CONNECT_TIMEOUT_S)
 
     @property
     def is_connected(self) -> bool:
@@ -129,8 +130,11 @@
         self.reason = reason
         self._close()
 
-    def _open(self, socket: trio.socket.SocketType, readiness: Readiness) -> None:
-        socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+    def _open(self, socket: sockets.socket, readiness: Readiness) -> None:
+        if self.closed:
+            socket.close()
+            return
+        socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         self._duplex = Duplex(socket, readiness, self._take, self.drop)
         self._heard_at = trio.current_time()
         self._duplex.send(PREAMBLE + b"".join(self._unsent))
@@ -175,12 +179,12 @@
     def __init__(
         self,
         taker: ReplyTaker,
-        nursery: trio.Nursery,
         readiness: Readiness,
+        timers: Timers,
         log: EventLog,
     ):
         self._taker = taker
-        self._nursery = nursery
+        self._timers = timers
         self._readiness = readiness
         self._log = log
         self._links: dict[Address, CallLink] = {}
@@ -192,12 +196,14 @@
         link = self._links.get(address)
         if link is None or link.closed:
             now = trio.current_time()
+            if link is not None:
+                self._forget(link, now)
             if now - self._failed_at.get(address, -RETRY_CONNECT_S) < RETRY_CONNECT_S:
                 detail = f"{address} took no connection just now"
                 self._taker.take_link_failure(call.number, Ran.NO, detail)
                 return
             link = self._links[address] = CallLink(address, self._taker, self._log)
-            self._nursery.start_soon(self._connect, link)
+            link.connect(self._readiness, self._timers)
         link.send(call)
 
     def cancel(self, address: Address, number: CallNumber) -> None:
@@ -206,24 +212,24 @@
         if link is not None and not link.closed:
             link.cancel(number)
 
+    def _forget(self, link: CallLink, now: float) -> None:
+        del self._links[link.address]
+        if not link.is_connected:
+            self._failed_at[link.address] = now
+
     def step(self, now: float) -> None:
         """Look for silent peers; call every CHECK_S."""
         # This process was late itself: what came meanwhile is not read yet.
         is_late = now - self._stepped_at > 2 * CHECK_S
         self._stepped_at = now
-        for address, link in tuple(self._links.items()):
+        for link in tuple(self._links.values()):
             if link.closed:
-                del self._links[address]
+                self._forget(link, now)
             elif is_late:
                 link.forgive(now)
             else:
                 link.check(now)
 
-    async def _connect(self, link: CallLink) -> None:
-        await link.connect(self._readiness)
-        if not link.is_connected:
-            self._failed_at[link.address] = trio.current_time()
-
 
 class CallHandler(Protocol):
     """Run the calls of other nodes."""
@@ -248,7 +254,7 @@
 
     def __init__(
         self,
-        socket: trio.socket.SocketType,
+        socket: sockets.socket,
         readiness: Readiness,
         handler: CallHandler,
     ):
@@ -286,7 +292,7 @@
     readiness: Readiness
     handler: CallHandler
 
-    def take(self, socket: trio.socket.SocketType) -> None:
+    def take(self, socket: sockets.socket) -> None:
         """Take over a connection whose preamble was read."""
-        socket.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         CallServerConnection(socket, self.readiness, self.handler)
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -5,7 +5,6 @@
 import socket as sockets
 from collections.abc import Callable
 
-import trio
 from absl import logging
 
 from persimmonhall.wire.readiness import Readiness
@@ -24,7 +23,7 @@
 
     def __init__(
         self,
-        socket: trio.socket.SocketType,
+        socket: sockets.socket,
         readiness: Readiness,
         on_data: DataTaker,
         on_end: EndTaker,
--- a/persimmonhall/wire/readiness.py
+++ b/persimmonhall/wire/readiness.py
@@ -16,7 +16,7 @@
 # Without a message for this long, other tasks and the scheduler have the loop.
 QUIET_S = 0.001
 # Other tasks of a busy node get their turn this often: timers fire this late.
-TURN_S = 0.004
+TURN_S = 0.002
 Callback = Callable[[int], None]
 
 
