--- a/persimmonhall/cli/node.py
+++ b/persimmonhall/cli/node.py
@@ -1,11 +1,18 @@
 """Run persimmonhall-node."""
 
 import sys
+from functools import partial
+from pathlib import Path
+
+from returns.result import Result
 
 from persimmonhall.cli.definition import make_parser
 from persimmonhall.cli.serving import serve_program
+from persimmonhall.dialect import OwnDialect
 from persimmonhall.node import run_node
-from persimmonhall.settings import NodeSettings
+from persimmonhall.reload import SettingsSource
+from persimmonhall.routed_node import run_routed_node
+from persimmonhall.settings import NodeSettings, load_settings
 from persimmonhall.status import ExitStatus
 
 DESCRIPTION = """\
@@ -19,7 +26,17 @@
 def main(arguments: list[str] | None = None) -> ExitStatus:
     """Run the program and return its exit status."""
     parser = make_parser("persimmonhall-node", DESCRIPTION, EXAMPLES)
-    return serve_program(parser, arguments, NodeSettings, run_node)
+    return serve_program(parser, arguments, NodeSettings, _run, options=("settings",))
+
+
+async def _run(
+    checked: NodeSettings, on_ready, *, settings: Path
+) -> Result[None, str] | None:
+    """Serve by documents, or by the routes of releases if the settings say so."""
+    if checked.releases is None:
+        return await run_node(checked, on_ready)
+    source = SettingsSource(settings, partial(load_settings, NodeSettings))
+    return await run_routed_node(source, OwnDialect(), on_ready)
 
 
 if __name__ == "__main__":
--- a/persimmonhall/cli/operator.py
+++ b/persimmonhall/cli/operator.py
@@ -16,6 +16,7 @@
 from persimmonhall.cli.quarantine import run_quarantine
 from persimmonhall.cli.serving import fail
 from persimmonhall.control.admin_client import AdminClient
+from persimmonhall.dialect import OwnDialect
 from persimmonhall.document.schema import parse_document
 from persimmonhall.errors import ErrorKind, Refusal, refuse
 from persimmonhall.settings import OperatorSettings, load_settings
@@ -27,6 +28,8 @@
     ErrorKind.CONNECT_FAILED: ExitStatus.UNREACHABLE,
     ErrorKind.REVISION_CONFLICT: ExitStatus.CONFLICT,
     ErrorKind.INVALID_DOCUMENT: ExitStatus.USAGE,
+    ErrorKind.INVALID_RELEASE: ExitStatus.USAGE,
+    ErrorKind.RELEASE_CONFLICT: ExitStatus.CONFLICT,
 }
 
 
@@ -101,6 +104,10 @@
             return await client.delete(f"/replicas/{options.name}")
         case ("document", "put"):
             return await _put(options, client)
+        case ("release", "get"):
+            return await client.get("/release")
+        case ("release", "put"):
+            return await _put_release(options.file, client)
 
 
 async def _put(
@@ -120,8 +127,20 @@
     return await client.put(document.service, text, options.revision, change)
 
 
+async def _put_release(path: Path, client: AdminClient) -> Result[object, Refusal]:
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        detail = f"{path}: cannot be read: {error}"
+        return Failure(refuse(ErrorKind.INVALID_RELEASE, detail))
+    match OwnDialect().decode_release(text):
+        case Failure(reason):
+            return Failure(refuse(ErrorKind.INVALID_RELEASE, f"{path}: {reason}"))
+    return await client.put_release(text)
+
+
 def _print(body: object, options: argparse.Namespace) -> None:
-    if options.json:
+    if options.json or options.command == "release":
         print(json.dumps(body))
     elif options.command == "status":
         print(status_table(body))
--- a/persimmonhall/cli/operator_definition.py
+++ b/persimmonhall/cli/operator_definition.py
@@ -15,6 +15,8 @@
   persimmonhall --settings operator.toml document get cue
   persimmonhall --settings operator.toml document history cue
   persimmonhall --settings operator.toml replica list
+  persimmonhall --settings operator.toml release put release.json
+  persimmonhall --settings operator.toml release get
   persimmonhall --settings operator.toml status --json
   persimmonhall quarantine list --node 127.0.0.1:7100
   persimmonhall document status --node 127.0.0.1:7100
@@ -41,9 +43,18 @@
     add_node(leave)
     add_quarantine(commands)
     _add_replica(commands)
+    _add_release(commands)
     return parser
 
 
+def _add_release(commands: argparse._SubParsersAction) -> None:
+    release = commands.add_parser("release", help="read and replace the release")
+    actions = release.add_subparsers(dest="action", required=True, metavar="ACTION")
+    put = actions.add_parser("put", help="replace the release its base names")
+    put.add_argument("file", type=Path, metavar="FILE", help="JSON file")
+    actions.add_parser("get", help="print the release in force")
+
+
 def _add_document(commands: argparse._SubParsersAction) -> None:
     document = commands.add_parser("document", help="read and change documents")
     actions = document.add_subparsers(dest="action", required=True, metavar="ACTION")
--- a/persimmonhall/control/admin.py
+++ b/persimmonhall/control/admin.py
@@ -22,6 +22,7 @@
 from persimmonhall.errors import ErrorKind, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.ids import ChangeId, NodeName, Revision, ServiceName
+from persimmonhall.release.api import ReleaseApi
 from persimmonhall.settings import TeamSection
 
 TEXT_TYPE = (b"content-type", b"text/plain; charset=utf-8")
@@ -36,8 +37,14 @@
 class AdminApi:
     """Let teams read and change documents."""
 
-    def __init__(self, replica: Replica, teams: tuple[TeamSection, ...]):
+    def __init__(
+        self,
+        replica: Replica,
+        teams: tuple[TeamSection, ...],
+        releases: ReleaseApi,
+    ):
         self._replica = replica
+        self._releases = releases
         self._teams = {team.token: team for team in teams}
         self._rng = random.Random()
 
@@ -63,10 +70,21 @@
                 return await self._remove(request, NodeName(name))
             case ("GET", "documents", *rest):
                 return await self._read(rest)
+            case ("GET", "release"):
+                return Success(await self._releases.handle(request))
+            case ("PUT", "release"):
+                return await self._put_release(request)
             case ("PUT", "documents", service):
                 return await self._put(request, ServiceName(service))
         return Failure(refuse(ErrorKind.NOT_FOUND, f"no {request.target} here"))
 
+    async def _put_release(self, request: HttpRequest) -> Result[HttpAnswer, Refusal]:
+        team = self._team_of(request)
+        if team is None or not team.operator:
+            detail = "only an operator puts a release"
+            return Failure(refuse(ErrorKind.FORBIDDEN, detail))
+        return Success(await self._releases.handle(request))
+
     async def _read(self, rest: list[str]) -> Result[HttpAnswer, Refusal]:
         match await self._replica.read_barrier():
             case Failure() as failure:
--- a/persimmonhall/control/admin_client.py
+++ b/persimmonhall/control/admin_client.py
@@ -67,6 +67,10 @@
         target = f"/documents/{service}?revision={revision}"
         return await self._send(HttpRequest("PUT", target, headers, text.encode()))
 
+    async def put_release(self, text: bytes) -> Result[object, Refusal]:
+        """Put a release; putting the same text again is safe."""
+        return await self._send(HttpRequest("PUT", "/release", self._headers(), text))
+
     def _headers(self) -> tuple[tuple[bytes, bytes], ...]:
         return ((b"authorization", f"Bearer {self._token}".encode()),)
 
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -17,6 +17,8 @@
 from persimmonhall.control.serve import ControlService
 from persimmonhall.control.serve_peers import PeerService
 from persimmonhall.control.serve_releases import ReleaseParts, serve_releases
+from persimmonhall.dialect import OwnDialect
+from persimmonhall.events import EventLog
 from persimmonhall.http.asgi import serve_asgi
 from persimmonhall.once.log_clock import run_log_clock
 from persimmonhall.raft.core import Core
@@ -27,6 +29,7 @@
     is_empty,
     open_storage,
 )
+from persimmonhall.release.api import ReleaseApi
 from persimmonhall.settings import ControlSection, ControlSettings
 from persimmonhall.signals import wait_for_stop_signal
 from persimmonhall.wire.frames import Channel
@@ -133,9 +136,14 @@
     on_ready: Callable[[ControlAddresses], None],
 ) -> None:
     signalled, stop = trio.Event(), trio.Event()
-    admin = AdminApi(replica, settings.teams)
+    log = EventLog(settings.control.name)
+    founders = len(settings.control.peers)
+    own_releases = ReleaseApi(replica, OwnDialect(), founders, log)
+    admin = AdminApi(replica, settings.teams, own_releases)
     address = None
     async with trio.open_nursery() as nursery:
+        if settings.control.admin is not None:
+            nursery.start_soon(log.run)
         nursery.start_soon(wait_for_stop_signal, signalled)
         async with trio.open_nursery() as serving:
             if settings.control.admin is not None:
--- /dev/null
+++ b/tests/test_routed_path.py
@@ -0,0 +1,253 @@
+"""Check the way of a request by a route, with real sockets on one loop."""
+
+import json
+import socket
+from functools import partial
+
+import pytest
+import trio
+
+from persimmonhall.address import Address
+from persimmonhall.control.run import run_control
+from persimmonhall.control.serve_releases import ReleaseParts
+from persimmonhall.dialect import HeaderNames, OwnDialect
+from persimmonhall.events import EventLog
+from persimmonhall.release.tests.builders import (
+    make_release,
+    make_route,
+    write_release,
+)
+from persimmonhall.routed_node import RoutedNode
+from persimmonhall.settings import (
+    ControlSection,
+    ControlSettings,
+    NodeSection,
+    NodeSettings,
+    PeersSection,
+    ReleasesSection,
+)
+
+HEADERS = HeaderNames()
+HOST = "127.0.0.1"
+
+
+def free_address():
+    """Return an address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return Address(*probe.getsockname())
+
+
+async def ask(address, data):
+    """Send one request on a connection of its own and return the answer."""
+    with trio.fail_after(5):
+        async with await trio.open_tcp_stream(address.host, address.port) as stream:
+            await stream.send_all(data)
+            answer = b""
+            while not _is_whole(answer):
+                part = await stream.receive_some(65536)
+                if not part:
+                    break
+                answer += part
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split(b" ")[1]), head, body
+
+
+def _is_whole(answer):
+    head, end, body = answer.partition(b"\r\n\r\n")
+    if not end:
+        return False
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length: "):
+            return len(body) >= int(line.split(b": ")[1])
+    return True
+
+
+def request(method, path, *lines, body=b""):
+    """Write a request."""
+    head = [f"{method} {path} HTTP/1.1", "Host: maps.example", *lines]
+    if body:
+        head.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*head, "", ""]).encode() + body
+
+
+class Backend:
+    """Answer every request with what it received, as a backend server does."""
+
+    def __init__(self):
+        self.requests = []
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        while data := await stream.receive_some(65536):
+            self.requests.append(data)
+            name = HEADERS.attempt + b": "
+            [attempt] = [
+                line[len(name) :]
+                for line in data.split(b"\r\n")
+                if line.startswith(name)
+            ]
+            head = (
+                b"HTTP/1.1 200 OK\r\n%s%s\r\nx-stamp: s1\r\ncontent-length: 5\r\n\r\n"
+            )
+            await stream.send_all(head % (name, attempt) + b"chart")
+
+
+class Scene:
+    """Run one control VM and two nodes, one of them next to a backend server."""
+
+    def __init__(self, folder, nursery):
+        self.folder = folder
+        self.nursery = nursery
+        self.backend = Backend()
+        self.control = None
+        self.nodes = []
+
+    async def start(self):
+        """Start everything."""
+        frames = free_address()
+        section = ControlSection(
+            name="control",
+            zone="suva",
+            frames=frames,
+            data_folder=str(self.folder / "data"),
+            releases=free_address(),
+            found=True,
+            peers=(frames,),
+        )
+        started = trio.Event()
+        parts = ReleaseParts(OwnDialect(), EventLog("control"))
+        self.nursery.start_soon(
+            partial(
+                run_control,
+                ControlSettings(section),
+                lambda _: started.set(),
+                releases=parts,
+            )
+        )
+        await started.wait()
+        self.control = section.releases
+        [listener] = await trio.open_tcp_listeners(0, host=HOST)
+        self.nursery.start_soon(trio.serve_listeners, self.backend.serve, [listener])
+        backend = Address(*listener.socket.getsockname()[:2])
+        for name, service in (("entry", "cue"), ("gate", "maps")):
+            await self._add_node(name, service, frames, backend)
+
+    async def _add_node(self, name, service, control, backend):
+        settings = NodeSettings(
+            NodeSection(
+                name=name,
+                zone="suva",
+                callers=free_address(),
+                local=free_address(),
+                frames=free_address(),
+            ),
+            PeersSection(control=(control,)),
+            releases=ReleasesSection(
+                ready=free_address(),
+                service=service,
+                backend=backend if service == "maps" else None,
+                grace_s=1.0,
+            ),
+        )
+        node = RoutedNode(settings, OwnDialect(), self.nursery)
+        await node.start(self.nursery)
+        self.nodes.append(node)
+
+    async def put(self, release):
+        """Put a release and return the status of the answer."""
+        data = request("PUT", "/release", body=write_release(release))
+        return (await ask(self.control, data))[0]
+
+    async def report(self, **changes):
+        """Let the backend server report itself to its node."""
+        gate = self.nodes[1].settings
+        fields = {
+            "instance": "i-1",
+            "born_ms": 1,
+            "sequence": 1,
+            "service": "maps",
+            "address": str(gate.releases.backend),
+            "slots": 4,
+            "state": "ready",
+            "warm_up_ms": 0,
+        }
+        body = json.dumps(fields | changes).encode()
+        return (await ask(gate.node.local, request("POST", "/-/instances", body=body)))[
+            0
+        ]
+
+    async def get(self, path="/charts/1", attempt="a1"):
+        """Ask the entry as a caller."""
+        line = f"{HEADERS.attempt.decode()}: {attempt}"
+        callers = self.nodes[0].settings.node.callers
+        return await ask(callers, request("GET", path, line))
+
+    async def get_until(self, status):
+        """Ask until the answer has a status."""
+        with trio.fail_after(8):
+            while (answer := await self.get())[0] != status:
+                await trio.sleep(0.05)
+        return answer
+
+
+@pytest.fixture
+async def scene(tmp_path, nursery):
+    """Start a scene."""
+    scene = Scene(tmp_path, nursery)
+    await scene.start()
+    return scene
+
+
+async def test_request_comes_through_entry_and_gate(scene):
+    """From founding to a chart: release, membership, report, request, answer."""
+    assert (await scene.get())[0] == 503
+    with trio.fail_after(8):
+        while await scene.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    assert await scene.report() == 200
+    status, head, body = await scene.get_until(200)
+    assert body == b"chart"
+    assert b"x-stamp: s1" in head
+    received = scene.backend.requests[-1]
+    assert b"persimmonhall-expected-instance: i-1" in received
+    assert b"persimmonhall-caller-service: cue" in received
+    assert (await scene.get("/unknown/"))[0] == 404
+
+
+async def test_change_is_in_force_within_two_seconds_and_acknowledged_again(scene):
+    """Replace a route; resend the change; refuse another one on the old base."""
+    with trio.fail_after(8):
+        while await scene.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await scene.report()
+    await scene.get_until(200)
+    changed = make_release(make_route(prefix="/maps/"), version=2, base=1)
+    assert await scene.put(changed) == 200
+    with trio.fail_after(2):
+        while (await scene.get("/maps/1"))[0] != 200:
+            await trio.sleep(0.02)
+    assert (await scene.get())[0] == 404
+    assert await scene.put(changed) == 200
+    other = make_release(make_route(prefix="/other/"), version=3, base=1)
+    assert await scene.put(other) == 412
+    status, _, body = await ask(scene.control, request("GET", "/release"))
+    assert (status, json.loads(body)["version"]) == (200, 2)
+
+
+async def test_stopping_node_answers_what_it_took(scene):
+    """Say not ready at once, serve on, and end within the grace period."""
+    with trio.fail_after(8):
+        while await scene.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await scene.report()
+    await scene.get_until(200)
+    entry = scene.nodes[0]
+    ready = entry.settings.releases.ready
+    assert (await ask(ready, request("GET", "/-/ready")))[0] == 200
+    with trio.fail_after(2):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(entry.leave)
+            await trio.sleep(0.05)
+            assert (await ask(ready, request("GET", "/-/ready")))[0] == 503
+            assert (await scene.get(attempt="a2"))[0] == 200
