Begin nothing for a caller who has left

Whoever has closed is now seen before what it sent is read. A busy node also waits 4 ms, not 1, before it leaves the loop to the scheduler.

--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -105,7 +105,9 @@
         self._reads_on = True
         self._since = trio.current_time()
         self._unsent_before = 0
-        self._duplex = Duplex(socket, readiness, self._take, self._end)
+        self._duplex = Duplex(
+            socket, readiness, self._take, self._end, drops_at_end=True
+        )
 
     @property
     def is_idle(self) -> bool:
--- a/persimmonhall/http/tests/test_callers.py
+++ b/persimmonhall/http/tests/test_callers.py
@@ -1,5 +1,7 @@
 """Check answers in order, closed connections and bounds on one connection."""
 
+import socket
+
 import trio
 
 from persimmonhall.address import Address
@@ -124,6 +126,19 @@
     scene.handler.exchanges[0].answer(200, b"", b"too late")
 
 
+async def test_request_of_a_caller_who_left_before_it_was_read_is_not_begun(nursery):
+    """Start nothing for a caller who sent a request and went while the node lagged."""
+    scene = Scene(nursery)
+    stream = await scene.connect()
+    await stream.send_all(get("/first"))
+    await scene.wait_for(1)
+    stream.socket._sock.send(get("/second"))
+    stream.socket._sock.shutdown(socket.SHUT_RDWR)
+    await trio.sleep(0.05)
+    assert len(scene.handler.exchanges) == 1
+    assert len(scene.handler.abandoned) == 1
+
+
 async def test_draining_server_closes_with_the_newest_answer_only(nursery):
     """Leave no request behind an answer that closes."""
     scene = Scene(nursery)
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -27,6 +27,8 @@
         readiness: Readiness,
         on_data: DataTaker,
         on_end: EndTaker,
+        *,
+        drops_at_end: bool = False,
     ):
         self._socket = socket
         self._fd = socket.fileno()
@@ -34,6 +36,8 @@
         self._on_data = on_data
         self._on_end = on_end
         self._unsent = bytearray()
+        # What a peer sent before it left is not worth starting on.
+        self._drops_at_end = drops_at_end
         self._is_paused = False
         self._closed = False
         readiness.add(self._fd, READ, self._on_ready)
@@ -113,7 +117,11 @@
             del self._unsent[: self._write(self._unsent)]
             if not self._unsent:
                 self._watch()
-        if events & ~WRITE and not self._closed:
+        if self._closed or not events & ~WRITE:
+            return
+        if self._drops_at_end and events & select.EPOLLRDHUP:
+            self._end(ENDED)
+        else:
             self._read()
 
     def _read(self) -> None:
--- a/persimmonhall/wire/readiness.py
+++ b/persimmonhall/wire/readiness.py
@@ -14,7 +14,7 @@
 # Events handled before the time is looked at again.
 MAX_EVENTS = 64
 # Without a message for this long, other tasks and the scheduler have the loop.
-QUIET_S = 0.001
+QUIET_S = 0.004
 # Other tasks of a busy node get their turn this often: timers fire this late.
 TURN_S = 0.002
 Callback = Callable[[int], None]
