--- a/persimmonhall/membership/core.py
+++ b/persimmonhall/membership/core.py
@@ -34,6 +34,9 @@
 RETRY_INTERVAL_S = 4.0
 SYNC_INTERVAL_S = 30.0
 SOON_S = 1.0
+# A node that knows few others has just started and serves badly until it knows more.
+FEW_MEMBERS = 4
+AT_ONCE_S = 0.05
 TOMBSTONE_S = 2 * 3600.0
 STALL_S = 1.0
 FORWARD_S = 2.0
@@ -252,7 +255,9 @@
         known = self._view.known(sender.node)
         if known is None or known.health.is_gone:
             # Both sides may have missed much: compare all soon.
-            self._next_sync = min(self._next_sync, now + self._soon())
+            is_new = known is None and len(self._view.peers.members) < FEW_MEMBERS
+            wait_s = AT_ONCE_S if is_new else self._soon()
+            self._next_sync = min(self._next_sync, now + wait_s)
         seen = DocumentsSeen(sender.node, address_of(sender.frames), datagram.documents)
         return [seen, *self.take_news((News(sender), *datagram.news), now)]
 
--- a/persimmonhall/release/routes.py
+++ b/persimmonhall/release/routes.py
@@ -30,6 +30,9 @@
             route.name: [_Share(t.service, t.weight) for t in route.targets]
             for route in release.routes
         }
+        self._services = frozenset(
+            target.service for route in release.routes for target in route.targets
+        )
         priorities = sorted({route.priority for route in release.routes})
         self._ranks = {priority: rank for rank, priority in enumerate(priorities)}
 
@@ -38,6 +41,11 @@
         """Return the release that the table was built from."""
         return self._release
 
+    @property
+    def services(self) -> frozenset[ServiceName]:
+        """Return the services that routes lead to."""
+        return self._services
+
     @property
     def ranks(self) -> int:
         """Return how many different priorities the routes have."""
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -61,7 +61,7 @@
 CALLERS_LEAVE_S = 2.5
 # Callers who have asked for nothing for this long have left.
 QUIET_S = 0.5
-# Without any peer after this long, the node is alone and serves what it can.
+# A node that knows no server of some service after this long serves what it can.
 ALONE_S = 2.0
 JSON_TYPE = (b"content-type", b"application/json")
 TEXT_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
@@ -194,10 +194,12 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether callers should send requests here."""
-        if self.stopping or self.releases.routes is None:
+        routes = self.releases.routes
+        if self.stopping or routes is None:
             return False
-        is_alone = trio.current_time() - self._started > ALONE_S
-        return is_alone or len(self._table.peers()) > 0
+        if trio.current_time() - self._started > ALONE_S:
+            return True
+        return all(map(self._table.servers_of, routes.services))
 
     async def start(self, nursery: trio.Nursery) -> RoutedAddresses:
         """Listen and run every part."""
