--- a/persimmonhall/admission/level.py
+++ b/persimmonhall/admission/level.py
@@ -119,4 +119,4 @@
 
     def is_small(self, kind: K) -> bool:
         """Tell whether a kind brings little of the work."""
-        return self._shares.get(kind, 0.0) < SMALL_SHARE
+        return bool(self._shares) and self._shares.get(kind, 0.0) < SMALL_SHARE
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -264,12 +264,13 @@
             most_s = max(LEAST_WAIT_S, ROOT_WAIT_SHARE * call.objective_ms / 1000)
         latest = min(now + most_s, work.deadline - self._expected_s(call.route))
         start_by = now + ROOT_WAIT_SHARE * call.objective_ms / 1000
-        if not call.is_nested and self._shares.is_small(call.route):
+        goes_first = not call.is_nested and self._shares.is_small(call.route)
+        if goes_first:
             # A route that brings little work delays the others little.
             start_by = now - SMALL_ROUTE_LEAD_S
         work.waiting = Waiting(work, rank, start_by, latest)
         self._line.add(work.waiting)
-        if now + self._wait_s() > latest:
+        if not goes_first and now + self._wait_s() > latest:
             self._give_one_up(work)
         self._set_expiry(latest)
 
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -164,3 +164,19 @@
     scene.pool.probes.pop()(True)
     assert scene.deaths == []
     assert scene.down == 0
+
+
+async def test_root_of_a_small_route_goes_before_the_line_of_a_large_one(
+    autojump_clock,
+):
+    """Deep service full of calls: a rare direct request takes the next place."""
+    scene = GateScene(make_report(slots=4))
+    scene.gate._mean_run_s = 0.05
+    scene.gate._run_s = {"charts": 0.05, "eta": 0.02}
+    for number in range(200):
+        scene.begin(make_call(number, is_nested=True))
+    scene.gate.step(trio.current_time(), 0.1)
+    scene.begin(make_call(900, route="eta", rank=1, objective_ms=100))
+    assert 900 not in scene.replies
+    scene.pool.answer(headers=ANSWER)
+    assert scene.pool.sent[-1].attempt == b"a900"
