--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -14,6 +14,7 @@
 from persimmonhall.control.joining import Joiner, find_cluster
 from persimmonhall.control.peers import Peers
 from persimmonhall.control.replica import Replica
+from persimmonhall.control.retiring import Retiring
 from persimmonhall.control.serve import ControlService
 from persimmonhall.control.serve_peers import PeerService
 from persimmonhall.control.serve_releases import ReleaseParts, serve_releases
@@ -118,6 +119,7 @@
         nursery.start_soon(service.run)
         nursery.start_soon(run_log_clock, replica.submit_here)
         nursery.start_soon(Joiner(replica, own.name, address, own.peers).run)
+        nursery.start_soon(Retiring(core, replica.driver, len(own.peers)).run)
         api = None
         if releases is not None:
             api = await serve_releases(releases, own, replica, nursery)
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -101,6 +101,10 @@
         """Return up to where each peer's log matches, if this replica leads."""
         return self._leader.matches if self._leader else {}
 
+    def silent_s(self, peer: ReplicaId, now: float) -> float:
+        """Return for how long a peer has not answered, 0 unless this replica leads."""
+        return self._leader.silent_s(peer, now) if self._leader else 0.0
+
     @property
     def accepts_proposals(self) -> bool:
         """Tell whether a proposal can be appended here now."""
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -70,6 +70,11 @@
         heard = [p for p in state.replicas.voters if self._is_active(p, now)]
         return len(heard) >= state.replicas.quorum
 
+    def silent_s(self, peer: ReplicaId, now: float) -> float:
+        """Return for how long a peer has not answered, 0 for this replica."""
+        progress = self._progress.get(peer)
+        return now - progress.active_at if progress is not None else 0.0
+
     def tick(self, now: float) -> None:
         """Send heartbeats and carry on with changes under way."""
         if self._transfer_to is not None and now >= self._transfer_until:
