Break ties between two servers at random; move the model's scenarios

Cause: the quick way for two servers took the first at equal cost (test_own_stall found it). The scenarios stood where documents are looked for.

--- a/harness/load_model/__main__.py
+++ b/harness/load_model/__main__.py
@@ -12,8 +12,9 @@
 
 EXAMPLES = """\
 examples:
-  python -m harness.load_model examples/model/hakepuu_surge.toml
-  python -m harness.load_model examples/model/vanua_surge.toml --json out.json"""
+  cd harness/load_model/scenarios
+  python -m harness.load_model hakepuu_surge.toml
+  python -m harness.load_model vanua_surge.toml --json out.json"""
 
 
 def main(arguments: list[str] | None = None) -> ExitStatus:
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -211,12 +211,16 @@
     ) -> list[Member]:
         """Return up to two random members that are usable."""
         if len(members) <= CHOICES:
-            return [
+            picks = [
                 member
                 for member in members
                 if member.node not in exclude
                 and is_usable(pool.views[member.node], now)
             ]
+            # At equal cost the first is taken.
+            if len(picks) > 1 and self._rng.random() < 1 / CHOICES:
+                picks.reverse()
+            return picks
         picks: list[Member] = []
         for member in self._in_random_order(members):
             if member.node in exclude or (picks and member is picks[0]):
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -14,7 +14,7 @@
 from harness.load_model.scenario import Disturbance, load_scenario
 from harness.load_model.world import play
 
-MODELS = Path(__file__).parents[1] / "examples" / "model"
+MODELS = Path(__file__).parents[1] / "harness" / "load_model" / "scenarios"
 SLACK = 0.05
 STARVED_SHARE = 0.25
 CALM_SHARE = 0.99
