--- a/harness/load_model/scenario.py
+++ b/harness/load_model/scenario.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from returns.result import Failure, Success
+
 from persimmonhall.checked import bounded, read_toml
 
 
@@ -76,11 +78,8 @@
 
 def load_scenario(path: Path) -> Scenario:
     """Read a TOML file; raise ValueError with its first problem."""
-    result = read_toml(Scenario, path.read_text(encoding="utf-8"))
-    if result.failure is not None and not _is_success(result):
-        raise ValueError(f"{path}: {result.failure()[0]}")
-    return result.unwrap()
-
-
-def _is_success(result) -> bool:
-    return result.value_or(None) is not None
+    match read_toml(Scenario, path.read_text(encoding="utf-8")):
+        case Failure(problems):
+            raise ValueError(f"{path}: {problems[0]}")
+        case Success(scenario):
+            return scenario
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -9,6 +9,7 @@
 
 from persimmonhall.admission.level import share_let_in
 from persimmonhall.call.crash_suspects import CrashSuspects
+from persimmonhall.call.flight import Flight, milliseconds, usable_s
 from persimmonhall.call.routed_gate import RoutedGate
 from persimmonhall.dialect import HeaderNames
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
@@ -30,13 +31,10 @@
 from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Observation, Router
 from persimmonhall.routing.views import CallOutcome
-from persimmonhall.timers import Timer, Timers
+from persimmonhall.timers import Timers
 from persimmonhall.wire.call_link import CallLinks
 from persimmonhall.wire.calls import GateLoad, RoutedCall, RoutedReply
 
-# A caller stops waiting at its deadline; the final answer has to travel to it.
-ANSWER_MARGIN_S = 0.03
-MARGIN_SHARE = 0.1
 # Gates that had not sent a request on may pass it to others at no cost for a server.
 MAX_REROUTES = 3
 MAX_OVERLOAD_REROUTES = 1
@@ -70,51 +68,6 @@
     service: ServiceName
 
 
-class _Flight:
-    """Follow one request from its arrival to its final answer."""
-
-    __slots__ = (
-        "exchange",
-        "attempt",
-        "route",
-        "rank",
-        "service",
-        "is_nested",
-        "is_head",
-        "arrived",
-        "deadline",
-        "head",
-        "body",
-        "tried",
-        "member",
-        "number",
-        "sent_at",
-        "sends",
-        "reroutes",
-        "overloads",
-        "may_have_run",
-        "timer",
-        "failed_answer",
-        "is_logged",
-    )
-
-    def __init__(self, exchange: Exchange, route: Route, now: float):
-        self.exchange = exchange
-        self.route = route
-        self.arrived = now
-        self.tried: list[NodeName] = []
-        self.member: Member | None = None
-        self.number = CallNumber(0)
-        self.sent_at = now
-        self.sends = 0
-        self.reroutes = 0
-        self.overloads = 0
-        self.may_have_run = False
-        self.timer: Timer | None = None
-        # Kept while another server is tried; it is delivered if that comes to nothing.
-        self.failed_answer: RoutedReply | None = None
-
-
 class RoutedEntry:
     """Send each request to a gate, again where that is safe, and answer once."""
 
@@ -167,7 +120,7 @@
         self._log = log
         self._patience = Patience()
         self._numbers = itertools.count(1)
-        self._flights: dict[CallNumber, _Flight] = {}
+        self._flights: dict[CallNumber, Flight] = {}
         self.counts = CallCounts()
         self.asked_at = 0.0
 
@@ -190,7 +143,7 @@
             self._refuse_unrouted(exchange, attempt, host)
             return
         now = self.asked_at = trio.current_time()
-        flight = _Flight(exchange, route, now)
+        flight = Flight(exchange, route, now)
         exchange.context = flight
         flight.attempt = attempt
         flight.rank = routes.rank_of(route)
@@ -198,7 +151,7 @@
         flight.is_nested = self._is_nested(route)
         flight.is_head = message.method == "HEAD"
         flight.is_logged = is_sampled(attempt)
-        flight.deadline = now + _usable_s(wait_ms, route)
+        flight.deadline = now + usable_s(wait_ms, route)
         flight.head = b"%s %s HTTP/1.1\r\n%s" % (
             message.method.encode(),
             message.target,
@@ -223,7 +176,7 @@
     def abandon(self, exchange: Exchange) -> None:
         """Stop working on a request whose caller is gone."""
         flight = exchange.context
-        if not isinstance(flight, _Flight):
+        if not isinstance(flight, Flight):
             return
         self._stop_waiting(flight, CallOutcome.CANCELLED)
         now = trio.current_time()
@@ -275,7 +228,7 @@
             elif name == names.attempt:
                 attempt = value.decode("latin-1")
             elif name == names.deadline_ms:
-                wait_ms = _milliseconds(value)
+                wait_ms = milliseconds(value)
             if name not in self._dropped:
                 lines.append(b"%s: %s\r\n" % (name, value))
         lines.append(self._caller_line)
@@ -290,12 +243,12 @@
             return False
         return True
 
-    def _lets_in(self, flight: _Flight, now: float) -> bool:
+    def _lets_in(self, flight: Flight, now: float) -> bool:
         level = self._levels.level(flight.route.name, now)
         share = share_let_in(level, flight.rank)
         return share >= 1.0 or self._rng.random() < share
 
-    def _refuse_early(self, flight: _Flight, now: float) -> None:
+    def _refuse_early(self, flight: Flight, now: float) -> None:
         level = self._levels.level(flight.route.name, now)
         detail = f"the services of route {flight.route.name} are short of room"
         self._finish_refused(
@@ -315,7 +268,7 @@
         )
         exchange.refuse(refusal)
 
-    def _send(self, flight: _Flight, now: float) -> None:
+    def _send(self, flight: Flight, now: float) -> None:
         route = flight.route
         choice = self._router.choose(
             flight.service, flight.tried, now, may_probe=route.is_idempotent
@@ -361,7 +314,7 @@
         else:
             self._links().send(address_of(member.frames), call)
 
-    def _set_timer(self, flight: _Flight, now: float) -> None:
+    def _set_timer(self, flight: Flight, now: float) -> None:
         if flight.timer is not None:
             flight.timer.cancel()
         when = flight.deadline
@@ -369,7 +322,7 @@
             when = min(when, now + self._patience.seconds(flight.route.name))
         flight.timer = self._timers.call_at(when, lambda: self._on_timer(flight))
 
-    def _on_timer(self, flight: _Flight) -> None:
+    def _on_timer(self, flight: Flight) -> None:
         now = trio.current_time()
         flight.timer = None
         if now >= flight.deadline:
@@ -388,7 +341,7 @@
             when = flight.deadline
             flight.timer = self._timers.call_at(when, lambda: self._on_timer(flight))
 
-    def _stop_waiting(self, flight: _Flight, outcome: CallOutcome) -> None:
+    def _stop_waiting(self, flight: Flight, outcome: CallOutcome) -> None:
         """Cancel the call that is under way, if there is one."""
         if flight.timer is not None:
             flight.timer.cancel()
@@ -405,7 +358,7 @@
         self._router.observe(flight.service, member.node, seen, now)
 
     def _observe(
-        self, flight: _Flight, member: Member, reply: RoutedReply, now: float
+        self, flight: Flight, member: Member, reply: RoutedReply, now: float
     ) -> None:
         if reply.error is not None:
             outcome = OUTCOMES.get(reply.error, CallOutcome.REFUSED)
@@ -417,7 +370,7 @@
         seen = Observation(outcome, flight.route.name, now - flight.sent_at, load)
         self._router.observe(flight.service, member.node, seen, now)
 
-    def _take_answer(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+    def _take_answer(self, flight: Flight, reply: RoutedReply, now: float) -> None:
         took_s = now - flight.sent_at
         self._patience.record(flight.route.name, took_s)
         if reply.status >= FIRST_SERVER_ERROR and self._may_try_again(flight, now):
@@ -427,7 +380,7 @@
             return
         self._deliver(flight, reply, now)
 
-    def _deliver(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+    def _deliver(self, flight: Flight, reply: RoutedReply, now: float) -> None:
         if flight.is_logged or reply.status >= FIRST_SERVER_ERROR:
             self._note(
                 Event.REQUEST_ANSWERED,
@@ -444,7 +397,7 @@
         body = b"" if reply.status in NO_BODY_STATUSES else reply.body
         flight.exchange.answer(reply.status, reply.head, body)
 
-    def _take_refusal(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+    def _take_refusal(self, flight: Flight, reply: RoutedReply, now: float) -> None:
         kind = reply.error
         if kind in CLOSED_GATE and flight.reroutes < MAX_REROUTES:
             flight.reroutes += 1
@@ -457,7 +410,7 @@
         else:
             self._finish_refused(flight, kind, reply.detail, Ran.NO, now)
 
-    def _send_on(self, flight: _Flight, reply: RoutedReply, now: float) -> None:
+    def _send_on(self, flight: Flight, reply: RoutedReply, now: float) -> None:
         """Try the gate of another server, as no server has seen the request."""
         if not self._has_other(flight):
             self._finish_refused(flight, reply.error, reply.detail, Ran.NO, now)
@@ -465,7 +418,7 @@
         self._send(flight, now)
 
     def _take_loss(
-        self, flight: _Flight, kind: ErrorKind, detail: str, now: float
+        self, flight: Flight, kind: ErrorKind, detail: str, now: float
     ) -> None:
         flight.may_have_run = True
         if self._may_try_again(flight, now):
@@ -473,7 +426,7 @@
         else:
             self._finish_refused(flight, kind, detail, Ran.UNKNOWN, now)
 
-    def _resend(self, flight: _Flight, reason: str, now: float) -> None:
+    def _resend(self, flight: Flight, reason: str, now: float) -> None:
         flight.sends += 1
         self.counts.resent += 1
         self._note(
@@ -485,34 +438,34 @@
         )
         self._send(flight, now)
 
-    def _may_resend(self, flight: _Flight) -> bool:
+    def _may_resend(self, flight: Flight) -> bool:
         """Tell whether the kind of request and its route allow another server."""
         is_allowed = flight.sends + 1 < flight.route.max_servers
         return flight.route.is_idempotent and is_allowed and self._has_other(flight)
 
-    def _may_try_again(self, flight: _Flight, now: float) -> bool:
+    def _may_try_again(self, flight: Flight, now: float) -> bool:
         has_time = flight.deadline - now > self._patience.usual_s(flight.route.name)
         may = has_time and self._may_resend(flight) and self._has_room(flight, now)
         return may and self._spend(flight)
 
-    def _may_try_unrun(self, flight: _Flight) -> bool:
+    def _may_try_unrun(self, flight: Flight) -> bool:
         is_allowed = flight.sends + 1 < flight.route.max_servers
         return is_allowed and self._has_other(flight) and self._spend(flight)
 
-    def _has_other(self, flight: _Flight) -> bool:
+    def _has_other(self, flight: Flight) -> bool:
         return len(self._table.servers_of(flight.service)) > len(flight.tried)
 
-    def _has_room(self, flight: _Flight, now: float) -> bool:
+    def _has_room(self, flight: Flight, now: float) -> bool:
         """Tell whether the services behind a route are far from full."""
         full = self._releases.routes.ranks
         return self._levels.level(flight.route.name, now) > full - ROOM_SLACK
 
-    def _spend(self, flight: _Flight) -> bool:
+    def _spend(self, flight: Flight) -> bool:
         return self._budget.spend(flight.service, self._members)
 
     def _finish_refused(
         self,
-        flight: _Flight,
+        flight: Flight,
         kind: ErrorKind,
         detail: str,
         ran: Ran,
@@ -541,18 +494,18 @@
         self.counts.note(kind.value, flight.route.name, now - flight.arrived)
         flight.exchange.refuse(refusal)
 
-    def _return_s(self, flight: _Flight) -> float:
+    def _return_s(self, flight: Flight) -> float:
         spread = MOST_RETURN_SHARE - LEAST_RETURN_SHARE
         share = LEAST_RETURN_SHARE + spread * self._rng.random()
         return share * flight.route.latency_objective_ms / 1000
 
-    def _clear(self, flight: _Flight) -> None:
+    def _clear(self, flight: Flight) -> None:
         flight.exchange.context = None
         if flight.timer is not None:
             flight.timer.cancel()
             flight.timer = None
 
-    def _note(self, event: Event, flight: _Flight, now: float, **fields) -> None:
+    def _note(self, event: Event, flight: Flight, now: float, **fields) -> None:
         self._log.emit(
             event,
             request=flight.attempt,
@@ -563,17 +516,3 @@
             age_ms=round((now - flight.arrived) * 1000, 1),
             **fields,
         )
-
-
-def _milliseconds(value: bytes) -> float | None:
-    try:
-        return max(0.0, float(value))
-    except ValueError:
-        # Without a usable value the route's timeout holds.
-        return None
-
-
-def _usable_s(wait_ms: float | None, route: Route) -> float:
-    """Return how long the request may take, less what its answer needs."""
-    whole_s = min(wait_ms or route.timeout_ms, route.timeout_ms) / 1000
-    return whole_s - min(ANSWER_MARGIN_S, MARGIN_SHARE * whole_s)
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import trio
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
@@ -169,6 +170,7 @@
         # All founders know the same addresses, so that only one of them founds.
         others = tuple(peer for peer in own.peers if peer != address)
         if not await find_cluster(peers, others):
+            logging.info("cluster founded by=%s disk=%s", address, disk_id)
             first = first_state(disk_id, own.name, address)
             return open_storage(folder, disk_id, first)
     if not bootstrap:
--- a/persimmonhall/events.py
+++ b/persimmonhall/events.py
@@ -34,7 +34,6 @@
     REQUEST_REFUSED = "request_refused"
     REQUEST_RESENT = "request_resent"
     REQUEST_ABANDONED = "request_abandoned"
-    CALL_ADMITTED = "call_admitted"
     CALL_REFUSED = "call_refused"
     CALL_SENT = "call_sent"
     CALL_FAILED = "call_failed"
@@ -42,7 +41,6 @@
     INSTANCE_SEEN = "instance_seen"
     INSTANCE_GONE = "instance_gone"
     INSTANCE_REPORT_REFUSED = "instance_report_refused"
-    MEMBER = "member"
     LINK_LOST = "link_lost"
     LINK_REGAINED = "link_regained"
     CONTROL_LOST = "control_lost"
@@ -51,8 +49,6 @@
     RELEASE_IN_FORCE = "release_in_force"
     RELEASE_UNREADABLE = "release_unreadable"
     SHED_LEVEL = "shed_level"
-    CALL_GRAPH = "call_graph"
-    CLUSTER_FOUNDED = "cluster_founded"
 
 
 # What is written however many lines there are: it is rare, and others follow from it.
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -68,11 +68,14 @@
         self.closed = False
         self.reason = f"no connection within {CONNECT_TIMEOUT_S} s"
 
-    def connect(self, readiness: Readiness, timers: Timers) -> None:
+    def connect(
+        self, readiness: Readiness, timers: Timers, on_connected: Callable[[], None]
+    ) -> None:
         """Connect and send what waits."""
 
         def on_open(socket: sockets.socket) -> None:
             self._open(socket, readiness)
+            on_connected()
 
         def on_fault(error: OSError) -> None:
             self.drop(str(error))
@@ -189,6 +192,7 @@
         self._log = log
         self._links: dict[Address, CallLink] = {}
         self._failed_at: dict[Address, float] = {}
+        self._lost: set[Address] = set()
         self._stepped_at = 0.0
 
     def send(self, address: Address, call: RoutedCall) -> None:
@@ -203,7 +207,9 @@
                 self._taker.take_link_failure(call.number, Ran.NO, detail)
                 return
             link = self._links[address] = CallLink(address, self._taker, self._log)
-            link.connect(self._readiness, self._timers)
+            link.connect(
+                self._readiness, self._timers, lambda: self._note_connected(address)
+            )
         link.send(call)
 
     def cancel(self, address: Address, number: CallNumber) -> None:
@@ -212,8 +218,14 @@
         if link is not None and not link.closed:
             link.cancel(number)
 
+    def _note_connected(self, address: Address) -> None:
+        if address in self._lost:
+            self._lost.discard(address)
+            self._log.emit(Event.LINK_REGAINED, peer=str(address))
+
     def _forget(self, link: CallLink, now: float) -> None:
         del self._links[link.address]
+        self._lost.add(link.address)
         if not link.is_connected:
             self._failed_at[link.address] = now
 
