--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -1,7 +1,6 @@
 """Serve releases on a control VM and introduce nodes to each other."""
 
 import random
-import time
 from dataclasses import dataclass, field
 
 import trio
@@ -18,7 +17,7 @@
 from persimmonhall.http.refusals import refusal_answer
 from persimmonhall.membership.control_members import CONTROL_SERVICE
 from persimmonhall.membership.gossip import Gossiper
-from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.own import first_record
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.release.api import ReleaseApi
 from persimmonhall.settings import ControlSection
@@ -40,17 +39,7 @@
     def join_members(self, own: ControlSection, links: LinkPool):
         """Become a member and return the handler of membership asks."""
         frames = own.advertise or own.frames
-        member = Member(
-            node=own.name,
-            zone=own.zone,
-            region=REGION,
-            frames=str(frames),
-            incarnation=time.time_ns() // 1_000_000,
-            version=0,
-            service=CONTROL_SERVICE,
-            slots=1,
-            state=MemberState.READY,
-        )
+        member = first_record(own.name, own.zone, REGION, frames, CONTROL_SERVICE)
         rng = random.Random(own.seed or None)
         self.gossiper = Gossiper(MemberTable(member), links, own.peers, rng)
         self.gossiper.set_frames(own.frames, frames)
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -1,7 +1,6 @@
 """Run a node: entry, gate, membership and documents in force."""
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -28,7 +27,7 @@
 from persimmonhall.membership.announce import BackendWatch
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.leave import Leaving
-from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.own import first_record
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.metrics import node_page
 from persimmonhall.once.api import QuarantineApi
@@ -74,7 +73,7 @@
     rng = random.Random(own.seed or None)
     links = LinkPool(nursery, own.frames.host)
     documents = DocumentsInForce()
-    table = MemberTable(_own_member(settings))
+    table = MemberTable(first_record(own.name, own.zone, own.region, own.frames))
     control = ControlClient(links, settings.peers.control)
     once = open_once(table, control, links, nursery, lambda: watch.drop(), rng)
     self_limit = SelfLimit()
@@ -183,18 +182,3 @@
         await leaving.finish_local(local_serving.cancel_scope)
     await once.settler.wait_idle(SETTLE_S)
     logging.info("left node=%s", own.name)
-
-
-def _own_member(settings: NodeSettings) -> Member:
-    own = settings.node
-    return Member(
-        node=own.name,
-        zone=own.zone,
-        region=own.region,
-        frames=str(own.frames),
-        incarnation=time.time_ns() // 1_000_000,
-        version=0,
-        service=ServiceName(""),
-        slots=0,
-        state=MemberState.EMPTY,
-    )
--- a/persimmonhall/platform/control.py
+++ b/persimmonhall/platform/control.py
@@ -1,18 +1,9 @@
 """Run a control VM of the platform."""
 
-import os
 import sys
-from functools import partial
-from pathlib import Path
 
-import trio
-from returns.result import Failure
-
-from persimmonhall.cli.serving import fail
-from persimmonhall.platform.dialect import PlatformDialect
-from persimmonhall.platform.names import SETTINGS_VARIABLE
+from persimmonhall.platform.running import run_program
 from persimmonhall.platform.settings import read_control_settings
-from persimmonhall.reload import SettingsSource
 from persimmonhall.routed_control import run_routed_control
 from persimmonhall.status import ExitStatus
 
@@ -21,15 +12,7 @@
 
 def main() -> ExitStatus:
     """Run the program and return its exit status."""
-    path = os.environ.get(SETTINGS_VARIABLE)
-    if path is None:
-        return fail(PROGRAM, f"{SETTINGS_VARIABLE} is not set", ExitStatus.USAGE)
-    source = SettingsSource(Path(path), read_control_settings)
-    run = partial(run_routed_control, source, PlatformDialect())
-    match trio.run(run):
-        case Failure(reason):
-            return fail(PROGRAM, reason, ExitStatus.ERROR)
-    return ExitStatus.SUCCESS
+    return run_program(PROGRAM, read_control_settings, run_routed_control)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/persimmonhall/platform/running.py
@@ -0,0 +1,31 @@
+"""Start a program with the settings file that the platform names."""
+
+import os
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+
+import trio
+from returns.result import Failure, Result
+
+from persimmonhall.cli.serving import fail
+from persimmonhall.platform.dialect import PlatformDialect
+from persimmonhall.platform.names import SETTINGS_VARIABLE
+from persimmonhall.reload import SettingsSource
+from persimmonhall.status import ExitStatus
+
+Program = Callable[[SettingsSource, PlatformDialect], Awaitable[Result[None, str]]]
+
+
+def run_program(
+    name: str, read: Callable[[Path], Result], program: Program
+) -> ExitStatus:
+    """Run a program until it is stopped and return its exit status."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        return fail(name, f"{SETTINGS_VARIABLE} is not set", ExitStatus.USAGE)
+    source = SettingsSource(Path(path), read)
+    match trio.run(partial(program, source, PlatformDialect())):
+        case Failure(reason):
+            return fail(name, reason, ExitStatus.ERROR)
+    return ExitStatus.SUCCESS
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -3,7 +3,6 @@
 import gc
 import itertools
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,12 +19,11 @@
 from persimmonhall.http.callers import CallerServer, Exchange
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.http.reading import Message
-from persimmonhall.ids import ServiceName
 from persimmonhall.logs import log_to_events
 from persimmonhall.membership.control_members import ControlMembers
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.instances import InstanceWatch
-from persimmonhall.membership.messages import Member, MemberState
+from persimmonhall.membership.own import first_record
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.once.spread import SuspectSpreader
 from persimmonhall.once.suspects import SuspectTable
@@ -113,7 +111,9 @@
         self.timers = Timers()
         self.readiness = Readiness()
         self._pool = LinkPool(nursery, own.frames.host)
-        self._table = MemberTable(_own_member(settings))
+        self._table = MemberTable(
+            first_record(own.name, own.zone, own.region, own.frames)
+        )
         control = _control_frames(settings)
         self._control = ControlMembers(self._table, control)
         self.gossiper = Gossiper(self._table, self._pool, control, rng)
@@ -309,7 +309,7 @@
 async def run_routed_node(
     source: SettingsSource[NodeSettings],
     dialect: Dialect,
-    on_ready: Callable[[RoutedAddresses], None],
+    on_ready: Callable[[RoutedAddresses], None] = lambda addresses: None,
 ) -> Result[None, str]:
     """Serve until a stop signal, then finish what is in flight."""
     match source.load():
@@ -343,18 +343,3 @@
     port = settings.peers.frames_port
     control = settings.peers.control
     return tuple(Address(a.host, port or a.port) for a in control)
-
-
-def _own_member(settings: NodeSettings) -> Member:
-    own = settings.node
-    return Member(
-        node=own.name,
-        zone=own.zone,
-        region=own.region,
-        frames=str(own.frames),
-        incarnation=time.time_ns() // 1_000_000,
-        version=0,
-        service=ServiceName(""),
-        slots=0,
-        state=MemberState.EMPTY,
-    )
