Retire a silent control VM only where the settings ask for it

Cause, found on reading the change again: the set was taken to be larger than its founders wherever it had more voters than peers are named. Settings that name the other VMs only, and deployments of four control VMs with three seeds, would lose a VM for good that was frozen or cut off for 15 s. Off by default, as before the change; a replaced control VM is removed by the operator's command.

--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -86,6 +86,9 @@
     admin: Address | None = None
     releases: Address | None = None
     found: bool = False
+    # Remove a voter that is silent for long once there are more than the peers named.
+    # Only where every control VM names all that may vote: any other is lost for good.
+    retire_replaced: bool = False
     frames_port: int = bounded(0, least=0, most=65535)
     peers: tuple[Address, ...] = ()
     advertise: Address | None = None
