Share the request made of a message; drop what nothing uses

Found on reading the change again: three copies of one function, a counter and a property that nothing read, a deadline that worked out what is always unknown, a body cut twice, and a second release API and log on control VMs without an administration address. Behaviour stays.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -16,7 +16,7 @@
 from persimmonhall.events import Event, EventLog, is_sampled
 from persimmonhall.exposition import CallCounts
 from persimmonhall.http.callers import Exchange
-from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS, NO_BODY_STATUSES
+from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS
 from persimmonhall.http.reading import Message
 from persimmonhall.ids import AttemptId, CallNumber, NodeName, ServiceName
 from persimmonhall.membership.effects import address_of
@@ -327,11 +327,10 @@
         flight.timer = None
         if now >= flight.deadline:
             self._stop_waiting(flight, CallOutcome.TIMED_OUT)
-            ran = Ran.UNKNOWN if flight.sends or flight.may_have_run else Ran.NO
-            if flight.member is not None:
-                ran = Ran.UNKNOWN
+            # The timer runs only while a gate has the request.
             detail = "no answer within the time that the caller or the route gives"
-            self._finish_refused(flight, ErrorKind.DEADLINE_EXCEEDED, detail, ran, now)
+            kind = ErrorKind.DEADLINE_EXCEEDED
+            self._finish_refused(flight, kind, detail, Ran.UNKNOWN, now)
             return
         if self._has_room(flight, now) and self._spend(flight):
             self._stop_waiting(flight, CallOutcome.TIMED_OUT)
@@ -394,8 +393,7 @@
         self._clear(flight)
         age_s = now - flight.arrived
         self.counts.note(f"status_{reply.status}", flight.route.name, age_s)
-        body = b"" if reply.status in NO_BODY_STATUSES else reply.body
-        flight.exchange.answer(reply.status, reply.head, body)
+        flight.exchange.answer(reply.status, reply.head, reply.body)
 
     def _take_refusal(self, flight: Flight, reply: RoutedReply, now: float) -> None:
         kind = reply.error
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -140,20 +140,17 @@
     on_ready: Callable[[ControlAddresses], None],
 ) -> None:
     signalled, stop = trio.Event(), trio.Event()
-    log = EventLog(settings.control.name)
-    founders = len(settings.control.peers)
-    own_releases = ReleaseApi(replica, OwnDialect(), founders, log)
-    admin = AdminApi(replica, settings.teams, own_releases)
+    own = settings.control
     address = None
     async with trio.open_nursery() as nursery:
-        if settings.control.admin is not None:
-            nursery.start_soon(log.run)
         nursery.start_soon(wait_for_stop_signal, signalled)
         async with trio.open_nursery() as serving:
-            if settings.control.admin is not None:
-                address = await serving.start(
-                    serve_asgi, admin.handle, settings.control.admin, stop
-                )
+            if own.admin is not None:
+                log = EventLog(own.name)
+                nursery.start_soon(log.run)
+                releases = ReleaseApi(replica, OwnDialect(), len(own.peers), log)
+                admin = AdminApi(replica, settings.teams, releases)
+                address = await serving.start(serve_asgi, admin.handle, own.admin, stop)
             on_ready(ControlAddresses(address, frames, api))
             await signalled.wait()
             await replica.leave()
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -12,8 +12,7 @@
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.events import Event, EventLog
 from persimmonhall.http.callers import CHECK_S, CallerServer, Exchange
-from persimmonhall.http.messages import HttpRequest
-from persimmonhall.http.reading import Message
+from persimmonhall.http.reading import Message, request_of
 from persimmonhall.http.refusals import refusal_answer
 from persimmonhall.membership.control_members import CONTROL_SERVICE
 from persimmonhall.membership.gossip import Gossiper
@@ -66,13 +65,12 @@
         """Let a change go on: its operator may ask again and finds it made."""
 
     async def _answer(self, message: Message, exchange: Exchange) -> None:
-        target = message.target.decode("latin-1")
-        request = HttpRequest(message.method, target, message.headers, message.body)
+        request = request_of(message)
         try:
             answer = await self._api.handle(request)
         except Exception:
             # A fault met by one request must not end the process.
-            logging.exception("request failed target=%s", target)
+            logging.exception("request failed target=%s", request.target)
             detail = "the request met a fault of the system"
             answer = refusal_answer(refuse(ErrorKind.INTERNAL, detail))
         exchange.answer_whole(answer)
--- a/persimmonhall/http/backends.py
+++ b/persimmonhall/http/backends.py
@@ -233,7 +233,6 @@
         self._max_connections = max_connections
         self._idle: list[_Connection] = []
         self._open: set[_Connection] = set()
-        self.opened = 0
 
     def send(self, request: BackendRequest) -> None:
         """Send a request; its callback is called once, unless it is aborted."""
@@ -247,7 +246,6 @@
             return
         connection = request.connection = _Connection(self, request)
         self._open.add(connection)
-        self.opened += 1
         connection.connect()
 
     def abort(self, request: BackendRequest) -> None:
--- a/persimmonhall/http/connection.py
+++ b/persimmonhall/http/connection.py
@@ -14,7 +14,12 @@
     HttpHandler,
     HttpRequest,
 )
-from persimmonhall.http.reading import BadMessageError, Message, RequestReader
+from persimmonhall.http.reading import (
+    BadMessageError,
+    Message,
+    RequestReader,
+    request_of,
+)
 from persimmonhall.http.writing import GO_AHEAD, encode_answer_head
 from persimmonhall.wire.direct_stream import DirectStream
 
@@ -110,7 +115,7 @@
             return False
         if message is None:
             return False
-        answer = await self._answer_unless_gone(_request_of(message))
+        answer = await self._answer_unless_gone(request_of(message))
         if answer is None:
             return False
         try:
@@ -233,15 +238,6 @@
                 raise trio.BrokenResourceError("the caller reads nothing")
 
 
-def _request_of(message: Message) -> HttpRequest:
-    return HttpRequest(
-        message.method,
-        message.target.decode("latin-1"),
-        message.headers,
-        message.body,
-    )
-
-
 def _refused_as_bad(error: BadMessageError) -> _RequestRefusedError:
     kind = ErrorKind.HEADER_TOO_LARGE if error.too_long else ErrorKind.BAD_REQUEST
     return _RequestRefusedError(refuse(kind, str(error)))
--- a/persimmonhall/http/reading.py
+++ b/persimmonhall/http/reading.py
@@ -5,7 +5,12 @@
 
 import httptools
 
-from persimmonhall.http.messages import LENGTH_HEADERS, NO_BODY_STATUSES, Headers
+from persimmonhall.http.messages import (
+    LENGTH_HEADERS,
+    NO_BODY_STATUSES,
+    Headers,
+    HttpRequest,
+)
 
 TOKEN = re.compile(rb"[-!#$%&'*+.^_`|~0-9A-Za-z]+")
 TARGET = re.compile(rb"[\x21-\x7e]+")
@@ -79,6 +84,12 @@
         return b"".join(self.parts)
 
 
+def request_of(message: Message) -> HttpRequest:
+    """Return a message that has arrived whole as a request."""
+    target = message.target.decode("latin-1")
+    return HttpRequest(message.method, target, message.headers, message.body)
+
+
 class _Reader:
     """Cut the bytes of one connection into messages."""
 
--- a/persimmonhall/membership/instances.py
+++ b/persimmonhall/membership/instances.py
@@ -42,11 +42,6 @@
         # Instances that said they leave: a late report must not bring one back.
         self._left: dict[InstanceId, int] = {}
 
-    @property
-    def newest(self) -> InstanceReport | None:
-        """Return the newest report that counts."""
-        return self._newest
-
     def take(self, call: NodeCall) -> bool:
         """Take in a call of an instance; tell whether it could be read."""
         match call:
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -18,7 +18,7 @@
 from persimmonhall.exposition import Exposition
 from persimmonhall.http.callers import CallerServer, Exchange
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
-from persimmonhall.http.reading import Message
+from persimmonhall.http.reading import Message, request_of
 from persimmonhall.logs import log_to_events
 from persimmonhall.membership.control_members import ControlMembers
 from persimmonhall.membership.gossip import Gossiper
@@ -89,12 +89,6 @@
         """Every request is answered at once: nothing is left to stop."""
 
 
-def request_of(message: Message) -> HttpRequest:
-    """Return a message that has arrived whole as a request."""
-    target = message.target.decode("latin-1")
-    return HttpRequest(message.method, target, message.headers, message.body)
-
-
 class RoutedNode:
     """Put the parts of a node together."""
 
