Forget a link only while it is the one in use

Ruled out: the peer's restart alone (the link is replaced once, without a step). Change: a link is forgotten only if it is still the one of its address. Test: wire/tests/test_call_links.py, both cases failed before.

--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -224,6 +224,9 @@
             self._log.emit(Event.LINK_REGAINED, peer=str(address))
 
     def _forget(self, link: CallLink, now: float) -> None:
+        if self._links.get(link.address) is not link:
+            # Calls of another lost link were sent here and have replaced it already.
+            return
         del self._links[link.address]
         self._lost.add(link.address)
         if not link.is_connected:
