Find routes by their prefixes; make values of the call path plain tuples

Change: routes of a host in a table by prefix, looked up from the longest part of the path that a prefix may be; NamedTuple for observations, choices and server answers.

--- a/persimmonhall/http/backends.py
+++ b/persimmonhall/http/backends.py
@@ -3,8 +3,8 @@
 import errno
 import socket as sockets
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 import trio
 
@@ -35,8 +35,7 @@
     UNREADABLE = "unreadable"
 
 
-@dataclass(frozen=True)
-class BackendFailure:
+class BackendFailure(NamedTuple):
     """Tell how a request failed and whether the backend server may have run it."""
 
     fault: SendFault
@@ -48,8 +47,7 @@
         return self.fault not in (SendFault.NOT_LISTENING, SendFault.NOT_CONNECTED)
 
 
-@dataclass(frozen=True)
-class BackendAnswer:
+class BackendAnswer(NamedTuple):
     """Hold the whole answer of a backend server."""
 
     status: int
--- a/persimmonhall/release/routes.py
+++ b/persimmonhall/release/routes.py
@@ -21,11 +21,12 @@
 
     def __init__(self, release: Release):
         self._release = release
-        self._hosts: dict[str, list[Route]] = defaultdict(list)
+        self._hosts: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in release.routes:
-            self._hosts[route.host.lower()].append(route)
-        for routes in self._hosts.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            self._hosts[route.host.lower()][route.path_prefix] = route
+        self._longest_prefix = max(
+            (len(route.path_prefix) for route in release.routes), default=0
+        )
         self._shares: dict[RouteName, list[_Share]] = {
             route.name: [_Share(t.service, t.weight) for t in route.targets]
             for route in release.routes
@@ -57,10 +58,17 @@
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route with the longest prefix of the path, if there is any."""
+        routes = self._hosts.get(host.partition(":")[0].lower())
+        if routes is None:
+            return None
+        # Prefixes end with a slash, so that only these parts of the path may be one.
         path = target.partition("?")[0]
-        for route in self._hosts.get(host.partition(":")[0].lower(), ()):
-            if path.startswith(route.path_prefix):
+        slash = path.rfind("/", 0, self._longest_prefix)
+        while slash >= 0:
+            route = routes.get(path[: slash + 1])
+            if route is not None:
                 return route
+            slash = path.rfind("/", 0, slash)
         return None
 
     def choose_service(self, route: Route) -> ServiceName:
--- a/persimmonhall/release/tests/test_routes.py
+++ b/persimmonhall/release/tests/test_routes.py
@@ -16,6 +16,21 @@
     assert table.find("Maps.Example:80", "/charts/land").name == "wide"
 
 
+def test_prefix_as_long_as_the_path_wins():
+    """Find the route whose prefix is the whole path, and none for a part of a name."""
+    table = RouteTable(make_release(make_route("charts", prefix="/charts/")))
+    assert table.find("maps.example", "/charts/").name == "charts"
+    assert table.find("maps.example", "/charts") is None
+    assert table.find("maps.example", "/chart/1") is None
+    assert table.find("maps.example", "") is None
+
+
+def test_path_of_many_slashes_costs_no_more_than_the_longest_prefix():
+    """Look no further into a path than prefixes reach."""
+    table = RouteTable(make_release(make_route("wide", prefix="/")))
+    assert table.find("maps.example", "/" * 16_000).name == "wide"
+
+
 def test_query_is_no_part_of_the_path():
     """Find no route by what stands in the query."""
     table = RouteTable(make_release(make_route(prefix="/charts/")))
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -2,8 +2,8 @@
 
 import random
 from collections.abc import Collection, Iterator
-from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from persimmonhall.call.messages import Load
 from persimmonhall.ids import NodeName, ServiceName, ZoneName
@@ -50,8 +50,7 @@
     SUSPECT_OWNER = "suspect-owner"
 
 
-@dataclass(frozen=True)
-class Choice:
+class Choice(NamedTuple):
     """Name the chosen member, the candidates and the reason."""
 
     member: Member
@@ -59,8 +58,7 @@
     reason: ChoiceReason
 
 
-@dataclass(frozen=True)
-class Observation:
+class Observation(NamedTuple):
     """Tell how a call to a chosen server ended."""
 
     outcome: CallOutcome
