Refuse roots before they run while nearly all runs of their route fail

Ruled out: resends (a tree needs about ten more arrivals, the budget is a fifth); the level (it counts room, and there is room). Change: a gate averages how the runs of each route end and tells it with each reply, with what the success of its calls allows; entries refuse the roots of a route below 15%, try a tenth, and tell callers to come back later than for want of room.

--- a/harness/load_model/scenario.py
+++ b/harness/load_model/scenario.py
@@ -57,6 +57,9 @@
     slow_service: str = ""
     slow_times: float = 1.0
     slow_servers: int = 1
+    # Servers of this service turn so large a share of their requests away, unrun.
+    shed_service: str = ""
+    shed_share: float = 0.0
     # Callers who return at once, so many times more, in this share.
     eager_share: float = 0.0
     eager_times: int = 0
--- a/harness/load_model/servers.py
+++ b/harness/load_model/servers.py
@@ -14,6 +14,7 @@
 # Work before the calls of a run; the rest comes after them.
 WORK_BEFORE_CALLS = 0.5
 FIRST_FAILURE = 400
+TURN_AWAY_S = 0.001
 
 
 def host_of(kind: str) -> str:
@@ -134,6 +135,7 @@
         self.entry = None
         self.speed = speed
         self.slow_times = 1.0
+        self.shed_share = 0.0
         self.busy_s = 0.0
         self.started = 0
         self._rng = rng
@@ -150,12 +152,20 @@
         return kind.work_ms / 1000 * factor * self.speed * self.slow_times
 
     def send(self, request: BackendRequest) -> None:
-        """Start a run."""
+        """Start a run, or turn the request away."""
+        if self.shed_share and self._rng.random() < self.shed_share:
+            self.events.after(TURN_AWAY_S, lambda: self._turn_away(request))
+            return
         name = request.data.split(b"/", 2)[1].decode()
         run = self._runs[request] = _Run(self, request, self.kinds[name])
         self.started += 1
         run.start()
 
+    def _turn_away(self, request: BackendRequest) -> None:
+        names = (HEADERS.attempt, HEADERS.not_executed)
+        headers = tuple(zip(names, (request.attempt, b"1"), strict=True))
+        request.done(BackendAnswer(503, headers, b""))
+
     def abort(self, request: BackendRequest) -> None:
         """Stop a run whose connection was closed."""
         run = self._runs.get(request)
--- a/harness/load_model/world.py
+++ b/harness/load_model/world.py
@@ -114,14 +114,31 @@
         for disturbance in self.scenario.disturbances:
             if disturbance.slow_service:
                 self._slow(disturbance)
+            if disturbance.shed_service:
+                self._shed(disturbance)
         self.events.play(self.scenario.length_s + SETTLE_S)
 
-    def _slow(self, disturbance) -> None:
-        servers = [
+    def _servers_of(self, service: str) -> list[ModelServer]:
+        return [
             node.server
             for node in self.nodes.values()
-            if node.gate.instance.service == disturbance.slow_service
-        ][: disturbance.slow_servers]
+            if node.gate.instance.service == service
+        ]
+
+    def _shed(self, disturbance) -> None:
+        servers = self._servers_of(disturbance.shed_service)
+
+        def change(share: float) -> None:
+            for server in servers:
+                server.shed_share = share
+
+        end_s = disturbance.at_s + disturbance.for_s
+        self.events.call_at(disturbance.at_s, partial(change, disturbance.shed_share))
+        self.events.call_at(end_s, partial(change, 0.0))
+
+    def _slow(self, disturbance) -> None:
+        servers = self._servers_of(disturbance.slow_service)
+        servers = servers[: disturbance.slow_servers]
 
         def change(times: float) -> None:
             for server in servers:
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -8,6 +8,7 @@
 import trio
 
 from persimmonhall.admission.level import share_let_in
+from persimmonhall.admission.success import TRIED_SHARE, is_vain
 from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.flight import Flight, milliseconds, usable_s
 from persimmonhall.call.routed_gate import RoutedGate
@@ -42,6 +43,8 @@
 # keeps those refused together from returning together.
 LEAST_RETURN_SHARE = 0.2
 MOST_RETURN_SHARE = 0.7
+# Where runs fail, an early return would fail too: later by so many times.
+VAIN_RETURN_TIMES = 2.0
 # Below the most urgent level by less than this, a service is not short of room.
 ROOM_SLACK = 0.3
 FIRST_SERVER_ERROR = 500
@@ -160,6 +163,9 @@
         flight.body = message.body if message.size else b""
         if flight.is_nested:
             self._graph.count_call(route.name)
+        elif self._is_vain(flight, now):
+            self._refuse_vain(flight, now)
+            return
         elif not self._lets_in(flight, now):
             self._refuse_early(flight, now)
             return
@@ -194,6 +200,7 @@
         self._observe(flight, member, reply, now)
         if reply.load.limit:
             self._levels.note(flight.route.name, reply.load.level, now)
+            self._levels.note_success(flight.route.name, reply.load.success, now)
             if reply.load.is_asked_by_callers:
                 self._origins.mark(flight.route.name)
         if reply.error is None:
@@ -248,6 +255,19 @@
         share = share_let_in(level, flight.rank)
         return share >= 1.0 or self._rng.random() < share
 
+    def _is_vain(self, flight: Flight, now: float) -> bool:
+        """Tell whether a root would most likely run only to fail."""
+        is_failing = is_vain(self._levels.success(flight.route.name, now))
+        return is_failing and self._rng.random() >= TRIED_SHARE
+
+    def _refuse_vain(self, flight: Flight, now: float) -> None:
+        success = self._levels.success(flight.route.name, now)
+        detail = f"nearly all runs of route {flight.route.name} fail with their calls"
+        flight.return_times = VAIN_RETURN_TIMES
+        self._finish_refused(
+            flight, ErrorKind.OVERLOADED, detail, Ran.NO, now, success=round(success, 3)
+        )
+
     def _refuse_early(self, flight: Flight, now: float) -> None:
         level = self._levels.level(flight.route.name, now)
         detail = f"the services of route {flight.route.name} are short of room"
@@ -495,7 +515,7 @@
     def _return_s(self, flight: Flight) -> float:
         spread = MOST_RETURN_SHARE - LEAST_RETURN_SHARE
         share = LEAST_RETURN_SHARE + spread * self._rng.random()
-        return share * flight.route.latency_objective_ms / 1000
+        return flight.return_times * share * flight.route.latency_objective_ms / 1000
 
     def _clear(self, flight: Flight) -> None:
         flight.exchange.context = None
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -7,6 +7,7 @@
 import trio
 
 from persimmonhall.admission.level import LevelController, WorkShares
+from persimmonhall.admission.success import SuccessShares
 from persimmonhall.admission.urgency import NESTED_RANK, UrgencyLine, Waiting
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
 from persimmonhall.errors import ErrorKind, Ran
@@ -46,6 +47,7 @@
 # Calls lost this long before a server was found dead may have killed it.
 DEATH_S = 1.0
 MISDIRECTED_STATUS = 421
+FIRST_SERVER_ERROR = 500
 DROPPED = HOP_BY_HOP | LENGTH_HEADERS
 
 ReplyTo = Callable[[RoutedReply], None]
@@ -111,6 +113,7 @@
         self._work: dict[tuple[object, CallNumber], _Work] = {}
         self._controller = LevelController(1)
         self._shares: WorkShares[RouteName] = WorkShares()
+        self._successes: SuccessShares[RouteName] = SuccessShares()
         self._run_s: dict[RouteName, float] = {}
         self._mean_run_s = 0.0
         self._expiry = None
@@ -233,8 +236,16 @@
             self._limit,
             level,
             self._origins.is_asked_by_callers(route),
+            self._success(route, now),
         )
 
+    def _success(self, route: RouteName, now: float) -> float:
+        """Return which share of runs ends well, where it may hang on their calls."""
+        if not self._graph.has_calls:
+            return 1.0
+        below = self._levels.success_below(route, now)
+        return min(self._successes.share(route), below)
+
     def _open_pool(self, report: InstanceReport) -> None:
         if self._pool is not None:
             self._pool.close()
@@ -374,6 +385,7 @@
 
     def _end_answered(self, work: _Work, answer: BackendAnswer, now: float) -> None:
         route = work.call.route
+        self._successes.end(route, answer.status < FIRST_SERVER_ERROR)
         run_s = now - work.started
         known = self._run_s.get(route, run_s)
         self._run_s[route] = known + RUN_WEIGHT * (run_s - known)
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -233,3 +233,25 @@
     scene.reply(load=GateLoad(1, 0, 100, 1.0, is_asked_by_callers=True))
     scene.ask()
     assert not scene.calls[1].is_nested
+
+
+async def test_root_of_a_route_whose_runs_fail_is_refused_before_it_runs(
+    autojump_clock,
+):
+    """Refuse at once, say that it has not run and when to come back; try a few."""
+    scene = EntryScene(make_route())
+    vain = GateLoad(1, 0, 100, 9.0, is_asked_by_callers=True, success=0.0)
+    scene.ask()
+    scene.reply(load=vain)
+    refused = 0
+    for _ in range(60):
+        before = len(scene.calls)
+        exchange = scene.ask()
+        if len(scene.calls) > before:
+            scene.reply(load=vain)
+            continue
+        refused += 1
+        assert exchange.refusal.kind is ErrorKind.OVERLOADED
+        assert exchange.refusal.ran is Ran.NO
+        assert exchange.refusal.retry_after_s > 0
+    assert 45 <= refused < 60
--- a/persimmonhall/routing/call_graph.py
+++ b/persimmonhall/routing/call_graph.py
@@ -48,6 +48,11 @@
         """Return the calls that one run of each route makes, by route called."""
         return self._weights
 
+    @property
+    def has_calls(self) -> bool:
+        """Tell whether the backend server has ever made a call."""
+        return bool(self._called)
+
     def count_run(self, route: RouteName) -> None:
         """Count a run that the backend server starts."""
         self._runs[route] += 1
@@ -62,6 +67,11 @@
             return tuple(self._called)
         return self._sure[route]
 
+    def sure_calls_of(self, route: RouteName) -> dict[RouteName, float]:
+        """Return how many calls one run of a route makes, by route called."""
+        weights = self._weights.get(route, {})
+        return {called: weights[called] for called in self._sure.get(route, ())}
+
     def end_interval(self) -> None:
         """Take in the counts of one interval."""
         # Calls of a run come after its start, so half of them in the next interval.
--- a/persimmonhall/routing/route_levels.py
+++ b/persimmonhall/routing/route_levels.py
@@ -1,4 +1,8 @@
-"""Know up to which rank the services behind each route take root requests."""
+"""Know what replies tell of the services behind each route.
+
+The level says up to which rank they take root requests, the success which share of
+the runs of the route ends well.
+"""
 
 from dataclasses import dataclass
 
@@ -12,20 +16,40 @@
 # Without replies a level is no longer known; it rises so that requests find out.
 FRESH_S = 0.5
 RISE_PER_S = 1.0
+# Few roots of a route whose runs fail are let in, so that replies are rare.
+SUCCESS_FRESH_S = 3.0
+SUCCESS_RISE_PER_S = 0.05
 
 
 @dataclass(slots=True)
-class _Seen:
-    level: float
+class _Average:
+    """Average one figure of replies; it rises once replies stop."""
+
+    value: float
     at: float
+    fresh_s: float
+    rise_per_s: float
+
+    def take(self, value: float, most: float, now: float) -> None:
+        """Take in the figure of one reply."""
+        known = self.aged(most, now)
+        weight = max(LEAST_WEIGHT, min(1.0, (now - self.at) / AVERAGE_S))
+        self.value = known + weight * (value - known)
+        self.at = now
+
+    def aged(self, most: float, now: float) -> float:
+        """Return the average as it stands now."""
+        rise = max(0.0, now - self.at - self.fresh_s) * self.rise_per_s
+        return min(most, self.value + rise)
 
 
 class RouteLevels:
-    """Average the levels that replies bring, for each route."""
+    """Average the levels and successes that replies bring, for each route."""
 
     def __init__(self, graph: CallGraph):
         self._graph = graph
-        self._seen: dict[RouteName, _Seen] = {}
+        self._levels: dict[RouteName, _Average] = {}
+        self._successes: dict[RouteName, _Average] = {}
         self._ranks = 1.0
 
     def set_ranks(self, ranks: int) -> None:
@@ -34,25 +58,41 @@
 
     def note(self, route: RouteName, level: float, now: float) -> None:
         """Take in the level that a reply brought."""
-        seen = self._seen.get(route)
-        if seen is None:
-            self._seen[route] = _Seen(level, now)
-            return
-        known = self._aged(seen, now)
-        weight = max(LEAST_WEIGHT, min(1.0, (now - seen.at) / AVERAGE_S))
-        seen.level = known + weight * (level - known)
-        seen.at = now
+        average = self._levels.get(route)
+        if average is None:
+            self._levels[route] = _Average(level, now, FRESH_S, RISE_PER_S)
+        else:
+            average.take(level, self._ranks, now)
+
+    def note_success(self, route: RouteName, success: float, now: float) -> None:
+        """Take in the share of runs that end well, as a reply brought it."""
+        average = self._successes.get(route)
+        if average is not None:
+            average.take(success, 1.0, now)
+        elif success < 1.0:
+            self._successes[route] = _Average(
+                success, now, SUCCESS_FRESH_S, SUCCESS_RISE_PER_S
+            )
 
     def level(self, route: RouteName, now: float) -> float:
         """Return the level of a route."""
-        seen = self._seen.get(route)
-        return self._ranks if seen is None else self._aged(seen, now)
+        average = self._levels.get(route)
+        return self._ranks if average is None else average.aged(self._ranks, now)
+
+    def success_below(self, route: RouteName, now: float) -> float:
+        """Return which share of the runs of a route its calls let end well at most."""
+        shares = [
+            1 - min(1.0, calls) * (1 - self.success(called, now))
+            for called, calls in self._graph.sure_calls_of(route).items()
+        ]
+        return min(shares, default=1.0)
+
+    def success(self, route: RouteName, now: float) -> float:
+        """Return which share of the runs of a route ends well."""
+        average = self._successes.get(route)
+        return 1.0 if average is None else average.aged(1.0, now)
 
     def level_below(self, route: RouteName, now: float) -> float:
         """Return the lowest level of the routes that runs of a route call."""
         levels = [self.level(called, now) for called in self._graph.calls_of(route)]
         return min(levels, default=self._ranks)
-
-    def _aged(self, seen: _Seen, now: float) -> float:
-        rise = max(0.0, now - seen.at - FRESH_S) * RISE_PER_S
-        return min(self._ranks, seen.level + rise)
--- a/persimmonhall/routing/tests/test_route_levels.py
+++ b/persimmonhall/routing/tests/test_route_levels.py
@@ -39,3 +39,25 @@
     graph.end_interval()
     levels.note("lookup", 1.4, 0.0)
     assert levels.level_below("index", 0.0) == pytest.approx(1.4)
+
+
+def test_failing_call_bounds_the_success_of_the_route_above():
+    """Tell at once that runs fail whose calls do, by how often they call."""
+    graph, levels = make_levels()
+    for number in range(40):
+        for _ in range(3 + number % 5):
+            graph.count_run("index")
+            graph.count_call("lookup")
+        graph.end_interval()
+    for number in range(40):
+        levels.note_success("lookup", 0.1, 5.0 + number / 10)
+    assert levels.success_below("index", 9.0) <= 0.3
+    assert levels.success_below("lookup", 9.0) == 1.0
+
+
+def test_success_is_taken_for_good_again_once_replies_stop():
+    """Let a route be tried again that was not asked for."""
+    _, levels = make_levels()
+    levels.note_success("charts", 0.0, 10.0)
+    assert levels.success("charts", 10.0) == 0.0
+    assert levels.success("charts", 60.0) == 1.0
--- a/persimmonhall/wire/calls.py
+++ b/persimmonhall/wire/calls.py
@@ -7,14 +7,15 @@
 import struct
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import NamedTuple
 
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import AttemptId, CallNumber, RouteName, ServiceName
 
-PREAMBLE = b"PSC1"
+PREAMBLE = b"PSC2"
 FRAME = struct.Struct("<IB")
 CALL = struct.Struct("<QBBIIHHHII")
-REPLY = struct.Struct("<QBBHIHHHHIII")
+REPLY = struct.Struct("<QBBHIHHHHHIII")
 NUMBER = struct.Struct("<Q")
 MAX_FRAME_BYTES = 128 * 1024 * 1024
 
@@ -23,6 +24,7 @@
 IS_HEAD = 4
 IS_REROUTED = 8
 LEVEL_SCALE = 1000
+SUCCESS_SCALE = 10_000
 MAX_U16 = 0xFFFF
 KINDS = {kind.value: kind for kind in ErrorKind}
 RANS = tuple(Ran)
@@ -67,15 +69,18 @@
     body: bytes
 
 
-@dataclass(frozen=True, slots=True)
-class GateLoad:
-    """Report how busy a gate is; the level is explained in admission/level.py."""
+class GateLoad(NamedTuple):
+    """Report how busy a gate is.
+
+    The level is explained in admission/level.py, the success in admission/success.py.
+    """
 
     in_flight: int
     queued: int
     limit: int
     level: float
     is_asked_by_callers: bool = False
+    success: float = 1.0
 
 
 @dataclass(slots=True)
@@ -164,6 +169,7 @@
         min(load.queued, MAX_U16),
         min(load.limit, MAX_U16),
         min(int(load.level * LEVEL_SCALE), MAX_U16),
+        int(load.success * SUCCESS_SCALE),
         int(reply.run_s * 1_000_000),
         len(head),
         len(body),
@@ -177,11 +183,17 @@
         fields = REPLY.unpack_from(data)
     except struct.error as error:
         raise CallFrameError(f"damaged reply: {error}") from error
-    number, outcome, is_root, status, retry_ms, *load_fields, level, run_us = fields[
-        :10
-    ]
-    head, body = _cut(data, REPLY.size, fields[10:])
-    load = GateLoad(*load_fields, level / LEVEL_SCALE, bool(is_root))
+    number, outcome, is_root, status, retry_ms = fields[:5]
+    in_flight, queued, limit, level, success, run_us = fields[5:11]
+    head, body = _cut(data, REPLY.size, fields[11:])
+    load = GateLoad(
+        in_flight,
+        queued,
+        limit,
+        level / LEVEL_SCALE,
+        bool(is_root),
+        success / SUCCESS_SCALE,
+    )
     run_s = run_us / 1_000_000
     if outcome == ANSWERED:
         return RoutedReply(number, load, status, head, body, run_s=run_s)
--- a/tests/test_load_patterns.py
+++ b/tests/test_load_patterns.py
@@ -13,11 +13,14 @@
 from harness.load_model.report import report_of
 from harness.load_model.scenario import Disturbance, load_scenario
 from harness.load_model.world import play
+from persimmonhall.admission.success import TRIED_SHARE
 
 MODELS = Path(__file__).parents[1] / "harness" / "load_model" / "scenarios"
 SLACK = 0.05
 STARVED_SHARE = 0.25
 CALM_SHARE = 0.99
+SHED_S = 7.0
+NOTICED_S = 1.5
 
 
 def run(name, *disturbances, length_s=7.0, scale=1.0):
@@ -88,6 +91,35 @@
     assert report.recovery_s <= 4.0
 
 
+@pytest.fixture(scope="module")
+def shedding():
+    """Play a burst while every server of the deepest service turns half away."""
+    burst = Disturbance(at_s=1.0, for_s=SHED_S, burst=1.7)
+    shed = Disturbance(at_s=1.0, for_s=SHED_S, shed_service="glyph", shed_share=0.55)
+    return run("vanua", burst, shed, length_s=1.0 + SHED_S)
+
+
+def test_roots_whose_calls_all_fail_are_refused_before_they_run(shedding):
+    """Shedding below: found within a second and a half, then a tenth is tried."""
+    most = (NOTICED_S + TRIED_SHARE * (SHED_S - NOTICED_S)) / SHED_S
+    for kind in ("chart-read", "seg-publish"):
+        counts = shedding.kinds[kind]
+        assert counts["failed"] <= most * counts["asked"], kind
+
+
+def test_roots_of_the_shedding_service_itself_go_on(shedding):
+    """Shedding below: who needs one answer only is not refused for the others."""
+    glyph = shedding.kinds["glyph-read"]
+    assert glyph["served"] >= 0.45
+
+
+def test_trees_are_served_again_once_their_calls_succeed():
+    """Shedding over: the goodput is back within the four seconds of a window."""
+    shed = Disturbance(at_s=3.0, for_s=3.0, shed_service="glyph", shed_share=0.55)
+    report = run("vanua", shed, length_s=11.0)
+    assert report.recovery_s <= 4.0
+
+
 def test_callers_who_return_at_once_do_not_push_others_out():
     """Retrying callers: the most urgent kind is served as before."""
     eager = Disturbance(at_s=1.0, for_s=4.0, eager_share=0.4, eager_times=3)
