Go on with the shares of a route when a release leaves it as it was

Cause: each release built its table anew, so the shares of weighted services began with the largest part; with a release before each request (a storm, or a node with few requests) 200 of 200 requests went to a part of 60%. Change: shares are taken over from the release before if services and weights are the same, and begin at a random step otherwise, so that nodes do not begin alike.

--- a/harness/load_model/world.py
+++ b/harness/load_model/world.py
@@ -209,7 +209,7 @@
         graph = CallGraph()
         levels = RouteLevels(graph)
         origins = RouteOrigins()
-        releases = ReleaseInForce(OwnDialect().decode_release, self.log)
+        releases = ReleaseInForce(OwnDialect().decode_release, self.log, rng)
         releases.apply(HeldRelease(1, 1, self._text))
         levels.set_ranks(releases.routes.ranks)
         gate = RoutedGate(
--- a/persimmonhall/call/tests/routed_parts.py
+++ b/persimmonhall/call/tests/routed_parts.py
@@ -187,14 +187,14 @@
         graph = CallGraph()
         self.levels = RouteLevels(graph)
         self.origins = RouteOrigins()
-        self.releases = ReleaseInForce(OwnDialect().decode_release, EventLog("n"))
+        rng = random.Random(seed)
+        self.releases = ReleaseInForce(OwnDialect().decode_release, EventLog("n"), rng)
         if routes:
             text = write_release(make_release(*routes))
             self.releases.apply(HeldRelease(1, 1, text))
             self.levels.set_ranks(self.releases.routes.ranks)
             for route in routes:
                 self.origins.mark(route.name)
-        rng = random.Random(seed)
         self.links = FakeLinks()
         self.gate = FakeGate()
         self.timers = Timers()
--- a/persimmonhall/release/in_force.py
+++ b/persimmonhall/release/in_force.py
@@ -1,5 +1,6 @@
 """Hold the release in force on a node."""
 
+import random
 from collections.abc import Callable
 
 from returns.result import Failure, Result, Success
@@ -16,8 +17,9 @@
 class ReleaseInForce:
     """Apply a release whole, and never one that is older than the last."""
 
-    def __init__(self, decode: ReleaseDecoder, log: EventLog):
+    def __init__(self, decode: ReleaseDecoder, log: EventLog, rng: random.Random):
         self._decode = decode
+        self._rng = rng
         self._log = log
         self._routes: RouteTable | None = None
         self._index = LogIndex(0)
@@ -44,7 +46,7 @@
                 )
                 return False
             case Success(release):
-                self._routes = RouteTable(release)
+                self._routes = RouteTable(release, self._rng, self._routes)
         self._index = held.index
         self._log.emit(
             Event.RELEASE_IN_FORCE,
--- a/persimmonhall/release/routes.py
+++ b/persimmonhall/release/routes.py
@@ -1,11 +1,16 @@
 """Find the route of a request and the service that its share falls to."""
 
+import random
 from collections import defaultdict
 from dataclasses import dataclass
 
 from persimmonhall.ids import RouteName, ServiceName
 from persimmonhall.release.schema import Release, Route
 
+# Steps that shares may have gone through before the first request: nodes that all
+# began alike would send the largest share too much.
+PHASES = 100
+
 
 @dataclass
 class _Share:
@@ -19,8 +24,14 @@
 class RouteTable:
     """Hold the routes of one release for lookups by host and path."""
 
-    def __init__(self, release: Release):
+    def __init__(
+        self,
+        release: Release,
+        rng: random.Random,
+        previous: "RouteTable | None" = None,
+    ):
         self._release = release
+        self._rng = rng
         self._hosts: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in release.routes:
             self._hosts[route.host.lower()][route.path_prefix] = route
@@ -28,8 +39,7 @@
             (len(route.path_prefix) for route in release.routes), default=0
         )
         self._shares: dict[RouteName, list[_Share]] = {
-            route.name: [_Share(t.service, t.weight) for t in route.targets]
-            for route in release.routes
+            route.name: self._shares_of(route, previous) for route in release.routes
         }
         self._services = frozenset(
             target.service for route in release.routes for target in route.targets
@@ -76,10 +86,28 @@
         shares = self._shares[route.name]
         if len(shares) == 1:
             return shares[0].service
-        total = 0.0
-        for share in shares:
-            share.credit += share.weight
-            total += share.weight
-        chosen = max(shares, key=lambda share: share.credit)
-        chosen.credit -= total
-        return chosen.service
+        return _choose(shares).service
+
+    def _shares_of(self, route: Route, previous: "RouteTable | None") -> list[_Share]:
+        """Go on where the release before stood, so that many releases keep shares."""
+        shares = [_Share(t.service, t.weight) for t in route.targets]
+        known = previous._shares.get(route.name, []) if previous is not None else []
+        if [(s.service, s.weight) for s in known] == [
+            (s.service, s.weight) for s in shares
+        ]:
+            return known
+        if len(shares) > 1:
+            for _ in range(self._rng.randrange(PHASES)):
+                _choose(shares)
+        return shares
+
+
+def _choose(shares: list[_Share]) -> _Share:
+    """Take the share that is furthest behind."""
+    total = 0.0
+    for share in shares:
+        share.credit += share.weight
+        total += share.weight
+    chosen = max(shares, key=lambda share: share.credit)
+    chosen.credit -= total
+    return chosen
--- a/persimmonhall/release/tests/test_routes.py
+++ b/persimmonhall/release/tests/test_routes.py
@@ -1,5 +1,6 @@
 """Check which route a request takes and how shares are kept."""
 
+import random
 from collections import Counter
 
 from persimmonhall.release.routes import RouteTable
@@ -7,18 +8,23 @@
 from persimmonhall.release.tests.builders import make_release, make_route
 
 
+def make_table(release):
+    """Build the table of a release with a fixed seed."""
+    return RouteTable(release, random.Random(1))
+
+
 def test_longest_prefix_wins():
     """Choose the most specific route of a host."""
     wide = make_route("wide", prefix="/")
     narrow = make_route("narrow", prefix="/charts/sea/")
-    table = RouteTable(make_release(wide, narrow))
+    table = make_table(make_release(wide, narrow))
     assert table.find("maps.example", "/charts/sea/1?day=2").name == "narrow"
     assert table.find("Maps.Example:80", "/charts/land").name == "wide"
 
 
 def test_prefix_as_long_as_the_path_wins():
     """Find the route whose prefix is the whole path, and none for a part of a name."""
-    table = RouteTable(make_release(make_route("charts", prefix="/charts/")))
+    table = make_table(make_release(make_route("charts", prefix="/charts/")))
     assert table.find("maps.example", "/charts/").name == "charts"
     assert table.find("maps.example", "/charts") is None
     assert table.find("maps.example", "/chart/1") is None
@@ -27,26 +33,26 @@
 
 def test_path_of_many_slashes_costs_no_more_than_the_longest_prefix():
     """Look no further into a path than prefixes reach."""
-    table = RouteTable(make_release(make_route("wide", prefix="/")))
+    table = make_table(make_release(make_route("wide", prefix="/")))
     assert table.find("maps.example", "/" * 16_000).name == "wide"
 
 
 def test_query_is_no_part_of_the_path():
     """Find no route by what stands in the query."""
-    table = RouteTable(make_release(make_route(prefix="/charts/")))
+    table = make_table(make_release(make_route(prefix="/charts/")))
     assert table.find("maps.example", "/?x=/charts/") is None
 
 
 def test_other_host_has_no_route():
     """Find nothing for a host without routes."""
-    assert RouteTable(make_release()).find("cue.example", "/charts/1") is None
+    assert make_table(make_release()).find("cue.example", "/charts/1") is None
 
 
 def test_shares_are_exact_within_any_hundred_requests():
     """Keep the weights of a route's services in every stretch, not only on average."""
     targets = (WeightedService("maps", 90), WeightedService("cue", 10))
     route = make_route(targets=targets)
-    table = RouteTable(make_release(route))
+    table = make_table(make_release(route))
     chosen = [table.choose_service(route) for _ in range(1000)]
     for start in range(0, 1000, 100):
         assert Counter(chosen[start : start + 100]) == {"maps": 90, "cue": 10}
@@ -58,6 +64,6 @@
         make_route(f"r{number}", prefix=f"/{number}/", priority=priority)
         for number, priority in enumerate((7, 0, 3, 7))
     ]
-    table = RouteTable(make_release(*routes))
+    table = make_table(make_release(*routes))
     assert [table.rank_of(route) for route in routes] == [2, 0, 1, 2]
     assert table.ranks == 3
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -131,7 +131,7 @@
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
         )
-        self.releases = ReleaseInForce(dialect.decode_release, self.log)
+        self.releases = ReleaseInForce(dialect.decode_release, self.log, rng)
         self.follower = ReleaseFollower(
             self.releases, self._control, self._pool, rng, self.log
         )
