--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -240,11 +240,14 @@
         )
 
     def _success(self, route: RouteName, now: float) -> float:
-        """Return which share of runs ends well, where it may hang on their calls."""
+        """Return which share of runs ends well, where it may hang on their calls.
+
+        Few runs are tried while they fail: that their calls succeed shows earlier.
+        """
         if not self._graph.has_calls:
             return 1.0
-        below = self._levels.success_below(route, now)
-        return min(self._successes.share(route), below)
+        by_calls = self._levels.success_by_calls(route, now)
+        return max(self._successes.share(route), by_calls)
 
     def _open_pool(self, report: InstanceReport) -> None:
         if self._pool is not None:
