Let the server of a stopping node serve peers until its callers have left

Ruled out: the servers (they ran all the while), the level (it followed the room). Change: peers are told after 40% of the grace period, and refused after 45%; what runs then has until 88% as before. Test: tests/test_routed_path.py, failed before (503 from a node without a server).

--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -50,9 +50,12 @@
 SLOW_STEPS = 5
 # Objects of the collector's youngest generation: calls leave no cycles behind.
 COLLECT_AFTER = 20_000
-# Of the grace period: new calls of peers are refused after the first share, callers
-# are served up to the second, and what is open after the third gets its answer.
-GATE_SHARE = 0.35
+# Of the grace period: peers are told to send no more after the first share, for until
+# then callers come here as well and the backend server has work; new calls of peers
+# are refused after the second, callers are served up to the third, and what is open
+# after the fourth gets its answer.
+PEERS_SHARE = 0.4
+GATE_SHARE = 0.45
 CALLERS_SHARE = 0.75
 LAST_SHARE = 0.88
 # Callers are told twice, a second apart, that the node is not ready before they go.
@@ -227,8 +230,9 @@
         grace_s = self.settings.releases.grace_s
         self.stopping = True
         self.callers.draining = True
+        await trio.sleep(PEERS_SHARE * grace_s)
         self.gossiper.leave()
-        await trio.sleep(GATE_SHARE * grace_s)
+        await trio.sleep((GATE_SHARE - PEERS_SHARE) * grace_s)
         self.gate.leave()
         while trio.current_time() < begin + CALLERS_SHARE * grace_s:
             quiet_s = trio.current_time() - max(
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -251,3 +251,21 @@
             await trio.sleep(0.05)
             assert (await ask(ready, request("GET", "/-/ready")))[0] == 503
             assert (await scene.get(attempt="a2"))[0] == 200
+
+
+async def test_server_of_a_stopping_node_serves_peers_until_its_callers_have_left(
+    scene,
+):
+    """Stop sending calls to a server late, for it is idle until its node is back."""
+    with trio.fail_after(8):
+        while await scene.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await scene.report()
+    await scene.get_until(200)
+    gate = scene.nodes[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(gate.leave)
+        await trio.sleep(0.25 * gate.settings.releases.grace_s)
+        assert (await scene.get(attempt="a2"))[0] == 200
+        assert not gate.is_ready
+    assert (await scene.get(attempt="a3"))[0] == 503
