--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -272,28 +272,32 @@
     portal.run(start)
 
 
-async def _arrived(system: System) -> int:
-    """Return how many requests run or wait at the new gate."""
-    values = await system.metrics(NEW_NODE)
-    return int(values["persimmonhall_in_flight"]) + int(values["persimmonhall_queued"])
-
-
 async def _burst(system: System) -> tuple[int, list[Sent]]:
     """Send a burst; return how many started at first, and what came back."""
     sent: list[Sent] = []
+    in_flight = started = 0
 
     async def send() -> None:
         sent.append(await _send(system, ("GET", "/pack"), NEW_NODE, b"pack"))
 
     async def arrived() -> bool:
-        return await _arrived(system) == NEW_SLOTS
+        nonlocal in_flight
+        values = await system.metrics(NEW_NODE)
+        in_flight = int(values["persimmonhall_in_flight"])
+        return in_flight + int(values["persimmonhall_queued"]) == NEW_SLOTS
+
+    async def have_started() -> bool:
+        # What the gate has sent may still be on its way to the backend server.
+        nonlocal started
+        started = (await system.counts(NEW_NODE))["started"] - before["started"]
+        return started >= in_flight
 
     before = await system.counts(NEW_NODE)
     async with trio.open_nursery() as nursery:
         for _ in range(NEW_SLOTS):
             nursery.start_soon(send)
         await system.wait_until(arrived, "the burst at the gate")
-        started = (await system.counts(NEW_NODE))["started"] - before["started"]
+        await system.wait_until(have_started, "the server's first requests")
     return started, sent
 
 
