Begin nothing at a stopping node that it could not answer

A stopping entry went on to begin requests of any length until its process ended, which cuts what still runs at 88% of the grace period. Change: roots whose usual time reaches beyond the end are refused as not run, with a time to return; calls of requests that run go on. Test: call/tests/test_routed_entry.py, failed before (the request was begun).

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -1,6 +1,7 @@
 """Route the requests of callers and of the own backend server to gates."""
 
 import itertools
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -124,6 +125,8 @@
         self._flights: dict[CallNumber, Flight] = {}
         self.counts = CallCounts()
         self.asked_at = 0.0
+        # When a stop breaks off what still runs.
+        self.stops_at = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -161,6 +164,10 @@
         flight.body = message.body if message.size else b""
         if flight.is_nested:
             self._graph.count_call(route.name)
+        elif now + self._patience.seconds(route.name) > self.stops_at:
+            detail = "this node stops before an answer could be there"
+            self._finish_refused(flight, ErrorKind.LEAVING, detail, Ran.NO, now)
+            return
         elif self._is_vain(flight, now):
             self._refuse_vain(flight, now)
             return
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -255,3 +255,22 @@
         assert exchange.refusal.ran is Ran.NO
         assert exchange.refusal.retry_after_s > 0
     assert 45 <= refused < 60
+
+
+async def test_stopping_entry_begins_nothing_that_it_could_not_answer(autojump_clock):
+    """Refuse late requests as not run; one begun would be cut with the process."""
+    scene = EntryScene(make_route())
+    for _ in range(20):
+        scene.ask()
+        await trio.sleep(0.2)
+        scene.reply()
+    scene.entry.stops_at = trio.current_time() + 1.0
+    begun = scene.ask()
+    assert begun.status is None
+    scene.reply()
+    assert begun.status == 200
+    await trio.sleep(0.9)
+    refused = scene.ask()
+    assert refused.status is ErrorKind.LEAVING
+    assert status_of(refused.refusal) == 503
+    assert refused.refusal.ran is Ran.NO
