Close a connection behind no request that was begun

Cause: while a node stops, the answer to the newest request of a connection was made the last one when it was ready. Second cause, found on the way: of two requests that came together, the second was begun behind a last answer that went out at once. Ruled out: closing idle connections (nothing is pending there), the gates (no call of a stopping node was cut). Change: the last answer is chosen when it goes out; nothing is begun behind it. Tests: http/tests/test_callers.py, both failed before. Names of routes that are in no release any more are forgotten (RouteOrigins.keep was called by tests only).

--- a/persimmonhall/http/callers.py
+++ b/persimmonhall/http/callers.py
@@ -32,6 +32,8 @@
 # Closing at once with unread bytes would reset the connection under the last answer.
 LINGER_S = 1.0
 LINGER_STEP_S = 0.02
+HEAD_END = b"\r\n\r\n"
+LAST_HEAD_END = b"\r\nconnection: close\r\n\r\n"
 
 STATUS_LINES = {
     status.value: b"HTTP/1.1 %d %s\r\n" % (status.value, status.phrase.encode())
@@ -57,9 +59,6 @@
         if self.data is not None:
             return
         line = STATUS_LINES.get(status) or b"HTTP/1.1 %d \r\n" % status
-        if self._connection.closes_after(self):
-            self.closes = True
-            head += b"connection: close\r\n"
         if self._is_head or status in NO_BODY_STATUSES:
             self.data = b"%s%s\r\n" % (line, head)
         else:
@@ -114,23 +113,18 @@
         """Tell whether no request is in progress or arriving."""
         return not self._pending and not self._reader.is_inside
 
-    def closes_after(self, exchange: Exchange) -> bool:
-        """Tell whether the answer to a request must be the last one."""
-        if exchange.closes:
-            return True
-        is_newest = self._pending and self._pending[-1] is exchange
-        return bool(self._server.draining and is_newest and self._incoming is None)
-
     def flush(self) -> None:
         """Send the answers that are due in the order of their requests."""
         parts = []
         while self._pending and self._pending[0].data is not None:
             exchange = self._pending.popleft()
-            parts.append(exchange.data)
-            if exchange.closes:
+            if exchange.closes or self._is_last_of_stop():
+                exchange.closes = True
+                parts.append(_with_close(exchange.data))
                 self._answered_last = True
                 self._drop_pending()
                 break
+            parts.append(exchange.data)
         if parts:
             self._since = trio.current_time()
             self._duplex.send(b"".join(parts) if len(parts) > 1 else parts[0])
@@ -139,6 +133,10 @@
         elif not self._is_full():
             self._duplex.resume()
 
+    def _is_last_of_stop(self) -> bool:
+        """Tell whether the server stops and no request stands behind this answer."""
+        return self._server.draining and not self._pending and self._incoming is None
+
     async def linger(self) -> None:
         """Let the last answer arrive, then end the connection."""
         with trio.move_on_after(SLOW_READER_S):
@@ -209,7 +207,7 @@
         return unsent or len(self._pending) >= MAX_PIPELINED
 
     def _take_requests(self) -> None:
-        while self._reads_on:
+        while self._reads_on and not self._answered_last:
             if self._incoming is None:
                 self._incoming = self._reader.take()
                 if self._incoming is None:
@@ -258,6 +256,11 @@
                 self._server.handler.abandon(exchange)
 
 
+def _with_close(data: bytes) -> bytes:
+    """Say in the head of an answer that the connection ends after it."""
+    return data.replace(HEAD_END, LAST_HEAD_END, 1)
+
+
 class CallerServer:
     """Accept connections on one address and serve them with one handler."""
 
--- a/persimmonhall/http/tests/test_callers.py
+++ b/persimmonhall/http/tests/test_callers.py
@@ -218,3 +218,42 @@
     while size < len(body):
         size += len(await read(stream, 300_000))
     assert size > len(body)
+
+
+async def test_draining_server_closes_behind_no_request_that_it_has_begun(nursery):
+    """Decide when an answer goes out, for a request may come after it was ready."""
+    scene = Scene(nursery)
+    stream = await scene.connect()
+    await stream.send_all(get("/slow") + get("/fast"))
+    await scene.wait_for(2)
+    scene.server.draining = True
+    slow, fast = scene.handler.exchanges
+    fast.answer(200, b"", b"fast")
+    await stream.send_all(get("/late"))
+    await scene.wait_for(3)
+    slow.answer(200, b"", b"slow")
+    await trio.sleep(0.02)
+    assert scene.handler.abandoned == []
+    scene.handler.exchanges[2].answer(200, b"x: y\r\n", b"late")
+    data = await read_to_end(stream)
+    assert [part in data for part in (b"slow", b"fast", b"late")] == [True] * 3
+    assert data.lower().count(b"connection: close") == 1
+    assert data.endswith(b"\r\nconnection: close\r\n\r\nlate")
+
+
+async def test_request_behind_the_last_answer_of_a_stop_is_not_begun(nursery):
+    """Pass nothing on that could not be answered on this connection any more."""
+    scene = Scene(nursery)
+    stream = await scene.connect()
+    scene.server.draining = True
+    begin = scene.handler.begin
+
+    def refuse_at_once(message, exchange):
+        begin(message, exchange)
+        exchange.refuse(refuse(ErrorKind.OVERLOADED, "full"))
+
+    scene.handler.begin = refuse_at_once
+    await stream.send_all(get("/1") + get("/2"))
+    data = await read_to_end(stream)
+    assert data.count(b"HTTP/1.1 503") == 1
+    assert len(scene.handler.messages) == 1
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -119,14 +119,15 @@
         suspects = CrashSuspects(table, self.spreader)
         graph = CallGraph()
         self._levels = RouteLevels(graph)
-        origins = RouteOrigins()
+        self._origins = RouteOrigins()
+        self._known_index = 0
         self.gate = RoutedGate(
             dialect.headers,
             self.readiness,
             self.timers,
             graph,
             self._levels,
-            origins,
+            self._origins,
             self.log,
             lambda: self.instances.take_down(),
             lambda calls: suspects.report(calls),
@@ -149,7 +150,7 @@
             ResendBudget(releases.resend_ratio, releases.resend_slack),
             graph,
             self._levels,
-            origins,
+            self._origins,
             self.timers,
             rng,
             self.log,
@@ -283,6 +284,10 @@
             if server is not None:
                 server.step(now)
         self.instances.step(now)
+        if self.releases.index != self._known_index:
+            self._known_index = self.releases.index
+            routes = self.releases.routes.release.routes
+            self._origins.keep({route.name for route in routes})
 
     def _limits(self) -> CallerLimits:
         routes = self.releases.routes
