Split what an entry refuses before it runs off the routed entry

No change of behaviour: the decisions (a node that stops, runs in vain, want of room) and the time to return stand in call/root_admission.py.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -1,17 +1,15 @@
 """Route the requests of callers and of the own backend server to gates."""
 
 import itertools
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
 
-from persimmonhall.admission.level import share_let_in
-from persimmonhall.admission.success import TRIED_SHARE, is_vain
 from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.flight import Flight, milliseconds, usable_s
+from persimmonhall.call.root_admission import RootAdmission
 from persimmonhall.call.routed_gate import RoutedGate
 from persimmonhall.dialect import HeaderNames
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
@@ -40,10 +38,6 @@
 # Gates that had not sent a request on may pass it to others at no cost for a server.
 MAX_REROUTES = 3
 MAX_OVERLOAD_REROUTES = 1
-# Of the latency objective: a return within it can still be in time, and the spread
-# keeps those refused together from returning together.
-LEAST_RETURN_SHARE = 0.2
-MOST_RETURN_SHARE = 0.7
 # Below the most urgent level by less than this, a service is not short of room.
 ROOM_SLACK = 0.3
 FIRST_SERVER_ERROR = 500
@@ -118,21 +112,23 @@
         self._levels = levels
         self._origins = origins
         self._timers = timers
-        self._rng = rng
         self._log = log
         self._patience = Patience()
+        self._admission = RootAdmission(levels, self._patience, rng)
         self._numbers = itertools.count(1)
         self._flights: dict[CallNumber, Flight] = {}
         self.counts = CallCounts()
         self.asked_at = 0.0
-        # When a stop breaks off what still runs.
-        self.stops_at = math.inf
 
     @property
     def in_flight(self) -> int:
         """Return how many requests wait for a gate."""
         return len(self._flights)
 
+    def stop_at(self, when: float) -> None:
+        """Begin no request from now on that may still run at a time."""
+        self._admission.stops_at = when
+
     def begin(self, message: Message, exchange: Exchange) -> None:
         """Take in a request."""
         routes = self._releases.routes
@@ -164,16 +160,12 @@
         flight.body = message.body if message.size else b""
         if flight.is_nested:
             self._graph.count_call(route.name)
-        elif now + self._patience.seconds(route.name) > self.stops_at:
-            detail = "this node stops before an answer could be there"
-            self._finish_refused(flight, ErrorKind.LEAVING, detail, Ran.NO, now)
-            return
-        elif self._is_vain(flight, now):
-            self._refuse_vain(flight, now)
-            return
-        elif not self._lets_in(flight, now):
-            self._refuse_early(flight, now)
-            return
+        else:
+            refusal = self._admission.refusal(route, flight.rank, now)
+            if refusal is not None:
+                kind, detail, inputs = refusal
+                self._finish_refused(flight, kind, detail, Ran.NO, now, **inputs)
+                return
         if self._suspects is not None:
             refusal = self._suspects.refusal(flight.service, flight.head, flight.body)
             if refusal is not None:
@@ -255,30 +247,6 @@
             return False
         return True
 
-    def _lets_in(self, flight: Flight, now: float) -> bool:
-        level = self._levels.level(flight.route.name, now)
-        share = share_let_in(level, flight.rank)
-        return share >= 1.0 or self._rng.random() < share
-
-    def _is_vain(self, flight: Flight, now: float) -> bool:
-        """Tell whether a root would most likely run only to fail."""
-        is_failing = is_vain(self._levels.success(flight.route.name, now))
-        return is_failing and self._rng.random() >= TRIED_SHARE
-
-    def _refuse_vain(self, flight: Flight, now: float) -> None:
-        success = self._levels.success(flight.route.name, now)
-        detail = f"nearly all runs of route {flight.route.name} fail with their calls"
-        self._finish_refused(
-            flight, ErrorKind.OVERLOADED, detail, Ran.NO, now, success=round(success, 3)
-        )
-
-    def _refuse_early(self, flight: Flight, now: float) -> None:
-        level = self._levels.level(flight.route.name, now)
-        detail = f"the services of route {flight.route.name} are short of room"
-        self._finish_refused(
-            flight, ErrorKind.OVERLOADED, detail, Ran.NO, now, level=round(level, 2)
-        )
-
     def _refuse_unrouted(
         self, exchange: Exchange, attempt: AttemptId, host: str
     ) -> None:
@@ -501,7 +469,7 @@
             return
         if flight.may_have_run:
             ran = Ran.UNKNOWN
-        refusal = Refusal(kind, detail, ran, self._return_s(flight))
+        refusal = Refusal(kind, detail, ran, self._admission.return_s(flight.route))
         self._note(
             Event.REQUEST_REFUSED,
             flight,
@@ -520,11 +488,6 @@
         self.counts.note(kind.value, flight.route.name, now - flight.arrived)
         flight.exchange.refuse(refusal)
 
-    def _return_s(self, flight: Flight) -> float:
-        spread = MOST_RETURN_SHARE - LEAST_RETURN_SHARE
-        share = LEAST_RETURN_SHARE + spread * self._rng.random()
-        return share * flight.route.latency_objective_ms / 1000
-
     def _clear(self, flight: Flight) -> None:
         flight.exchange.context = None
         if flight.timer is not None:
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -264,7 +264,7 @@
         scene.ask()
         await trio.sleep(0.2)
         scene.reply()
-    scene.entry.stops_at = trio.current_time() + 1.0
+    scene.entry.stop_at(trio.current_time() + 1.0)
     begun = scene.ask()
     assert begun.status is None
     scene.reply()
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -231,7 +231,7 @@
         grace_s = self.settings.releases.grace_s
         self.stopping = True
         self.callers.draining = True
-        self.entry.stops_at = begin + LAST_SHARE * grace_s
+        self.entry.stop_at(begin + LAST_SHARE * grace_s)
         await trio.sleep(PEERS_SHARE * grace_s)
         self.gossiper.leave()
         await trio.sleep((GATE_SHARE - PEERS_SHARE) * grace_s)
