Retire a control VM in whose place another came while it was away

A core machine goes for good and another comes at a new address; the set then has four voters, one of them gone. When a second loses its disk at the end, two of four are left, which is no majority, for ever. Ruled out as before: removing whatever is silent in a set larger than the peers named (four founders with three seeds lost a frozen one for good). Left: a newcomer that comes before the old one is stopped (replace_core planned), and a leader that changes between the two.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -121,7 +121,7 @@
         nursery.start_soon(run_log_clock, replica.submit_here)
         nursery.start_soon(Joiner(replica, own.name, address, own.peers).run)
         if own.retire_replaced:
-            nursery.start_soon(Retiring(core, replica.driver, len(own.peers)).run)
+            nursery.start_soon(Retiring(core, replica.driver).run)
         api = None
         if releases is not None:
             api = await serve_releases(releases, own, replica, nursery)
--- a/persimmonhall/platform/settings.py
+++ b/persimmonhall/platform/settings.py
@@ -80,6 +80,8 @@
         releases=read_address(fields["listenAddresses"]["controlPlane"]),
         # True only at the first start of the whole system, on empty disks.
         found=bool(fields.get("bootstrap")),
+        # A core machine that is gone for good is followed by one at another address.
+        retire_replaced=True,
         peers=tuple(map(read_address, fields["seedNodes"])),
         frames_port=_frames(fields).port,
     )
--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -86,8 +86,8 @@
     admin: Address | None = None
     releases: Address | None = None
     found: bool = False
-    # Remove a voter that is silent for long once there are more than the peers named.
-    # Only where every control VM names all that may vote: any other is lost for good.
+    # Remove a voter that was away when a new one joined and has been silent since. Only
+    # where a control VM that comes under a new address stands for one that is gone.
     retire_replaced: bool = False
     frames_port: int = bounded(0, least=0, most=65535)
     peers: tuple[Address, ...] = ()
