Take the lost start of an unsynced batch for what it is

The empty record that marks a batch as synced is written with no sync of its own; the power took it and left the batch behind it, which was being synced. As the marker was a batch by itself, the reader took the batch behind it for proof that all before was synced. Ruled out: damage to what was synced (the fault loses unsynced writes only, each by itself). Change: the marker is the first record of the batch it begins. What follows a lost one stands exactly its length behind; anything else before a later batch is still damage. Tests: raft/tests/test_storage.py, the first failed before ('damaged record'); damage beside a lost marker is still found.

--- a/persimmonhall/raft/records.py
+++ b/persimmonhall/raft/records.py
@@ -29,14 +29,16 @@
     batch: int
 
 
-def frame_batch(payloads: tuple[bytes, ...], batch: int) -> bytes:
-    """Write the records of a batch that is synced at once."""
-    return b"".join(frame_each(payloads, batch))
+def frame_batch(payloads: tuple[bytes, ...], batch: int, first: int = 0) -> bytes:
+    """Write the records of a batch that is synced at once, from a position on."""
+    return b"".join(frame_each(payloads, batch, first))
 
 
-def frame_each(payloads: Iterable[bytes], batch: int) -> Iterator[bytes]:
+def frame_each(
+    payloads: Iterable[bytes], batch: int, first: int = 0
+) -> Iterator[bytes]:
     """Write the records of a batch one after the other."""
-    for position, payload in enumerate(payloads):
+    for position, payload in enumerate(payloads, first):
         yield _frame(payload, batch, position)
 
 
@@ -44,7 +46,9 @@
     """Read records up to a torn tail, or return the offset of damage.
 
     A batch is written only after the one before it was synced. So if the start of
-    a later batch follows a bad record, that record was synced and is damaged.
+    a later batch follows a bad record, that record was synced and is damaged. The
+    start itself, an empty record, may be lost alone with the power: what follows it
+    then stands as far behind the bad place as that record is long.
     """
     payloads: list[bytes] = []
     offset = batch = 0
@@ -76,12 +80,14 @@
 
 
 def _synced_batches_follow(data: bytes, offset: int, batch: int) -> bool:
+    bad = offset
     offset = data.find(MAGIC, offset + 1)
     while offset >= 0:
         record = _record_at(data, offset)
-        if record is not None:
-            starts_next = record.batch == batch + 1 and record.position == 0
-            if starts_next or record.batch > batch + 1:
+        if record is not None and record.batch > batch:
+            if record.batch > batch + 1 or record.position == 0:
+                return True
+            if record.position == 1 and offset - bad != HEADER_BYTES:
                 return True
         offset = data.find(MAGIC, offset + 1)
     return False
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -71,6 +71,8 @@
         self._end = end
         self._batch = batch
         self._written = 0
+        # Whether the batch that comes next has its marker already.
+        self._is_marked = False
         self._sync_us = new_histogram()
         self._staged: Snapshot | None = None
         self._staging = threading.Lock()
@@ -128,7 +130,7 @@
         payloads = [RECORDS.encode(persists[-1].state)]
         for persist in persists:
             payloads += [RECORDS.encode(entry) for entry in persist.entries]
-        data = frame_batch(tuple(payloads), self._batch + 1)
+        data = frame_batch(tuple(payloads), self._batch + 1, int(self._is_marked))
         try:
             write_all(self._files, self._descriptor, data)
         except OSError:
@@ -137,18 +139,21 @@
         self._sync()
         self._end += len(data)
         self._batch += 1
-        self._mark_synced()
+        self._is_marked = self._mark_synced()
 
-    def _mark_synced(self) -> None:
-        """Write a batch that tells damage to the one before from a torn write."""
+    def _mark_synced(self) -> bool:
+        """Begin the next batch, so that damage to this one is told from a torn write.
+
+        The marker is synced with what follows: a loss of power may take it alone.
+        """
         marker = frame_batch((END_MARKER,), self._batch + 1)
         try:
             write_all(self._files, self._descriptor, marker)
         except OSError:
             self._take_back()
-            return
+            return False
         self._end += len(marker)
-        self._batch += 1
+        return True
 
     def _take_back(self) -> None:
         os.ftruncate(self._descriptor, self._end)
@@ -173,6 +178,7 @@
         self._descriptor = _open_log(self._folder)
         self._end = len(log)
         self._batch = FIRST_BATCH + 1
+        self._is_marked = False
 
     def _put_staged(self, snapshot: Snapshot) -> bool:
         # The lock keeps the next one from being staged over it meanwhile.
--- a/persimmonhall/raft/tests/test_storage.py
+++ b/persimmonhall/raft/tests/test_storage.py
@@ -310,3 +310,36 @@
     storage.write((make_persist(1, 1, 20),))
     storage.close()
     assert indexes(tmp_path) == list(range(1, 21))
+
+
+def lose_marker(folder):
+    """Write two batches and lose the power while the second is being synced.
+
+    Its records have reached the disk, but what begins it has not. Return where that
+    stood and what the file holds now.
+    """
+    ends = fill(folder, 2)
+    path = folder / LOG_FILE
+    marker = ends[0] - HEADER_BYTES
+    data = bytearray(path.read_bytes()[: ends[1] - HEADER_BYTES])
+    data[marker : ends[0]] = bytes(HEADER_BYTES)
+    path.write_bytes(data)
+    return marker, data
+
+
+def test_start_of_an_unsynced_batch_may_be_lost_alone(tmp_path):
+    """Keep what was synced, and go on after it."""
+    lose_marker(tmp_path)
+    assert indexes(tmp_path) == [1, 2]
+    storage = reopen(tmp_path).unwrap().storage
+    storage.write((make_persist(1, 3, 5),))
+    storage.close()
+    assert indexes(tmp_path) == [1, 2, 3, 4, 5]
+
+
+def test_damage_before_a_lost_start_is_still_found(tmp_path):
+    """Tell a synced record that is damaged from a start that was lost."""
+    marker, data = lose_marker(tmp_path)
+    data[marker - 1] ^= 0xFF
+    (tmp_path / LOG_FILE).write_bytes(data)
+    assert "damaged record" in reopen(tmp_path).failure()
