Count no wiped control VM as one that came in another's place

Cause, found on reading the change again: a wiped VM leaves the set and comes back under a new id. That made the set grow as well, so a voter that was down meanwhile would have been retired in a set of four. Change: only a set larger than it was before counts, less what was retired since. Tests: control/tests/test_retiring.py.

--- a/persimmonhall/control/retiring.py
+++ b/persimmonhall/control/retiring.py
@@ -29,8 +29,9 @@
     def __init__(self, core: Core, driver: Driver):
         self._core = core
         self._driver = driver
-        self._known: frozenset[ReplicaId] = frozenset()
+        self._size = 0
         self._replaced: frozenset[ReplicaId] = frozenset()
+        self._retired: ReplicaId | None = None
 
     async def run(self) -> None:
         """Look until cancelled."""
@@ -41,18 +42,31 @@
     def step(self, now: float) -> None:
         """Remove a voter that was replaced, if all the others answer."""
         if self._core.role is not Role.LEADER:
-            self._known = self._replaced = frozenset()
+            self._size, self._replaced, self._retired = 0, frozenset(), None
             return
         voters = frozenset(self._core.replicas.voters)
         silent_s = {voter: self._core.silent_s(voter, now) for voter in voters}
         away = frozenset(v for v, seconds in silent_s.items() if seconds > AWAY_S)
-        if self._known and voters > self._known:
-            self._replaced = away & self._known
-        self._known = voters
+        if self._retired is not None and self._retired not in voters:
+            self._size -= 1
+            self._retired = None
+        self._note_growth(len(voters), away)
         self._replaced &= away
         if len(away) != 1 or away != self._replaced or len(voters) <= LEAST_VOTERS:
             return
         [gone] = away
         if silent_s[gone] > SILENT_S and self._core.remove(gone, now):
             logging.warning("replica retired id=%s silent_s=%.1f", gone, silent_s[gone])
+            self._retired = gone
             self._driver.wake()
+
+    def _note_growth(self, size: int, away: frozenset[ReplicaId]) -> None:
+        """Remember who is away when the set is larger than it ever was.
+
+        A wiped voter leaves the set and comes back under a new id: it does not count.
+        """
+        if size <= self._size:
+            return
+        if self._size:
+            self._replaced = away
+        self._size = size
--- a/persimmonhall/control/tests/test_retiring.py
+++ b/persimmonhall/control/tests/test_retiring.py
@@ -86,6 +86,24 @@
     assert retire(FOUNDERS | {"b": AWAY}, wiped, wiped) == []
 
 
+def test_wiped_voter_beside_one_that_is_away_is_no_newcomer():
+    """Keep a voter that is down while another comes back with an empty disk."""
+    four = FOUNDERS | {"d": 0, "b": AWAY}
+    without = {"a": 0, "b": AWAY, "d": 0}
+    again = without | {"c2": 0}
+    assert retire(four, without, again, again | {"b": GONE}) == []
+
+
+def test_second_replacement_is_found_too():
+    """Count from the set as it is once the first one was retired."""
+    gone = FOUNDERS | {"c": AWAY}
+    four = FOUNDERS | {"c": GONE, "d": 0}
+    first = (gone, gone | {"d": 0}, four)
+    three = {"a": 0, "b": AWAY, "d": 0}
+    second = (three, three | {"e": 0}, three | {"b": GONE, "e": 0})
+    assert retire(*first, *second) == ["c", "b"]
+
+
 def test_only_the_leader_removes():
     """Leave it to the replica that leads."""
     gone = FOUNDERS | {"c": AWAY}
