--- a/persimmonhall/settings.py
+++ b/persimmonhall/settings.py
@@ -86,8 +86,8 @@
     admin: Address | None = None
     releases: Address | None = None
     found: bool = False
-    # Remove a voter that was away when a new one joined and has been silent since. Only
-    # where a control VM that comes under a new address stands for one that is gone.
+    # Remove the voter that is silent when a new one has joined. Only where a control VM
+    # that comes under a new address stands for one that is gone.
     retire_replaced: bool = False
     frames_port: int = bounded(0, least=0, most=65535)
     peers: tuple[Address, ...] = ()
