--- a/harness/load_model/world.py
+++ b/harness/load_model/world.py
@@ -2,6 +2,7 @@
 
 import os
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -9,7 +10,7 @@
 
 from harness.load_model.callers import Callers
 from harness.load_model.clock import Events, VirtualClock
-from harness.load_model.scenario import Scenario
+from harness.load_model.scenario import Disturbance, Scenario
 from harness.load_model.servers import HEADERS, ModelServer, host_of
 from persimmonhall.address import Address
 from persimmonhall.admission.level import INTERVAL_S
@@ -126,15 +127,11 @@
         ]
 
     def _shed(self, disturbance) -> None:
-        servers = self._servers_of(disturbance.shed_service)
-
         def change(share: float) -> None:
-            for server in servers:
+            for server in self._servers_of(disturbance.shed_service):
                 server.shed_share = share
 
-        end_s = disturbance.at_s + disturbance.for_s
-        self.events.call_at(disturbance.at_s, partial(change, disturbance.shed_share))
-        self.events.call_at(end_s, partial(change, 0.0))
+        self._change_for(disturbance, change, disturbance.shed_share, 0.0)
 
     def _slow(self, disturbance) -> None:
         servers = self._servers_of(disturbance.slow_service)
@@ -144,9 +141,19 @@
             for server in servers:
                 server.slow_times = times
 
+        self._change_for(disturbance, change, disturbance.slow_times, 1.0)
+
+    def _change_for(
+        self,
+        disturbance: Disturbance,
+        change: Callable[[float], None],
+        value: float,
+        usual: float,
+    ) -> None:
+        """Set a value while a disturbance lasts."""
         end_s = disturbance.at_s + disturbance.for_s
-        self.events.call_at(disturbance.at_s, partial(change, disturbance.slow_times))
-        self.events.call_at(end_s, partial(change, 1.0))
+        self.events.call_at(disturbance.at_s, partial(change, value))
+        self.events.call_at(end_s, partial(change, usual))
 
     def _step(self) -> None:
         for node in self.nodes.values():
