Keep the first status of a server's failure in one place

No change of behaviour. Lint and the tests of call, http, the routed path, the boundary and the load patterns passed; the whole script was not run on this commit.

--- a/harness/load_model/world.py
+++ b/harness/load_model/world.py
@@ -126,14 +126,14 @@
             if node.gate.instance.service == service
         ]
 
-    def _shed(self, disturbance) -> None:
+    def _shed(self, disturbance: Disturbance) -> None:
         def change(share: float) -> None:
             for server in self._servers_of(disturbance.shed_service):
                 server.shed_share = share
 
         self._change_for(disturbance, change, disturbance.shed_share, 0.0)
 
-    def _slow(self, disturbance) -> None:
+    def _slow(self, disturbance: Disturbance) -> None:
         servers = self._servers_of(disturbance.slow_service)
         servers = servers[: disturbance.slow_servers]
 
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -16,7 +16,7 @@
 from persimmonhall.events import Event, EventLog, is_sampled
 from persimmonhall.exposition import CallCounts
 from persimmonhall.http.callers import Exchange
-from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS
+from persimmonhall.http.messages import FIRST_SERVER_ERROR, HOP_BY_HOP, LENGTH_HEADERS
 from persimmonhall.http.reading import Message
 from persimmonhall.ids import AttemptId, CallNumber, NodeName, ServiceName
 from persimmonhall.membership.effects import address_of
@@ -40,7 +40,6 @@
 MAX_OVERLOAD_REROUTES = 1
 # Below the most urgent level by less than this, a service is not short of room.
 ROOM_SLACK = 0.3
-FIRST_SERVER_ERROR = 500
 DEADLINE_STATUS = 504
 NO_LOAD = GateLoad(0, 0, 0, 0.0)
 CLOSED_GATE = frozenset(
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -21,7 +21,7 @@
     BackendResult,
     SendFault,
 )
-from persimmonhall.http.messages import HOP_BY_HOP, LENGTH_HEADERS
+from persimmonhall.http.messages import FIRST_SERVER_ERROR, HOP_BY_HOP, LENGTH_HEADERS
 from persimmonhall.ids import CallNumber, RouteName
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.route_levels import RouteLevels
@@ -47,7 +47,6 @@
 # Calls lost this long before a server was found dead may have killed it.
 DEATH_S = 1.0
 MISDIRECTED_STATUS = 421
-FIRST_SERVER_ERROR = 500
 DROPPED = HOP_BY_HOP | LENGTH_HEADERS
 
 ReplyTo = Callable[[RoutedReply], None]
--- a/persimmonhall/http/refusals.py
+++ b/persimmonhall/http/refusals.py
@@ -3,11 +3,10 @@
 import json
 
 from persimmonhall.errors import ANSWERS, PROBLEM_TYPE_PREFIX, Ran, Refusal
-from persimmonhall.http.messages import HttpAnswer
+from persimmonhall.http.messages import FIRST_SERVER_ERROR, HttpAnswer
 
 NOT_RUN_STATUS = 503
 MAY_HAVE_RUN_STATUS = 502
-FIRST_SERVER_ERROR = 500
 
 
 def status_of(refusal: Refusal) -> int:
