Send orders only to peers that respond; tell unsent calls apart

A call cancelled while its link was still connecting was sent all the same once the link opened.

Ruled out: proving after the fact that a peer has not read a frame (unacked bytes may have been received, and acks can be what is lost); a permit for every call (a round trip each).

Change: a call that may run only once goes to a peer heard from within 50 ms, else it is held until the peer answers a ping, and returned as not sent after 0.4 s, so that it is sent to another server. A cancelled call that is held or queued is reported as not run; one cancelled before its link opens is never sent.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -331,37 +331,38 @@
         now = trio.current_time()
         request.timer = None
         if now >= request.deadline:
-            self._cancel_call(request, CallOutcome.TIMED_OUT)
-            # The timer runs only while a gate has the request.
+            ran = self._cancel_call(request, CallOutcome.TIMED_OUT)
             detail = "no answer within the timeout of the caller or the route"
             kind = ErrorKind.DEADLINE_EXCEEDED
-            self._finish_refused(request, kind, detail, Ran.UNKNOWN, now)
+            self._finish_refused(request, kind, detail, ran, now)
             return
         if self._has_spare_capacity(request, now) and self._spend_retry_budget(request):
-            self._cancel_call(request, CallOutcome.TIMED_OUT)
-            request.may_have_run = True
+            ran = self._cancel_call(request, CallOutcome.TIMED_OUT)
+            request.may_have_run |= ran is not Ran.NO
             self._retry(request, "no answer within the response time estimate", now)
         else:
             when = request.deadline
             request.timer = self._timers.call_at(when, lambda: self._on_timer(request))
 
-    def _cancel_call(self, request: InFlightRequest, outcome: CallOutcome) -> None:
-        """Cancel the call in progress, if there is one."""
+    def _cancel_call(self, request: InFlightRequest, outcome: CallOutcome) -> Ran:
+        """Cancel the call in progress; return whether its server may have run it."""
         if request.timer is not None:
             request.timer.cancel()
             request.timer = None
         if self._waiting_requests.pop(request.call_number, None) is None:
-            return
+            return Ran.NO
         member = request.member
         now = trio.current_time()
         if member.node == self._local.node:
-            self._gate.cancel(self, request.call_number)
+            is_unsent = self._gate.cancel(self, request.call_number)
         else:
-            self._links().cancel(address_of(member.frames), request.call_number)
+            address = address_of(member.frames)
+            is_unsent = self._links().cancel(address, request.call_number)
         observation = Observation(
             outcome, request.route.name, now - request.sent_at, None
         )
         self._router.observe(request.service, member.node, observation, now)
+        return Ran.NO if is_unsent else Ran.UNKNOWN
 
     def _record_outcome(
         self, request: InFlightRequest, member: Member, reply: RoutedReply, now: float
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -208,18 +208,19 @@
         else:
             self._enqueue(state, now)
 
-    def cancel(self, origin: object, number: CallNumber) -> None:
-        """Cancel a call that is no longer awaited."""
+    def cancel(self, origin: object, number: CallNumber) -> bool:
+        """Cancel a call that is no longer awaited; return whether it was queued."""
         state = self._calls.pop((origin, number), None)
         if state is None:
-            return
+            return False
         if state.queued_call is not None:
             self._queue.remove(state.queued_call)
-            return
+            return True
         if state.request is not None and self._pool is not None:
             self._pool.abort(state.request)
         self._in_flight -= 1
         self._start_queued()
+        return False
 
     def cancel_all(self, origin: object) -> None:
         """Cancel all calls of an origin that has gone away."""
--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -111,14 +111,16 @@
     def __init__(self):
         self.sent = []
         self.cancelled = []
+        self.is_connected = True
 
     def send(self, address, call):
         """Hold a call."""
         self.sent.append((address, call))
 
     def cancel(self, address, number):
-        """Record a cancelled call."""
+        """Record a cancelled call; return whether no byte of it was sent."""
         self.cancelled.append(number)
+        return not self.is_connected
 
 
 class FakeGate:
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -170,6 +170,19 @@
     assert fixture.links.cancelled == [fixture.calls[-1].number]
 
 
+async def test_deadline_of_a_call_that_was_never_sent_means_not_run(autojump_clock):
+    """Answer 503 if the link did not open before the deadline."""
+    fixture = EntryFixture(make_route(timeout_ms=1000))
+    fixture.links.is_connected = False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fixture.timers.run)
+        exchange = fixture.send_request()
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert exchange.refusal.ran is Ran.NO
+    assert refusal_status(exchange.refusal) == 503
+
+
 async def test_silent_server_causes_a_retry_before_the_deadline(autojump_clock):
     """Lost answer: try another server well before the caller's deadline."""
     fixture = EntryFixture(make_route(timeout_ms=6000))
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -1,5 +1,6 @@
 """Send calls between nodes over one connection per pair of nodes and direction."""
 
+import math
 import socket as sockets
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -35,6 +36,11 @@
 # While calls are pending, a link without received data is pinged, then closed.
 PING_AFTER_SILENCE_S = 0.3
 MAX_SILENCE_S = 0.8
+# A call that may run only once is sent only to a peer heard from within this time, as
+# nobody can tell whether a peer that was lost meanwhile has read it.
+MAX_PEER_AGE_S = 0.05
+# Held calls are returned as not sent if the peer answers no ping for this long.
+MAX_HOLD_S = 0.4
 # With more unsent data than this, the peer no longer reads: its calls are lost.
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 RECONNECT_DELAY_S = 0.25
@@ -60,10 +66,14 @@
         self._reply_handler = reply_handler
         self._log = log
         self._pending_calls: set[CallNumber] = set()
-        self._unsent_frames: list[bytes] = []
+        # Calls of which no byte was sent, in the order of their arrival.
+        self._held_calls: dict[CallNumber, RoutedCall] = {}
+        self._held_since = 0.0
         self._duplex: Duplex | None = None
         self._reader = CallFrameReader()
         self._last_received_at = 0.0
+        # Unlike the silence timeout, not restarted after a pause of this process.
+        self._last_heard_at = -math.inf
         self._is_ping_sent = False
         self.is_closed = False
         self.close_reason = f"no connection within {CONNECT_TIMEOUT_S} s"
@@ -89,23 +99,30 @@
         return self._duplex is not None
 
     def send(self, call: RoutedCall) -> None:
-        """Send a call, or queue it until the link is connected."""
+        """Send a call, or hold it until the peer is connected and known to respond."""
         self._pending_calls.add(call.number)
-        data = pack_frame(FrameType.CALL, encode_call(call))
+        now = trio.current_time()
         if self._duplex is None:
-            self._unsent_frames.append(data)
+            self._hold(call, now)
             return
         if len(self._pending_calls) == 1:
-            self._last_received_at = trio.current_time()
-        self._duplex.send(data)
-
-    def cancel(self, number: CallNumber) -> None:
-        """Notify the peer that a call is cancelled."""
+            self._last_received_at = now
+        if call.is_idempotent or now - self._last_heard_at <= MAX_PEER_AGE_S:
+            self._duplex.send(_call_frame(call))
+        else:
+            self._hold(call, now)
+            self._ping()
+
+    def cancel(self, number: CallNumber) -> bool:
+        """Cancel a call; return whether no byte of it was sent."""
         if number not in self._pending_calls:
-            return
+            return False
         self._pending_calls.discard(number)
+        if self._held_calls.pop(number, None) is not None:
+            return True
         if self._duplex is not None:
             self._duplex.send(pack_frame(FrameType.CANCEL, CALL_NUMBER.pack(number)))
+        return False
 
     def check(self, now: float) -> None:
         """Ping a peer that sends nothing, and close the link if it stays silent."""
@@ -116,12 +133,13 @@
             return
         if not self._pending_calls:
             return
+        if self._held_calls and now - self._held_since > MAX_HOLD_S:
+            self._return_held_calls(f"no answer to a ping within {MAX_HOLD_S} s")
         silent_s = now - self._last_received_at
         if silent_s > MAX_SILENCE_S and self._is_ping_sent:
             self.drop(f"no data from the peer for {silent_s:.2f} s")
-        elif silent_s > PING_AFTER_SILENCE_S and not self._is_ping_sent:
-            self._is_ping_sent = True
-            self._duplex.send(PING_FRAME)
+        elif silent_s > PING_AFTER_SILENCE_S:
+            self._ping()
 
     def restart_silence_timeout(self, now: float) -> None:
         """Restart the silence timeout after a pause of this process."""
@@ -140,12 +158,37 @@
         socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         self._duplex = Duplex(socket, poller, self._handle_data, self.drop)
         self._last_received_at = trio.current_time()
-        self._duplex.send(PREAMBLE + b"".join(self._unsent_frames))
-        self._unsent_frames.clear()
+        self._duplex.send(PREAMBLE)
+        for call in [call for call in self._held_calls.values() if call.is_idempotent]:
+            del self._held_calls[call.number]
+            self._duplex.send(_call_frame(call))
+        if self._held_calls:
+            # The kernel accepts connections for a process that is paused.
+            self._held_since = self._last_received_at
+            self._ping()
+
+    def _hold(self, call: RoutedCall, now: float) -> None:
+        if not self._held_calls:
+            self._held_since = now
+        self._held_calls[call.number] = call
+
+    def _ping(self) -> None:
+        if not self._is_ping_sent:
+            self._is_ping_sent = True
+            self._duplex.send(PING_FRAME)
+
+    def _return_held_calls(self, reason: str) -> None:
+        held_calls, self._held_calls = self._held_calls, {}
+        for number in held_calls:
+            self._pending_calls.discard(number)
+            self._reply_handler.handle_link_failure(number, Ran.NO, reason)
 
     def _handle_data(self, data: bytes) -> None:
-        self._last_received_at = trio.current_time()
+        self._last_received_at = self._last_heard_at = trio.current_time()
         self._is_ping_sent = False
+        if self._held_calls:
+            self._duplex.send(b"".join(map(_call_frame, self._held_calls.values())))
+            self._held_calls.clear()
         try:
             for kind, payload in self._reader.feed(data):
                 if kind == FrameType.REPLY:
@@ -160,9 +203,10 @@
         if self.is_closed:
             return
         self.is_closed = True
-        ran = Ran.NO if self._duplex is None else Ran.UNKNOWN
         if self._duplex is not None:
             self._duplex.close()
+        not_sent = len(self._held_calls)
+        self._return_held_calls(self.close_reason)
         calls, self._pending_calls = self._pending_calls, set()
         if calls or self._duplex is None:
             self._log.emit(
@@ -170,10 +214,16 @@
                 peer=str(self.address),
                 reason=self.close_reason,
                 calls=len(calls),
-                ran=ran.value,
+                not_sent=not_sent,
             )
         for number in calls:
-            self._reply_handler.handle_link_failure(number, ran, self.close_reason)
+            self._reply_handler.handle_link_failure(
+                number, Ran.UNKNOWN, self.close_reason
+            )
+
+
+def _call_frame(call: RoutedCall) -> bytes:
+    return pack_frame(FrameType.CALL, encode_call(call))
 
 
 class CallLinkPool:
@@ -217,11 +267,10 @@
             )
         link.send(call)
 
-    def cancel(self, address: Address, number: CallNumber) -> None:
-        """Notify a peer that a call is cancelled."""
+    def cancel(self, address: Address, number: CallNumber) -> bool:
+        """Cancel a call; return whether no byte of it was sent."""
         link = self._links.get(address)
-        if link is not None and not link.is_closed:
-            link.cancel(number)
+        return link is not None and not link.is_closed and link.cancel(number)
 
     def _log_reconnected(self, address: Address) -> None:
         if address in self._lost_peers:
--- /dev/null
+++ b/persimmonhall/wire/tests/test_held_calls.py
@@ -0,0 +1,162 @@
+"""Check that orders are sent only to peers that respond, and what counts as sent."""
+
+import pytest
+
+from persimmonhall.address import Address
+from persimmonhall.errors import Ran
+from persimmonhall.events import EventLog
+from persimmonhall.release.tests.builders import make_call
+from persimmonhall.wire import call_link
+from persimmonhall.wire.call_frames import CallFrameReader, FrameType, decode_call
+from persimmonhall.wire.call_link import (
+    MAX_HOLD_S,
+    MAX_PEER_AGE_S,
+    PONG_FRAME,
+    PREAMBLE,
+    CallLink,
+)
+
+
+class FakeDuplex:
+    """Record the bytes that a link sends."""
+
+    unsent_bytes = 0
+
+    def __init__(self, socket, poller, on_data, on_end):
+        self.on_data = on_data
+        self.data = b""
+
+    def send(self, data):
+        """Record bytes."""
+        self.data += data
+
+    def close(self):
+        """Do nothing."""
+
+
+class FakeSocket:
+    """Accept any option."""
+
+    def setsockopt(self, *arguments):
+        """Do nothing."""
+
+
+class LinkFixture:
+    """Run a link at a time that the test sets."""
+
+    def __init__(self):
+        self.now = 5.0
+        self.failures = {}
+        self.link = CallLink(Address("10.1.0.1", 7000), self, EventLog("test"))
+
+    def connect(self):
+        """Complete the connection."""
+        self.link._handle_connected(FakeSocket(), None)
+
+    def hear(self):
+        """Receive an answer to a ping."""
+        self.link._handle_data(PONG_FRAME)
+
+    def handle_reply(self, reply):
+        """Ignore replies."""
+
+    def handle_link_failure(self, number, ran, detail):
+        """Record a failure."""
+        assert number not in self.failures, "two failures of one call"
+        self.failures[number] = ran
+
+    @property
+    def frames(self):
+        """Return the kinds of the frames sent, or the numbers of calls."""
+        data = self.link._duplex.data
+        assert data.startswith(PREAMBLE)
+        return [
+            decode_call(payload).number if kind == FrameType.CALL else FrameType(kind)
+            for kind, payload in CallFrameReader().feed(data[len(PREAMBLE) :])
+        ]
+
+
+@pytest.fixture
+def fixture(monkeypatch):
+    """Build a link with a fake connection and clock."""
+    fixture = LinkFixture()
+    monkeypatch.setattr(call_link, "Duplex", FakeDuplex)
+    monkeypatch.setattr(call_link.trio, "current_time", lambda: fixture.now)
+    return fixture
+
+
+def make_order(number):
+    """Build a call that may run only once."""
+    return make_call(number, is_idempotent=False)
+
+
+def test_order_is_sent_once_the_peer_answers_a_ping(fixture):
+    fixture.connect()
+    fixture.link.send(make_order(1))
+    assert fixture.frames == [FrameType.PING]
+    fixture.hear()
+    assert fixture.frames == [FrameType.PING, 1]
+
+
+def test_order_to_a_peer_just_heard_from_is_sent_at_once(fixture):
+    fixture.connect()
+    fixture.hear()
+    fixture.now += MAX_PEER_AGE_S
+    fixture.link.send(make_order(1))
+    assert fixture.frames == [1]
+
+
+def test_repeatable_call_is_sent_at_once(fixture):
+    fixture.connect()
+    fixture.link.send(make_call(1))
+    assert fixture.frames == [1]
+
+
+def test_order_to_a_zone_just_cut_off_is_returned_as_not_sent(fixture):
+    fixture.connect()
+    fixture.hear()
+    fixture.now += 1.0
+    fixture.link.send(make_order(1))
+    fixture.now += MAX_HOLD_S + 0.1
+    fixture.link.check(fixture.now)
+    assert fixture.failures == {1: Ran.NO}
+    fixture.hear()
+    assert fixture.frames == [FrameType.PING]
+
+
+def test_lost_link_returns_held_orders_as_not_sent_and_others_as_unknown(fixture):
+    fixture.connect()
+    fixture.link.send(make_call(1))
+    fixture.link.send(make_order(2))
+    fixture.link.drop("reset")
+    assert fixture.failures == {1: Ran.UNKNOWN, 2: Ran.NO}
+
+
+def test_process_that_accepts_connections_but_is_paused_gets_no_order(fixture):
+    fixture.link.send(make_order(1))
+    fixture.link.send(make_call(2))
+    fixture.connect()
+    assert fixture.frames == [2, FrameType.PING]
+
+
+def test_call_cancelled_before_the_connection_opens_is_never_sent(fixture):
+    fixture.link.send(make_call(1))
+    assert fixture.link.cancel(1)
+    fixture.connect()
+    assert fixture.frames == []
+
+
+def test_call_that_was_sent_is_not_reported_as_unsent(fixture):
+    fixture.connect()
+    fixture.link.send(make_call(1))
+    assert not fixture.link.cancel(1)
+    assert fixture.frames == [1, FrameType.CANCEL]
+
+
+def test_pause_of_this_process_does_not_make_a_peer_count_as_heard_from(fixture):
+    fixture.connect()
+    fixture.hear()
+    fixture.now += 5.0
+    fixture.link.restart_silence_timeout(fixture.now)
+    fixture.link.send(make_order(1))
+    assert fixture.frames == [FrameType.PING]
