Keep malformed messages and unexpected errors from ending a process

Operators told of one malformed message that took a process down. Here it could: a reply of a control VM that cannot be read ended every node watching it; an exchange number used twice, or no descriptor left for a call link, ended a node; one command that cannot be decoded, forwarded to the leader, was committed and ended every control VM at each start; an error in one datagram or one step of a node ended it; JSON nested 100,000 deep or a number such as 1e999 in a configuration was a 500 instead of a 400.

Change: errors end the connection, the exchange or the step they belong to and are logged; commands are decoded before they are appended, and an entry that cannot be decoded is skipped, the same on every replica. Limits of callers and weights that are no finite numbers make a release invalid.

--- a/persimmonhall/control/applier.py
+++ b/persimmonhall/control/applier.py
@@ -8,7 +8,7 @@
 import trio
 from absl import logging
 
-from persimmonhall.control.messages import COMMANDS
+from persimmonhall.control.messages import COMMANDS, Command
 from persimmonhall.control.pending_commands import PendingCommands
 from persimmonhall.control.state_machine import StateMachine
 from persimmonhall.ids import LogIndex
@@ -111,8 +111,9 @@
 
     def _apply_entry(self, entry: Entry) -> None:
         reply = None
-        if entry.kind is EntryKind.COMMAND:
-            reply = self._machine.apply(COMMANDS.decode(entry.data), entry.index)
+        command = _decode_command(entry)
+        if command is not None:
+            reply = self._machine.apply(command, entry.index)
         else:
             self._machine.skip(entry.index)
         self._pending_commands.on_applied(entry.index, entry.term, reply)
@@ -176,3 +177,18 @@
         await self._stage_snapshot(snapshot)
         self._core.compact(snapshot)
         self._wake_driver()
+
+
+def _decode_command(entry: Entry) -> Command | None:
+    """Return the command of an entry, None if it has none that can be decoded.
+
+    A committed entry is applied again after every restart: if it ended the process,
+    no control VM could start any more.
+    """
+    if entry.kind is not EntryKind.COMMAND:
+        return None
+    try:
+        return COMMANDS.decode(entry.data)
+    except ValueError as error:
+        logging.error("entry skipped index=%d: %s", entry.index, error)
+        return None
--- a/persimmonhall/control/peer_service.py
+++ b/persimmonhall/control/peer_service.py
@@ -6,7 +6,7 @@
 from absl import logging
 from returns.result import Failure, Success
 
-from persimmonhall.control.messages import COMMAND_REPLIES, Declined
+from persimmonhall.control.messages import COMMAND_REPLIES, COMMANDS, Declined
 from persimmonhall.control.replica import FORWARD_TIMEOUT_S, Replica
 from persimmonhall.control.replica_messages import (
     PEER_REPLIES,
@@ -80,6 +80,8 @@
                 )
 
     async def _on_forward(self, command: bytes) -> Forwarded | Declined:
+        # Every replica would fail to apply an entry that cannot be decoded.
+        COMMANDS.decode(command)
         match await self._replica.submit_locally(command):
             case Success(reply):
                 return Forwarded(COMMAND_REPLIES.encode(reply))
--- a/persimmonhall/control/peers.py
+++ b/persimmonhall/control/peers.py
@@ -118,6 +118,9 @@
 def _decode_reply(result: Result) -> Result:
     match result:
         case Success(data):
-            return Success(PEER_REPLIES.decode(data))
+            try:
+                return Success(PEER_REPLIES.decode(data))
+            except ValueError as error:
+                return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=Ran.UNKNOWN))
         case Failure(error):
             return Failure(refuse(ErrorKind.NO_QUORUM, str(error), ran=error.ran))
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -11,6 +11,7 @@
 from persimmonhall.dialect import Dialect
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.events import Event, EventLog
+from persimmonhall.guards import call_guarded
 from persimmonhall.http.caller_server import CHECK_INTERVAL_S, CallerServer, Exchange
 from persimmonhall.http.message_reader import Message, to_http_request
 from persimmonhall.http.refusals import refusal_answer
@@ -115,4 +116,4 @@
 async def _step_forever(server: CallerServer) -> None:
     while True:
         await trio.sleep(CHECK_INTERVAL_S)
-        server.step(trio.current_time())
+        call_guarded(server.step, trio.current_time())
--- a/persimmonhall/dialect.py
+++ b/persimmonhall/dialect.py
@@ -165,7 +165,7 @@
 def _read_json(cls: type, text: bytes) -> Result:
     try:
         table = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Failure(f"not valid JSON: {error}")
     if not isinstance(table, dict):
         return Failure("must be a JSON object")
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -178,8 +178,12 @@
         while True:
             datagram = await socket.receive()
             planned_tick = self._core.next_tick()
-            effects = self._core.receive(datagram, trio.current_time())
-            await self._apply_effects(effects, socket, nursery)
+            try:
+                effects = self._core.receive(datagram, trio.current_time())
+                await self._apply_effects(effects, socket, nursery)
+            except Exception:
+                # An error in one datagram must not end the process.
+                logging.exception("datagram not handled")
             if self._core.next_tick() < planned_tick:
                 self._wakeup.set()
 
--- a/persimmonhall/once/propagation.py
+++ b/persimmonhall/once/propagation.py
@@ -7,6 +7,8 @@
 from returns.result import Success
 
 from persimmonhall.address import Address, parse_address
+from persimmonhall.membership.control_members import CONTROL_SERVICE
+from persimmonhall.membership.messages import Member
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.once.crash_messages import (
     Suspect,
@@ -60,18 +62,25 @@
     async def run(self) -> None:
         """Compare tables with one random peer at a time until cancelled."""
         while True:
-            peers = self._members.peers()
+            peers = self._peer_nodes()
             if peers:
                 address = parse_address(self._rng.choice(peers).frames).unwrap()
-                await self._compare_with_peer(address)
+                try:
+                    await self._compare_with_peer(address)
+                except ValueError as error:
+                    logging.warning("suspects not compared peer=%s %s", address, error)
             await trio.sleep(COMPARE_INTERVAL_S)
 
+    def _peer_nodes(self) -> list[Member]:
+        """Return the other nodes; control VMs are members too but hold no suspects."""
+        return [m for m in self._members.peers() if m.service != CONTROL_SERVICE]
+
     async def _broadcast(self, suspects: tuple[Suspect, ...], done: trio.Event) -> None:
         payload = encode_news(
             self._suspects.make_news(trio.current_time(), suspects=suspects)
         )
         async with trio.open_nursery() as nursery:
-            for member in self._members.peers() if suspects else ():
+            for member in self._peer_nodes() if suspects else ():
                 address = parse_address(member.frames).unwrap()
                 nursery.start_soon(self._send, address, payload)
         done.set()
--- a/persimmonhall/platform/dialect.py
+++ b/persimmonhall/platform/dialect.py
@@ -40,6 +40,15 @@
 )
 
 VERSION_RADIX = 16  # versions are written as eight hexadecimal digits
+# What other values than the expected ones raise: infinity has no integer value, and
+# deeply nested JSON exceeds the stack.
+UNREADABLE_ERRORS = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class PlatformDialect:
@@ -70,7 +79,7 @@
             release = _read_release(_require_object(json.loads(text)))
         except KeyError as error:
             return Failure(f"missing key {error}")
-        except (ValueError, TypeError, AttributeError) as error:
+        except UNREADABLE_ERRORS as error:
             return Failure(str(error))
         return check_release(release)
 
@@ -109,13 +118,11 @@
         )
     except KeyError as error:
         return MalformedCall(f"missing key {error}")
-    except (ValueError, TypeError) as error:
+    except UNREADABLE_ERRORS as error:
         return MalformedCall(str(error))
 
 
 def _read_release(fields: dict) -> Release:
-    limits = _require_object(fields.get("limits") or {})
-    defaults = CallerLimits()
     return Release(
         version=_read_version(fields["version"]),
         base=_read_version(fields.get("baseVersion", 0)),
@@ -130,12 +137,23 @@
             )
             for service in _require_list(fields["services"])
         ),
-        limits=CallerLimits(
-            max_header_bytes=limits.get("maxHeaderBytes", defaults.max_header_bytes),
-            max_body_bytes=limits.get("maxBodyBytes", defaults.max_body_bytes),
-            header_timeout_ms=limits.get("headerTimeoutMs", defaults.header_timeout_ms),
-            idle_timeout_ms=limits.get("idleTimeoutMs", defaults.idle_timeout_ms),
-        ),
+        limits=_read_limits(_require_object(fields.get("limits") or {})),
+    )
+
+
+def _read_limits(limits: dict) -> CallerLimits:
+    names = {
+        "max_header_bytes": "maxHeaderBytes",
+        "max_body_bytes": "maxBodyBytes",
+        "header_timeout_ms": "headerTimeoutMs",
+        "idle_timeout_ms": "idleTimeoutMs",
+    }
+    return CallerLimits(
+        **{
+            field: _require_integer(limits[name])
+            for field, name in names.items()
+            if name in limits
+        }
     )
 
 
--- a/persimmonhall/release/schema.py
+++ b/persimmonhall/release/schema.py
@@ -1,6 +1,7 @@
 """Define a release: routes, services and limits that are activated together."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, fields
 from enum import Enum
 
 from returns.result import Failure, Result, Success
@@ -108,7 +109,11 @@
         for target in route.targets:
             if target.service not in known_services:
                 yield f"{name}: unknown service {target.service!r}"
-            if target.weight < 0:
-                yield f"{name}: a target weight is negative"
+            if not 0 <= target.weight < math.inf:
+                yield f"{name}: {target.weight} is no target weight"
         if sum(target.weight for target in route.targets) <= 0:
             yield f"{name}: no target has a positive weight"
+    for field in fields(release.limits):
+        value = getattr(release.limits, field.name)
+        if value < 1:
+            yield f"limit {field.name}: {value} is less than 1"
--- a/persimmonhall/release/tests/test_schema.py
+++ b/persimmonhall/release/tests/test_schema.py
@@ -1,5 +1,7 @@
 """Test the validation of releases."""
 
+import math
+
 import pytest
 
 from persimmonhall.release.schema import MAX_TIMEOUT_MS, WeightedService
@@ -14,9 +16,12 @@
     "no target has a positive weight": make_route(
         targets=(WeightedService("maps", 0),)
     ),
-    "a target weight is negative": make_route(
+    "-1 is no target weight": make_route(
         targets=(WeightedService("maps", 2), WeightedService("cue", -1))
     ),
+    "nan is no target weight": make_route(
+        targets=(WeightedService("maps", 2), WeightedService("cue", math.nan))
+    ),
     "begin and end with a slash": make_route(prefix="/charts"),
 }
 
--- a/persimmonhall/release/watcher.py
+++ b/persimmonhall/release/watcher.py
@@ -3,11 +3,13 @@
 import random
 
 import trio
+from absl import logging
 from returns.result import Failure, Success
 
 from persimmonhall.address import Address
 from persimmonhall.control.messages import REPLIES, REQUESTS
 from persimmonhall.events import Event, EventLog
+from persimmonhall.guards import call_guarded
 from persimmonhall.membership.control_members import ControlMembers
 from persimmonhall.release.active import ActiveRelease
 from persimmonhall.release.messages import WATCH_TIMEOUT_S, ReleaseSeen, WatchRelease
@@ -69,16 +71,21 @@
         with trio.move_on_after(REQUEST_TIMEOUT_S):
             match await self._links.request(address, Channel.CONTROL, payload):
                 case Success(data):
-                    return self._handle_reply(data)
+                    return self._handle_reply(address, data)
                 case Failure():
                     return False
         self._links.reset(address)
         return False
 
-    def _handle_reply(self, data: bytes) -> bool:
-        match REPLIES.decode(data):
+    def _handle_reply(self, address: Address, data: bytes) -> bool:
+        try:
+            reply = REPLIES.decode(data)
+        except ValueError as error:
+            logging.warning("reply of control VM %s not readable: %s", address, error)
+            return False
+        match reply:
             case ReleaseSeen(release):
-                self._releases.apply(release)
+                call_guarded(self._releases.apply, release)
                 return True
         return False
 
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -16,6 +16,7 @@
 from persimmonhall.dialect import Dialect
 from persimmonhall.events import Event, EventLog
 from persimmonhall.exposition import Exposition
+from persimmonhall.guards import call_guarded
 from persimmonhall.http.caller_server import CallerServer, Exchange
 from persimmonhall.http.message_reader import Message, to_http_request
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -295,15 +296,15 @@
             ranks = self.releases.routes.rank_count
             self._levels.set_ranks(ranks)
             self.gate.set_ranks(ranks)
-        self.gate.step(now, elapsed_s)
-        self.links.step(now)
-        self.log.step(now)
+        call_guarded(self.gate.step, now, elapsed_s)
+        call_guarded(self.links.step, now)
+        call_guarded(self.log.step, now)
 
     def _slow_step(self, now: float) -> None:
         for server in (self.callers, self.local, self.ready, self.metrics):
             if server is not None:
-                server.step(now)
-        self.instances.step(now)
+                call_guarded(server.step, now)
+        call_guarded(self.instances.step, now)
         if self.releases.index != self._applied_release_index:
             self._applied_release_index = self.releases.index
             routes = self.releases.routes.release.routes
--- a/persimmonhall/wire/connection_setup.py
+++ b/persimmonhall/wire/connection_setup.py
@@ -115,7 +115,12 @@
                 self._pause(error)
                 return
             accepted.setblocking(False)
-            self._on_accept(accepted)
+            try:
+                self._on_accept(accepted)
+            except Exception:
+                # An error in one connection must not stop the listener.
+                logging.exception("accepted connection not served")
+                accepted.close()
 
     def _pause(self, error: OSError) -> None:
         """Pause if no descriptors are left; other errors affect one connection only."""
--- a/persimmonhall/wire/link_server.py
+++ b/persimmonhall/wire/link_server.py
@@ -74,6 +74,8 @@
             elif frame.kind is FrameKind.REQUEST_END:
                 self._add_part(frame)
                 payload = b"".join(self._request_parts.pop(frame.exchange))
+                if frame.exchange in self._cancel_scopes:
+                    raise FrameError(f"exchange {frame.exchange} is still open")
                 scope = self._cancel_scopes[frame.exchange] = trio.CancelScope()
                 nursery.start_soon(self._serve_exchange, frame, payload, scope)
 
@@ -168,11 +170,15 @@
     """Serve connections on an address; those with calls go to the call server."""
 
     async def serve(stream: trio.SocketStream) -> None:
-        if call_server is not None and await _is_call_connection(stream):
-            # Duplicated because trio closes this socket when its task ends.
-            call_server.serve_connection(stream.socket.dup())
-        else:
-            await _LinkServer(DirectStream(stream), handlers).run()
+        try:
+            if call_server is not None and await _is_call_connection(stream):
+                # Duplicated because trio closes this socket when its task ends.
+                call_server.serve_connection(stream.socket.dup())
+            else:
+                await _LinkServer(DirectStream(stream), handlers).run()
+        except Exception:
+            # An error in one connection must not end the process.
+            logging.exception("unexpected error on a frame connection")
 
     listeners = await trio.open_tcp_listeners(address.port, host=address.host)
     host, port = listeners[0].socket.getsockname()[:2]
--- a/persimmonhall/wire/poller.py
+++ b/persimmonhall/wire/poller.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 import trio
+from absl import logging
 
 # Events handled between two checks of the time.
 MAX_EVENTS_PER_POLL = 64
@@ -64,5 +65,13 @@
         for fd, events in ready:
             # An earlier callback of the same poll may have removed this descriptor.
             callback = self._callbacks.get(fd)
-            if callback is not None:
+            if callback is None:
+                continue
+            try:
                 callback(events)
+            except Exception:
+                # An error in one connection must not end the process; polled again,
+                # the descriptor would report the same event at once.
+                logging.exception("unexpected error in a callback of the poller")
+                if self._callbacks.get(fd) is callback:
+                    self.remove(fd)
