Count the time that a process was paused against what it reads afterwards

Operators told of a paused process that acted on a permission that had run out. Here a gate that was stopped for some seconds gave each call that lay unread the time that its caller had when it was sent, and started it, even if its cancellation followed in the same data; an entry did the same with requests of callers, and its timers gave up requests whose answers lay unread.

Change: heartbeats of the loop show how old unread input may be (from 0.3 s on); entries and gates take that off the time left and refuse what has none as not run, skip calls cancelled in the same data, and read the backlog before a timer gives a request up.

Left: the native path (call/gate.py) counts from when it reads a call; a claim keeps an order there from running twice.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -30,6 +30,7 @@
 from persimmonhall.membership.effects import address_of
 from persimmonhall.membership.messages import Member
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.process_pauses import BACKLOG_READ_S, ProcessPauses
 from persimmonhall.release.active import ActiveRelease
 from persimmonhall.release.schema import Route
 from persimmonhall.routing.call_graph import CallGraph
@@ -91,8 +92,10 @@
         rng: random.Random,
         log: EventLog,
         suspects: CrashSuspects | None = None,
+        pauses: ProcessPauses | None = None,
     ):
         self._suspects = suspects
+        self._pauses = pauses or ProcessPauses()
         self._local = local
         self._headers = headers
         self._dropped_headers = frozenset(
@@ -158,13 +161,22 @@
         request.is_nested = self._is_nested(route)
         request.is_head = message.method == "HEAD"
         request.is_logged = is_sampled(attempt)
-        request.deadline = now + time_budget_s(caller_timeout_ms, route)
+        input_age_s = self._pauses.input_age_s(now)
+        request.deadline = now + time_budget_s(caller_timeout_ms, route) - input_age_s
         request.head = b"%s %s HTTP/1.1\r\n%s" % (
             message.method.encode(),
             message.target,
             lines,
         )
         request.body = message.body if message.body_size else b""
+        if request.deadline <= now:
+            kind, detail = (
+                ErrorKind.DEADLINE_EXCEEDED,
+                "no time is left for the request",
+            )
+            inputs = {"input_age_s": round(input_age_s, 2)}
+            self._finish_refused(request, kind, detail, Ran.NO, now, **inputs)
+            return
         if request.is_nested:
             self._graph.count_call(route.name)
         else:
@@ -329,6 +341,12 @@
 
     def _on_timer(self, request: InFlightRequest) -> None:
         now = trio.current_time()
+        if self._pauses.input_age_s(now) > 0:
+            # The reply may have arrived while this process was paused.
+            request.timer = self._timers.call_at(
+                now + BACKLOG_READ_S, lambda: self._on_timer(request)
+            )
+            return
         request.timer = None
         if now >= request.deadline:
             ran = self._cancel_call(request, CallOutcome.TIMED_OUT)
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -281,6 +281,11 @@
             )
         if self._closed_reason is not None:
             return self._closed_reason, "the backend server takes no new requests"
+        if state.call.remaining_ms <= 0:
+            return (
+                ErrorKind.DEADLINE_EXCEEDED,
+                "no time was left when the call was read",
+            )
         return None
 
     def _enqueue(self, state: _CallState, now: float) -> None:
--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -10,6 +10,7 @@
 from persimmonhall.http.message_reader import Message
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.process_pauses import ProcessPauses
 from persimmonhall.release.active import ActiveRelease
 from persimmonhall.release.messages import HeldRelease
 from persimmonhall.release.tests.builders import encode_release, make_release
@@ -202,6 +203,7 @@
         self.links = FakeLinks()
         self.gate = FakeGate()
         self.timers = Timers()
+        self.pauses = ProcessPauses()
         self.entry = RoutedEntry(
             LocalNode("own", "glyph"),
             HEADERS,
@@ -217,6 +219,7 @@
             self.timers,
             rng,
             EventLog("n"),
+            pauses=self.pauses,
         )
 
     def send_request(self, **message):
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -28,6 +28,7 @@
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.once.propagation import SuspectPropagator
 from persimmonhall.once.suspects import SuspectTable
+from persimmonhall.process_pauses import ProcessPauses
 from persimmonhall.release.active import ActiveRelease
 from persimmonhall.release.schema import CallerLimits
 from persimmonhall.release.watcher import ReleaseWatcher
@@ -108,6 +109,7 @@
         self.is_stopping = False
         self.timers = Timers()
         self.poller = Poller()
+        self._pauses = ProcessPauses()
         self._pool = LinkPool(nursery, node_settings.frames.host)
         self._table = MemberTable(
             make_initial_member(
@@ -163,6 +165,7 @@
             rng,
             self.log,
             suspects,
+            self._pauses,
         )
         self.links = CallLinkPool(self.entry, self.poller, self.timers, self.log)
         self._exposition = Exposition(
@@ -223,7 +226,7 @@
             Channel.ONCE: self.propagator.handle,
         }
         node_settings = self.settings.node
-        calls = CallServer(self.poller, self.gate)
+        calls = CallServer(self.poller, self.gate, self._pauses)
         frames = await nursery.start(serve_links, handlers, node_settings.frames, calls)
         self.gossiper.set_frames_address(frames, node_settings.advertise or frames)
         callers = await nursery.start(self.callers.run)
@@ -286,6 +289,7 @@
         for number in itertools.count():
             await trio.sleep(STEP_INTERVAL_S)
             now = trio.current_time()
+            self._pauses.record_heartbeat(now)
             self._step(now, now - last)
             if number % STEPS_PER_SLOW_STEP == 0:
                 self._slow_step(now)
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -3,7 +3,7 @@
 import math
 import socket as sockets
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import trio
@@ -12,6 +12,7 @@
 from persimmonhall.errors import Ran
 from persimmonhall.events import Event, EventLog
 from persimmonhall.ids import CallNumber
+from persimmonhall.process_pauses import ProcessPauses
 from persimmonhall.timers import Timers
 from persimmonhall.wire.call_frames import (
     CALL_NUMBER,
@@ -326,15 +327,27 @@
         socket: sockets.socket,
         poller: Poller,
         handler: CallHandler,
+        pauses: ProcessPauses,
     ):
         self._handler = handler
+        self._pauses = pauses
         self._reader = CallFrameReader()
         self._duplex = Duplex(socket, poller, self._on_data, self._on_end)
 
     def _on_data(self, data: bytes) -> None:
         try:
-            for kind, payload in self._reader.feed(data):
-                self._handle_frame(kind, payload)
+            frames = self._reader.feed(data)
+            cancelled = {
+                payload[: CALL_NUMBER.size]
+                for kind, payload in frames
+                if kind == FrameType.CANCEL
+            }
+            for kind, payload in frames:
+                # A call that is cancelled already must not reach the server.
+                if kind != FrameType.CALL or (
+                    payload[: CALL_NUMBER.size] not in cancelled
+                ):
+                    self._handle_frame(kind, payload)
         except CallFrameError as error:
             self._duplex.close()
             self._on_end(str(error))
@@ -344,7 +357,11 @@
 
     def _handle_frame(self, kind: int, payload: bytes) -> None:
         if kind == FrameType.CALL:
-            self._handler.begin(self, decode_call(payload), self._send_reply)
+            call = decode_call(payload)
+            # The time that the caller had left ran on while this process was paused.
+            age_s = self._pauses.input_age_s(trio.current_time())
+            call.remaining_ms = max(0, call.remaining_ms - int(age_s * 1000))
+            self._handler.begin(self, call, self._send_reply)
         elif kind == FrameType.CANCEL:
             self._handler.cancel(self, CALL_NUMBER.unpack(payload)[0])
         elif kind == FrameType.PING:
@@ -360,8 +377,9 @@
 
     poller: Poller
     handler: CallHandler
+    pauses: ProcessPauses = field(default_factory=ProcessPauses)
 
     def serve_connection(self, socket: sockets.socket) -> None:
         """Serve a connection whose preamble has been read."""
         socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-        CallServerConnection(socket, self.poller, self.handler)
+        CallServerConnection(socket, self.poller, self.handler, self.pauses)
