Answer what has arrived before a planned stop closes its connections

Operators told of requests cut off, just accepted, during a planned stop. Here a node that stopped closed its listener with connections still in the backlog, and kept connections whose request lay unread; what was still open at the end of the grace period was cut without an answer. A control VM ended the operators' requests in progress, and waited 3 s for release watches instead.

Change: the backlog is accepted, unread connections count as busy, requests left at the end get an answer that says whether they may have run. A control VM answers the requests that have arrived; watches are made again elsewhere.

Not tested: the drain of a control VM under load.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -197,6 +197,14 @@
         self._retry_budget.earn(request.service, self._node_count)
         self._send(request, now)
 
+    def refuse_waiting(self) -> None:
+        """Answer every request in progress, as this node is about to stop."""
+        now = trio.current_time()
+        detail = "this node stops before the answer has come"
+        for request in tuple(self._waiting_requests.values()):
+            ran = self._cancel_call(request, CallOutcome.CANCELLED)
+            self._finish_refused(request, ErrorKind.LEAVING, detail, ran, now)
+
     def abandon(self, exchange: Exchange) -> None:
         """Cancel a request whose caller has gone away."""
         request = exchange.context
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -292,3 +292,17 @@
     assert refused.status is ErrorKind.LEAVING
     assert refusal_status(refused.refusal) == 503
     assert refused.refusal.ran is Ran.NO
+
+
+@pytest.mark.parametrize(("is_connected", "status"), [(True, 502), (False, 503)])
+async def test_stopping_entry_answers_the_requests_that_are_left(
+    autojump_clock, is_connected, status
+):
+    """End each open request with an answer that says whether it may have run."""
+    fixture = EntryFixture(NON_IDEMPOTENT_ROUTE)
+    fixture.links.is_connected = is_connected
+    exchange = fixture.send_request()
+    fixture.entry.refuse_waiting()
+    assert refusal_status(exchange.refusal) == status
+    assert fixture.links.cancelled
+    assert not fixture.entry.in_flight
--- a/persimmonhall/control/control_service.py
+++ b/persimmonhall/control/control_service.py
@@ -40,28 +40,30 @@
             self._release_changed = trio.Event()
 
     async def drain(self) -> None:
-        """Wait for requests in flight before a graceful shutdown."""
+        """Wait for requests in flight, except watches, before a graceful shutdown."""
         with trio.move_on_after(DRAIN_TIMEOUT_S):
             while self._in_flight:
                 await self._idle.wait()
 
     async def handle(self, payload: bytes) -> bytes:
         """Handle one request."""
+        request = REQUESTS.decode(payload)
+        if isinstance(request, WatchRelease):
+            # A watch lasts for seconds, and its node makes it again elsewhere.
+            return REPLIES.encode(await self._watch_release(request.after))
         self._in_flight += 1
         try:
-            return await self._answer(payload)
+            return await self._answer(request)
         finally:
             self._in_flight -= 1
             if not self._in_flight:
                 self._idle.set()
                 self._idle = trio.Event()
 
-    async def _answer(self, payload: bytes) -> bytes:
-        match REQUESTS.decode(payload):
+    async def _answer(self, request: FetchDocuments | Submit) -> bytes:
+        match request:
             case FetchDocuments(after):
                 return REPLIES.encode(self._documents(after))
-            case WatchRelease(after):
-                return REPLIES.encode(await self._watch_release(after))
             case Submit(command):
                 return REPLIES.encode(await self._submit(command))
 
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -137,7 +137,7 @@
                 releases, control_settings, replica, nursery
             )
         await _serve_until_stopped(
-            settings, replica, service, frames, release_address, on_ready
+            settings, replica, service, releases, frames, release_address, on_ready
         )
         nursery.cancel_scope.cancel()
     opened.storage.close()
@@ -148,6 +148,7 @@
     settings: ControlSettings,
     replica: Replica,
     service: ControlService,
+    components: ReleaseComponents | None,
     frames: Address,
     release_address: Address | None,
     on_ready: Callable[[ControlAddresses], None],
@@ -171,6 +172,8 @@
             on_ready(ControlAddresses(admin_address, frames, release_address))
             await stop_requested.wait()
             await replica.transfer_leadership()
+            if components is not None:
+                await components.drain()
             await service.drain()
             stop.set()
         nursery.cancel_scope.cancel()
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -26,6 +26,9 @@
 from persimmonhall.wire.poller import Poller
 
 DEFAULT_REGION = "default"
+# Exceeds the time that a request waits for a quorum.
+DRAIN_TIMEOUT_S = 3.0
+DRAIN_CHECK_INTERVAL_S = 0.02
 
 
 @dataclass
@@ -35,6 +38,7 @@
     dialect: Dialect
     log: EventLog
     gossiper: Gossiper | None = field(default=None)
+    server: CallerServer | None = field(default=None)
 
     def join_membership(self, control_settings: ControlSection, links: LinkPool):
         """Join the membership gossip and return the handler of its requests."""
@@ -53,6 +57,17 @@
         self.gossiper.set_frames_address(control_settings.frames, frames)
         return self.gossiper.handle
 
+    async def drain(self) -> None:
+        """Answer the requests that have arrived before a graceful shutdown."""
+        if self.server is None:
+            return
+        self.server.is_draining = True
+        self.server.stop_accepting()
+        self.server.close_idle()
+        with trio.move_on_after(DRAIN_TIMEOUT_S):
+            while not self.server.is_idle:
+                await trio.sleep(DRAIN_CHECK_INTERVAL_S)
+
     def update_peers(self, peers: tuple[Address, ...]) -> None:
         """Update the gossip seeds with the configured control VMs."""
         if self.gossiper is not None:
@@ -103,7 +118,7 @@
     poller, timers = Poller(), Timers()
     nursery.start_soon(poller.run)
     nursery.start_soon(timers.run)
-    server = CallerServer(
+    server = components.server = CallerServer(
         _TaskPerRequestHandler(api, nursery),
         control_settings.releases,
         poller,
--- a/persimmonhall/http/caller_server.py
+++ b/persimmonhall/http/caller_server.py
@@ -124,8 +124,17 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or arriving."""
-        return not self._pending_exchanges and not self._reader.is_mid_message
+        """Return whether no request is in progress, arriving or unread."""
+        return (
+            not self._pending_exchanges
+            and not self._reader.is_mid_message
+            and not self._has_unread_input
+        )
+
+    @property
+    def _has_unread_input(self) -> bool:
+        """Return whether the caller has sent bytes that were not read yet."""
+        return not self._duplex.is_closed and self._duplex.has_unread_bytes
 
     def flush(self) -> None:
         """Send the answers that are ready, in the order of their requests."""
@@ -189,7 +198,7 @@
             self._duplex.resume()
 
     def close_if_idle(self) -> None:
-        """Close the connection unless a request is in progress or arriving."""
+        """Close the connection unless a request is in progress, arriving or unread."""
         if self.is_idle:
             self.close()
 
@@ -319,7 +328,7 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress or arriving."""
+        """Return whether no request is in progress, arriving or unread."""
         return all(connection.is_idle for connection in self._connections)
 
     async def run(
--- a/persimmonhall/http/tests/test_caller_server.py
+++ b/persimmonhall/http/tests/test_caller_server.py
@@ -63,6 +63,11 @@
                 await trio.sleep(0.005)
 
 
+def connect_blocking(address):
+    """Open a connection without a checkpoint, so that the server does not run."""
+    return socket.create_connection((address.host, address.port))
+
+
 def make_get_request(path, *headers):
     """Encode a GET request."""
     lines = [f"GET {path} HTTP/1.1", "Host: a", *headers, "", ""]
@@ -261,3 +266,41 @@
     data = await read_to_end(stream)
     assert data.count(b"HTTP/1.1 503") == 1
     assert len(fixture.handler.messages) == 1
+
+
+async def test_request_in_the_backlog_is_answered_when_the_server_stops(nursery):
+    """Accept and answer what arrived before the listener closes."""
+    fixture = CallerServerFixture(nursery)
+    await (await fixture.connect()).aclose()
+    # Without a checkpoint in between, the server cannot accept or read anything.
+    caller = connect_blocking(fixture.address)
+    caller.sendall(make_get_request("/a"))
+    fixture.server.is_draining = True
+    fixture.server.stop_accepting()
+    fixture.server.close_idle()
+    await fixture.wait_for_requests(1)
+    assert not fixture.server.is_idle
+    fixture.handler.exchanges[0].answer(200, b"", b"late")
+    answer = await trio.to_thread.run_sync(caller.recv, 4096)
+    assert answer.endswith(b"late")
+    caller.close()
+
+
+async def test_unread_request_on_a_kept_connection_survives_the_stop(nursery):
+    """Answer a request that arrived but was not read when idle ones are closed."""
+    fixture = CallerServerFixture(nursery)
+    await (await fixture.connect()).aclose()
+    caller = connect_blocking(fixture.address)
+    caller.sendall(make_get_request("/a"))
+    await fixture.wait_for_requests(1)
+    fixture.handler.exchanges[0].answer(200, b"", b"first")
+    await trio.to_thread.run_sync(caller.recv, 4096)
+    caller.sendall(make_get_request("/a"))
+    fixture.server.is_draining = True
+    fixture.server.close_idle()
+    await fixture.wait_for_requests(2)
+    fixture.handler.exchanges[1].answer(200, b"", b"second")
+    answer = await trio.to_thread.run_sync(caller.recv, 4096)
+    assert b"connection: close" in answer
+    assert answer.endswith(b"second")
+    caller.close()
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -55,7 +55,7 @@
 # Fractions of the grace period. After the first, peers are told to send no more calls;
 # until then callers still send requests here too, so the backend server has work. The
 # gate refuses new calls of peers after the second, callers are served up to the third,
-# and open requests are awaited up to the fourth.
+# and open requests are awaited up to the fourth; those that remain are refused.
 PEER_NOTICE_FRACTION = 0.4
 GATE_CLOSE_FRACTION = 0.45
 CALLER_CLOSE_FRACTION = 0.75
@@ -273,6 +273,7 @@
             if self.gate.is_idle and self.callers.is_idle:
                 break
             await trio.sleep(STEP_INTERVAL_S)
+        self.entry.refuse_waiting()
         self.gossiper.announce_left()
         await trio.sleep(STEP_INTERVAL_S)
 
--- a/persimmonhall/wire/connection_setup.py
+++ b/persimmonhall/wire/connection_setup.py
@@ -13,6 +13,8 @@
 
 # Connections accepted before events of other connections are handled.
 MAX_ACCEPTS_PER_EVENT = 64
+# Exceeds the listen backlog, which the kernel caps at 4096.
+MAX_BACKLOG_ACCEPTS = 5000
 ACCEPT_RETRY_DELAY_S = 0.1
 DESCRIPTOR_LIMIT_ERRNOS = frozenset({errno.EMFILE, errno.ENFILE})
 
@@ -99,28 +101,38 @@
         poller.add(socket.fileno(), select.EPOLLIN, self._accept)
 
     def close(self) -> None:
-        """Stop accepting connections."""
+        """Accept the connections in the backlog, then stop."""
         if not self._is_closed:
+            # Closing the socket would reset them, with requests already in them.
+            for _ in range(MAX_BACKLOG_ACCEPTS):
+                if not self._accept_one():
+                    break
             self._is_closed = True
             self._poller.remove(self._socket.fileno())
             self._socket.close()
 
     def _accept(self, events: int) -> None:
         for _ in range(MAX_ACCEPTS_PER_EVENT):
-            try:
-                accepted, _ = self._socket.accept()
-            except BlockingIOError:
+            if not self._accept_one():
                 return
-            except OSError as error:
-                self._pause(error)
-                return
-            accepted.setblocking(False)
-            try:
-                self._on_accept(accepted)
-            except Exception:
-                # An error in one connection must not stop the listener.
-                logging.exception("accepted connection not served")
-                accepted.close()
+
+    def _accept_one(self) -> bool:
+        """Accept one connection; return whether there may be another."""
+        try:
+            accepted, _ = self._socket.accept()
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self._pause(error)
+            return False
+        accepted.setblocking(False)
+        try:
+            self._on_accept(accepted)
+        except Exception:
+            # An error in one connection must not stop the listener.
+            logging.exception("accepted connection not served")
+            accepted.close()
+        return True
 
     def _pause(self, error: OSError) -> None:
         """Pause if no descriptors are left; other errors affect one connection only."""
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -59,6 +59,14 @@
         poll.register(self._fd, select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read; not at the end."""
+        try:
+            return bool(self._socket.recv(1, sockets.MSG_PEEK))
+        except OSError:
+            return False
+
     def send(self, data: bytes) -> None:
         """Send bytes in call order; the next read reports an error and closes."""
         if self._is_closed:
