Keep a server that has left from coming back by a late report

Operators told of a server that had left and was in use again after a restart. Here a node that had restarted since the last report of an instance ignored its leave, and took it in use again by a report that arrived late; a late leave of an earlier incarnation under the same id took the running one out of use.

Change: the leave carries the birth of the incarnation where it is given; all incarnations up to it stay out of use, also if the node knew none of them.

Left: a node that restarts after the leave itself forgets it, and a report delayed across that restart is believed until the server stops.

--- a/persimmonhall/dialect.py
+++ b/persimmonhall/dialect.py
@@ -63,6 +63,7 @@
     """An instance leaves for good and accepts no new requests."""
 
     instance: InstanceId
+    born_ms: int | None = None
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/membership/instance_watch.py
+++ b/persimmonhall/membership/instance_watch.py
@@ -1,5 +1,7 @@
 """Track the current instance of the local backend server."""
 
+import time
+
 import trio
 
 from persimmonhall.address import Address
@@ -19,6 +21,8 @@
 
 # Reports may arrive seconds late; a stopped server fails at the next connection.
 REPORT_TIMEOUT_S = 12.0
+# Only the last instances can still have a report under way.
+MAX_DEREGISTERED = 100
 
 
 class InstanceWatch:
@@ -39,7 +43,7 @@
         self._log = log
         self._latest_report: InstanceReport | None = None
         self._last_report_at = 0.0
-        # Start times of deregistered instances: a late report must not restore one.
+        # Latest start times of deregistered instances: no late report restores one.
         self._deregistered: dict[InstanceId, int] = {}
 
     def handle_call(self, call: NodeCall) -> bool:
@@ -47,8 +51,8 @@
         match call:
             case ReportCall(report):
                 return self._handle_report(report)
-            case LeaveCall(instance):
-                self._handle_leave(instance)
+            case LeaveCall(instance, born_ms):
+                self._handle_leave(instance, born_ms)
                 return True
             case MalformedCall(reason):
                 self._log.emit(Event.INSTANCE_REPORT_REFUSED, reason=reason)
@@ -83,7 +87,7 @@
         latest = self._latest_report
         if latest is not None and _report_order(report) <= _report_order(latest):
             return True
-        if self._deregistered.get(report.instance) == report.born_ms:
+        if report.born_ms <= self._deregistered.get(report.instance, -1):
             return True
         if latest is None or _logged_fields(report) != _logged_fields(latest):
             self._log.emit(
@@ -100,11 +104,20 @@
         self._apply_report(report)
         return True
 
-    def _handle_leave(self, instance: InstanceId) -> None:
+    def _handle_leave(self, instance: InstanceId, born_ms: int | None) -> None:
         latest = self._latest_report
-        if latest is None or latest.instance != instance:
+        is_latest = latest is not None and latest.instance == instance
+        if born_ms is None:
+            # This node may have restarted since the last report of the instance; all
+            # its incarnations so far were born before now.
+            born_ms = latest.born_ms if is_latest else int(time.time() * 1000)
+        self._deregistered[instance] = max(
+            born_ms, self._deregistered.pop(instance, born_ms)
+        )
+        if len(self._deregistered) > MAX_DEREGISTERED:
+            del self._deregistered[next(iter(self._deregistered))]
+        if not is_latest or latest.born_ms > born_ms:
             return
-        self._deregistered[instance] = latest.born_ms
         self._log.emit(
             Event.INSTANCE_GONE, instance=instance, reason="instance deregistered"
         )
--- a/persimmonhall/membership/tests/test_instance_watch.py
+++ b/persimmonhall/membership/tests/test_instance_watch.py
@@ -116,3 +116,27 @@
 async def test_malformed_report_is_rejected(fixture):
     """Reject a malformed call."""
     assert not fixture.instance_watch.handle_call(MalformedCall("no key"))
+
+
+async def test_leave_after_a_restart_of_the_node_outlasts_late_reports(fixture):
+    """Ignore the late report of an instance that left before its first report here."""
+    fixture.instance_watch.handle_call(LeaveCall("i-1"))
+    fixture.send_report(sequence=3)
+    assert fixture.gate.instance is None
+
+
+async def test_late_leave_of_an_earlier_incarnation_is_ignored(fixture):
+    """Keep an instance that started again under the id that has left."""
+    fixture.send_report(born_ms=9000)
+    fixture.instance_watch.handle_call(LeaveCall("i-1", 1000))
+    assert fixture.gate.instance.born_ms == 9000
+    fixture.send_report(born_ms=1000, sequence=50)
+    assert fixture.gate.instance.born_ms == 9000
+
+
+async def test_report_born_before_a_deregistered_incarnation_is_ignored(fixture):
+    """Ignore every incarnation up to the one that has left."""
+    fixture.send_report(born_ms=9000)
+    fixture.instance_watch.handle_call(LeaveCall("i-1", 9000))
+    fixture.send_report(born_ms=1000, sequence=50)
+    assert fixture.gate.instance is None
--- a/persimmonhall/platform/dialect.py
+++ b/persimmonhall/platform/dialect.py
@@ -63,7 +63,7 @@
         if name == REPORT_CALL:
             return _read_report(instance, request.body)
         if name == LEAVE_CALL:
-            return LeaveCall(InstanceId(instance))
+            return LeaveCall(InstanceId(instance), _read_birth(request.body))
         return None
 
     def control_call(self, request: HttpRequest) -> ControlCall | None:
@@ -122,6 +122,17 @@
         return MalformedCall(str(error))
 
 
+def _read_birth(body: bytes) -> int | None:
+    """Return the start time that an instance gives with its leave, None if it doesn't.
+
+    A leave that cannot be read is still one: its instance stops within seconds.
+    """
+    try:
+        return _require_integer(_require_object(json.loads(body))["born"])
+    except (KeyError, *UNREADABLE_ERRORS):
+        return None
+
+
 def _read_release(fields: dict) -> Release:
     return Release(
         version=_read_version(fields["version"]),
--- a/persimmonhall/platform/tests/test_dialect.py
+++ b/persimmonhall/platform/tests/test_dialect.py
@@ -67,6 +67,16 @@
             raise AssertionError(other)
 
 
+@pytest.mark.parametrize(
+    ("body", "born_ms"), [(b'{"born": 17}', 17), (b"", None), (b'{"born": []}', None)]
+)
+def test_leave_names_the_incarnation_if_it_gives_its_birth(body, born_ms):
+    """Read the birth of a leave; keep a leave that has none."""
+    target = "/rpc?call=instances.deregister&of=i-7"
+    call = DIALECT.node_call(HttpRequest("POST", target, (), body))
+    assert call == LeaveCall("i-7", born_ms)
+
+
 @pytest.mark.parametrize(
     "changes",
     [
