Reuse no connection to a server that repeats its answers

Operators told of a late second copy of an answer on a connection in use again. On the path of routes each answer carries the id of its request, and a copy is skipped (http/tests/test_backend_pool.py). The native path has no id: a copy that came after the next request had been sent was given to its caller.

Change: from the first surplus answer on, a server gets one request a connection for ten minutes. Left: the very first copy a server sends, if it arrives after the next request, cannot be told apart without an id.

--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -1,9 +1,11 @@
 """Send requests to backend servers over HTTP/1.1 on trio."""
 
+import math
 from collections import defaultdict
 from typing import Protocol
 
 import trio
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
@@ -21,6 +23,7 @@
 from persimmonhall.wire.direct_stream import DirectStream
 
 CONNECT_TIMEOUT_S = 1.0
+SINGLE_USE_S = 600.0
 RECEIVE_BUFFER_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 CONNECTION_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
@@ -47,6 +50,7 @@
         self._address = address
         self._stream = stream
         self._is_idle = True
+        self._has_read_surplus = False
 
     @property
     def is_reusable(self) -> bool:
@@ -54,6 +58,12 @@
         # A readable idle connection has been closed by its peer.
         return self._is_idle and not self._stream.is_readable
 
+    @property
+    def has_surplus_answer(self) -> bool:
+        """Return whether the server sent more than the answer to each request."""
+        is_closed = self._stream.is_closed_by_peer
+        return self._has_read_surplus or (self._stream.is_readable and not is_closed)
+
     async def close(self) -> None:
         """Close the connection at once."""
         await self._stream.aclose()
@@ -128,6 +138,7 @@
         self._is_idle = not closes_connection and _is_fully_read(
             reader, message, request
         )
+        self._has_read_surplus = message.is_complete and reader.has_surplus_data
         headers = end_to_end_headers(message.headers)
         return Success(HttpAnswer(message.status, headers, message.body))
 
@@ -180,6 +191,9 @@
 
     def __init__(self, max_connections: int):
         self._idle: dict[Address, list[_ClientConnection]] = defaultdict(list)
+        # Servers that send surplus answers get one request a connection: without an
+        # id in it, a late copy is not told from the answer to the next request.
+        self._single_use_until: dict[Address, float] = {}
         self._connection_limiter = trio.CapacityLimiter(max_connections)
 
     async def send(
@@ -212,9 +226,9 @@
         idle = self._idle[address]
         while idle:
             connection = idle.pop()
-            if connection.is_reusable:
+            if connection.is_reusable and not self._is_single_use(address):
                 return connection
-            await connection.close()
+            await self._discard(address, connection)
         with trio.move_on_after(CONNECT_TIMEOUT_S):
             try:
                 stream = await trio.open_tcp_stream(address.host, address.port)
@@ -226,11 +240,20 @@
     async def _return_connection(
         self, address: Address, connection: _ClientConnection
     ) -> None:
-        if connection.is_reusable:
+        if connection.is_reusable and not self._is_single_use(address):
             self._idle[address].append(connection)
             return
+        await self._discard(address, connection)
+
+    async def _discard(self, address: Address, connection: _ClientConnection) -> None:
+        if connection.has_surplus_answer:
+            self._single_use_until[address] = trio.current_time() + SINGLE_USE_S
+            logging.warning("surplus answer from %s: connections not reused", address)
         await connection.close()
 
+    def _is_single_use(self, address: Address) -> bool:
+        return trio.current_time() < self._single_use_until.get(address, -math.inf)
+
     async def aclose(self) -> None:
         """Close every idle connection."""
         for connections in self._idle.values():
--- a/persimmonhall/http/tests/test_client.py
+++ b/persimmonhall/http/tests/test_client.py
@@ -122,3 +122,39 @@
 def test_ambiguous_answer_head_is_not_encoded():
     with pytest.raises(ValueError, match="illegal"):
         encode_answer_head(200, [(b"a", b"b\r\n\r\nc")])
+
+
+async def test_late_copy_of_an_answer_never_reaches_the_next_caller():
+    """Use a new connection for each request to a server that repeats an answer."""
+    requests = 0
+
+    def answer(number: int) -> bytes:
+        return OK_STATUS_LINE + b"Content-Length: 1\r\n\r\n%d" % number
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal requests
+        previous = None
+        while await stream.receive_some():
+            requests += 1
+            # The copy may come at any time: here after the next request has come.
+            if previous is not None:
+                await stream.send_all(answer(previous))
+            previous = requests
+            await stream.send_all(answer(previous))
+            if requests == 1:
+                await stream.send_all(answer(previous))
+
+    bodies = []
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        address = Address(*listener.socket.getsockname()[:2])
+        client = PooledClient(10)
+        with trio.fail_after(TIMEOUT_S):
+            for _ in range(4):
+                request = HttpRequest("GET", "/", (), b"")
+                result = await client.send(address, request, MAX_ANSWER_BYTES)
+                bodies.append(result.unwrap().body)
+                await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    assert bodies == [b"1", b"2", b"3", b"4"]
