Spread membership and releases within zones; pack membership records

Cause: with 200 members every change of a record was sent 18 times by each node, five sixths of it to other zones, three records a datagram; and each release went whole to every node twice, from control VMs drawn over all zones.

Change: gossip goes to the own zone but for one member a round, probes of other zones carry at most 250 bytes of news, records are packed (78 instead of about 180 bytes, encoded and decoded once while they are cached), and are sent twice instead of three times the logarithm of the members. One control VM of the own zone sends a release, another one anywhere tells its index only; a node fetches from that one what has not come within 0.2 s. Nodes of this version and earlier ones do not understand each other's gossip.

Ruled out: watching the own zone only, as its control VMs may be cut off from the others while nodes reach them.

--- a/harness/membership_network.py
+++ b/harness/membership_network.py
@@ -14,10 +14,12 @@
 from persimmonhall.membership.messages import (
     DATAGRAMS,
     Datagram,
+    Differences,
     Health,
     Member,
     MemberState,
     News,
+    encode_differences,
 )
 from persimmonhall.membership.sync import (
     bucket_digests,
@@ -48,6 +50,7 @@
     core: MembershipCore
     frozen: bool = False
     sent_bytes: int = 0
+    sent_between_zones_bytes: int = 0
     received_bytes: int = 0
     core_s: float = 0.0
 
@@ -183,6 +186,9 @@
         size = len(DATAGRAMS.encode(datagram)) if self._count_bytes else 0
         self.max_datagram_bytes = max(self.max_datagram_bytes, size)
         node.sent_bytes += size
+        target = self.nodes.get(self._addresses.get(address))
+        if target is not None and target.member.zone != node.member.zone:
+            node.sent_between_zones_bytes += size
         if not self._can_reach(node, address) or self._rng.random() < self.faults.loss:
             return
         for _ in range(1 + (self._rng.random() < self.faults.duplicates)):
@@ -222,6 +228,10 @@
             return
         differences = find_differences(bucket_digests(node.core.news), peer.core.news)
         local_news = news_in_buckets(node.core.news, differences.buckets)
+        if self._count_bytes and peer.member.zone != node.member.zone:
+            peer.sent_between_zones_bytes += len(encode_differences(differences))
+            exchanged = Differences((), local_news)
+            node.sent_between_zones_bytes += len(encode_differences(exchanged))
         self._apply_effects(
             node, node.core.merge_synchronised(differences.news, self.now)
         )
--- a/persimmonhall/control/control_service.py
+++ b/persimmonhall/control/control_service.py
@@ -1,5 +1,7 @@
 """Handle the requests of nodes."""
 
+from dataclasses import replace
+
 import trio
 from returns.result import Failure, Success
 
@@ -50,7 +52,7 @@
         request = REQUESTS.decode(payload)
         if isinstance(request, WatchRelease):
             # A watch lasts for seconds, and its node makes it again elsewhere.
-            return REPLIES.encode(await self._watch_release(request.after))
+            return REPLIES.encode(await self._watch_release(request))
         self._in_flight += 1
         try:
             return await self._answer(request)
@@ -67,13 +69,16 @@
             case Submit(command):
                 return REPLIES.encode(await self._submit(command))
 
-    async def _watch_release(self, after) -> ReleaseSeen:
+    async def _watch_release(self, watch: WatchRelease) -> ReleaseSeen:
         """Wait a limited time for a release after an index."""
+        after = watch.after
         with trio.move_on_after(WATCH_TIMEOUT_S):
             while self._replica.machine.releases.current.index <= after:
                 await self._release_changed.wait()
         current = self._replica.machine.releases.current
-        return ReleaseSeen(current if current.index > after else NO_RELEASE)
+        if current.index <= after:
+            return ReleaseSeen(NO_RELEASE)
+        return ReleaseSeen(replace(current, text=b"") if watch.is_notice else current)
 
     def _documents(self, after) -> Documents:
         machine = self._replica.machine
--- a/persimmonhall/membership/control_members.py
+++ b/persimmonhall/membership/control_members.py
@@ -1,7 +1,7 @@
 """Find the control VMs through membership and the settings."""
 
 from persimmonhall.address import Address
-from persimmonhall.ids import ServiceName
+from persimmonhall.ids import ServiceName, ZoneName
 from persimmonhall.membership.effects import address_of
 from persimmonhall.membership.table import MemberTable
 
@@ -25,6 +25,11 @@
             seed for seed in self._seeds if seed not in member_addresses
         ]
 
+    def addresses_in(self, zone: ZoneName) -> list[Address]:
+        """Return the addresses of the control VMs that are members in a zone."""
+        members = self._table.servers_of(CONTROL_SERVICE)
+        return [address_of(m.frames) for m in members if m.zone == zone]
+
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the control VMs that come from the settings."""
         self._seeds = seeds
--- a/persimmonhall/membership/core.py
+++ b/persimmonhall/membership/core.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from persimmonhall.address import Address
-from persimmonhall.ids import LogIndex, NodeName
+from persimmonhall.ids import LogIndex, NodeName, ZoneName
 from persimmonhall.membership.effects import (
     DocumentIndexReport,
     Effect,
@@ -15,7 +15,7 @@
 from persimmonhall.membership.gossip_queue import (
     DATAGRAM_OVERHEAD_BYTES,
     MAX_DATAGRAM_BYTES,
-    max_wire_bytes,
+    wire_bytes,
 )
 from persimmonhall.membership.messages import (
     Ack,
@@ -34,7 +34,11 @@
 PROBE_TIMEOUT_S = 0.3
 INDIRECT_PROBE_HELPERS = 3
 GOSSIP_INTERVAL_S = 0.2
+# One of them in another zone: bytes between zones cost more than those within, and
+# the news spread within each zone.
 GOSSIP_FANOUT = 3
+# Probes and their acknowledgements cross zones every second whatever has changed.
+MAX_REMOTE_NEWS_BYTES = 250
 RECONNECT_INTERVAL_S = 4.0
 SYNC_INTERVAL_S = 30.0
 EARLY_SYNC_DELAY_S = 1.0
@@ -255,14 +259,16 @@
                     self._select_news(()),
                 ),
             )
-            for member in self._view.peers.sample(GOSSIP_FANOUT)
+            for member in self._view.peers.sample_own_zone_first(GOSSIP_FANOUT)
         ]
 
     def _answer_ping(self, ping: Ping, now: float) -> list[Effect]:
         effects = self._handle_sender(ping, now)
         if ping.target not in ("", self._view.local_member.node):
             return effects
-        news = self._select_news(self._view.news_to_refute(ping.sender.node))
+        news = self._select_news(
+            self._view.news_to_refute(ping.sender.node), ping.sender.zone
+        )
         ack = Ack(ping.sequence, self._view.local_member, self._document_index, news)
         return [*effects, Send(address_of(ping.sender.frames), ack)]
 
@@ -312,20 +318,27 @@
 
     def _make_ping(self, target: NodeName, priority_news: tuple[News, ...]) -> Ping:
         self._sequence = (self._sequence + 1) % 2**32
+        known = self._view.news_of(target)
+        zone = known.member.zone if known is not None else None
         return Ping(
             self._sequence,
             target,
             self._view.local_member,
             self._document_index,
-            self._select_news(priority_news),
+            self._select_news(priority_news, zone),
         )
 
-    def _select_news(self, priority_news: tuple[News, ...]) -> tuple[News, ...]:
+    def _select_news(
+        self, priority_news: tuple[News, ...], zone: ZoneName | None = None
+    ) -> tuple[News, ...]:
+        """Return the priority news and queued ones, few for probes of other zones."""
         budget_bytes = (
             MAX_DATAGRAM_BYTES
             - DATAGRAM_OVERHEAD_BYTES
-            - max_wire_bytes(self._view.local_member)
+            - wire_bytes(News(self._view.local_member))
         )
-        budget_bytes -= sum(max_wire_bytes(news.member) for news in priority_news)
+        budget_bytes -= sum(map(wire_bytes, priority_news))
+        if zone not in (None, self._view.local_member.zone):
+            budget_bytes = min(budget_bytes, MAX_REMOTE_NEWS_BYTES)
         member_count = len(self._view.peers.members)
         return priority_news + self._view.queue.take(budget_bytes, member_count)
--- a/persimmonhall/membership/datagrams.py
+++ b/persimmonhall/membership/datagrams.py
@@ -7,10 +7,7 @@
 from persimmonhall.address import Address, parse_address
 from persimmonhall.membership.messages import (
     DATAGRAMS,
-    Ack,
     Datagram,
-    News,
-    Ping,
     PingRequest,
     Spread,
 )
@@ -70,23 +67,14 @@
     """Decode a datagram; raise ValueError if it or an address in it is invalid."""
     datagram = DATAGRAMS.decode(data)
     match datagram:
-        case Ping() | Ack():
-            check_addresses((News(datagram.sender), *datagram.news))
         case PingRequest():
             _check_address(datagram.address)
             _check_address(datagram.reply_to)
         case Spread():
             _check_address(datagram.address)
-            check_addresses(datagram.news)
     return datagram
 
 
-def check_addresses(news: tuple[News, ...]) -> None:
-    """Raise ValueError unless every record has a valid address."""
-    for item in news:
-        _check_address(item.member.frames)
-
-
 def _check_address(text: str) -> None:
     match parse_address(text):
         case Failure(reason):
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -13,7 +13,6 @@
 from persimmonhall.membership.core import MembershipCore
 from persimmonhall.membership.datagrams import (
     DatagramSocket,
-    check_addresses,
     open_datagram_socket,
 )
 from persimmonhall.membership.effects import (
@@ -130,7 +129,6 @@
             case CompareDigests(digests):
                 return encode_differences(find_differences(digests, self._core.news))
             case PushNews(news):
-                check_addresses(news)
                 self._pending_effects += self._core.merge_synchronised(
                     news, trio.current_time()
                 )
@@ -233,10 +231,4 @@
     async def _send_request(self, address: Address, request: CompareDigests | PushNews):
         payload = SYNC_REQUESTS.encode(request)
         answer = await self._links.request(address, Channel.MEMBERSHIP, payload)
-        return answer.map(_decode_checked_differences)
-
-
-def _decode_checked_differences(data: bytes) -> Differences:
-    differences = decode_differences(data)
-    check_addresses(differences.news)
-    return differences
+        return answer.map(decode_differences)
--- a/persimmonhall/membership/gossip_queue.py
+++ b/persimmonhall/membership/gossip_queue.py
@@ -4,21 +4,17 @@
 from dataclasses import dataclass
 
 from persimmonhall.ids import NodeName
-from persimmonhall.membership.messages import Member, News
+from persimmonhall.membership.messages import News, pack_news
+from persimmonhall.wire.codec import ITEM_SIZE
 
 MAX_DATAGRAM_BYTES = 1200
 DATAGRAM_OVERHEAD_BYTES = 160
-RECORD_OVERHEAD_BYTES = 128
-MAX_TEXT_PADDING_BYTES = 8
-RETRANSMIT_FACTOR = 3
+RETRANSMIT_FACTOR = 2
 
 
-def max_wire_bytes(member: Member) -> int:
-    """Return the maximum size in bytes of a record within a datagram."""
-    texts = (member.node, member.zone, member.region, member.frames, member.service)
-    return RECORD_OVERHEAD_BYTES + sum(
-        len(text.encode()) + MAX_TEXT_PADDING_BYTES for text in texts
-    )
+def wire_bytes(news: News) -> int:
+    """Return the size in bytes of an update within a datagram."""
+    return ITEM_SIZE.size + len(pack_news(news))
 
 
 @dataclass(slots=True)
@@ -40,7 +36,7 @@
 
     def add(self, news: News) -> None:
         """Queue an update in place of an older one of the same node."""
-        self._items[news.member.node] = _QueuedNews(news, max_wire_bytes(news.member))
+        self._items[news.member.node] = _QueuedNews(news, wire_bytes(news))
 
     def take(self, budget_bytes: int, member_count: int) -> tuple[News, ...]:
         """Return the least-sent updates that fit and count them as sent."""
--- a/persimmonhall/membership/messages.capnp
+++ b/persimmonhall/membership/messages.capnp
@@ -1,35 +1,20 @@
 @0xe91b7d24c05f3a68;
 
-struct Member {
-  node @0 :Text;
-  zone @1 :Text;
-  region @2 :Text;
-  frames @3 :Text;
-  incarnation @4 :UInt64;
-  version @5 :UInt64;
-  service @6 :Text;
-  slots @7 :UInt32;
-  state @8 :Text;
-}
-
-struct News {
-  member @0 :Member;
-  health @1 :UInt8;
-}
+# A sender, and each item of a list of news, has the layout of packed_news.py.
 
 struct Ping {
   sequence @0 :UInt32;
   target @1 :Text;
-  sender @2 :Member;
+  sender @2 :Data;
   documents @3 :UInt64;
-  news @4 :List(News);
+  news @4 :Data;
 }
 
 struct Ack {
   sequence @0 :UInt32;
-  sender @1 :Member;
+  sender @1 :Data;
   documents @2 :UInt64;
-  news @3 :List(News);
+  news @3 :Data;
 }
 
 struct PingRequest {
@@ -43,7 +28,7 @@
   sender @0 :Text;
   address @1 :Text;
   documents @2 :UInt64;
-  news @3 :List(News);
+  news @3 :Data;
 }
 
 struct Datagram {
@@ -60,7 +45,7 @@
 }
 
 struct PushNews {
-  news @0 :List(News);
+  news @0 :Data;
 }
 
 struct SyncAsk {
@@ -72,5 +57,5 @@
 
 struct Differences {
   buckets @0 :List(UInt16);
-  news @1 :List(News);
+  news @1 :Data;
 }
--- a/persimmonhall/membership/messages.py
+++ b/persimmonhall/membership/messages.py
@@ -1,13 +1,30 @@
 """Define the membership messages that nodes exchange."""
 
+import struct
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 from pathlib import Path
 
+from returns.result import Failure
+
+from persimmonhall.address import parse_address
 from persimmonhall.ids import LogIndex, NodeName, ServiceName, ZoneName
-from persimmonhall.wire.codec import UnionCodec, decode, encode, load_schema
+from persimmonhall.wire.codec import (
+    Packer,
+    UnionCodec,
+    decode,
+    encode,
+    load_schema,
+    register_packer,
+)
 
 SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
+# Health, state, incarnation, version, slots and the lengths of the five texts.
+NEWS_HEADER = struct.Struct("<BBQQI5B")
+MAX_TEXT_BYTES = 255
+# The same news passes a node several times, in datagrams of different peers.
+MAX_CACHED_NEWS = 8192
 
 
 class MemberState(Enum):
@@ -131,6 +148,78 @@
     news: tuple[News, ...]
 
 
+@lru_cache(MAX_CACHED_NEWS)
+def pack_news(news: News) -> bytes:
+    """Encode the record and health of a node; raise ValueError if a text is long."""
+    member = news.member
+    texts = [
+        text.encode()
+        for text in (
+            member.node,
+            member.zone,
+            member.region,
+            member.frames,
+            member.service,
+        )
+    ]
+    if any(len(text) > MAX_TEXT_BYTES for text in texts):
+        raise ValueError(f"a text of {member} is over {MAX_TEXT_BYTES} bytes")
+    header = NEWS_HEADER.pack(
+        news.health.value,
+        _STATES.index(member.state),
+        member.incarnation,
+        member.version,
+        member.slots,
+        *map(len, texts),
+    )
+    return b"".join((header, *texts))
+
+
+@lru_cache(MAX_CACHED_NEWS)
+def unpack_news(data: bytes) -> News:
+    """Decode the record and health of a node; raise ValueError on damaged bytes."""
+    try:
+        health, state, incarnation, version, slots, *sizes = NEWS_HEADER.unpack_from(
+            data
+        )
+        texts, start = [], NEWS_HEADER.size
+        for size in sizes:
+            texts.append(data[start : start + size].decode())
+            start += size
+        node, zone, region, frames, service = texts
+        if start != len(data):
+            raise ValueError(f"{len(data)} bytes instead of {start}")
+        member = Member(
+            NodeName(node),
+            ZoneName(zone),
+            region,
+            frames,
+            incarnation,
+            version,
+            ServiceName(service),
+            slots,
+            _STATES[state],
+        )
+        news = News(member, Health(health))
+    except (struct.error, IndexError, ValueError) as error:
+        raise ValueError(f"damaged message: {error}") from error
+    match parse_address(frames):
+        case Failure(reason):
+            raise ValueError(reason)
+    return news
+
+
+def _pack_member(member: Member) -> bytes:
+    return pack_news(News(member))
+
+
+def _unpack_member(data: bytes) -> Member:
+    return unpack_news(data).member
+
+
+_STATES = tuple(MemberState)
+register_packer(News, Packer(pack_news, unpack_news))
+register_packer(Member, Packer(_pack_member, _unpack_member))
 DATAGRAMS = UnionCodec(SCHEMA.Datagram, (Ping, Ack, PingRequest, Spread))
 SYNC_REQUESTS = UnionCodec(SCHEMA.SyncAsk, (CompareDigests, PushNews))
 
--- a/persimmonhall/membership/peers.py
+++ b/persimmonhall/membership/peers.py
@@ -25,6 +25,8 @@
         self._peers: dict[NodeName, Peer] = {}
         self._tombstones: dict[NodeName, None] = {}
         self._members: list[Member] | None = None
+        self._local_members: list[Member] = []
+        self._remote_members: list[Member] = []
         self._probe_round: list[NodeName] = []
 
     @property
@@ -32,6 +34,9 @@
         """Return the other members."""
         if self._members is None:
             self._members = list(self._table.peers())
+            zone = self._table.local_member.zone
+            self._local_members = [m for m in self._members if m.zone == zone]
+            self._remote_members = [m for m in self._members if m.zone != zone]
         return self._members
 
     @property
@@ -77,6 +82,16 @@
         """Return up to count distinct random members."""
         return self._rng.sample(self.members, min(count, len(self.members)))
 
+    def sample_own_zone_first(self, count: int) -> list[Member]:
+        """Return up to count random members, all but one in the own zone."""
+        if not self.members:
+            return []
+        remote = self._rng.sample(
+            self._remote_members, min(1, len(self._remote_members))
+        )
+        local_count = min(count - len(remote), len(self._local_members))
+        return [*self._rng.sample(self._local_members, local_count), *remote]
+
     def random_tombstone(self) -> News | None:
         """Return the update of a random removed node."""
         if not self._tombstones:
--- a/persimmonhall/release/messages.py
+++ b/persimmonhall/release/messages.py
@@ -56,13 +56,17 @@
 
 @dataclass(frozen=True)
 class WatchRelease:
-    """Request the next release after an index, as soon as there is one."""
+    """Request the next release after an index, as soon as there is one.
+
+    A notice has only the index and version of the release.
+    """
 
     after: LogIndex
+    is_notice: bool = False
 
 
 @dataclass(frozen=True)
 class ReleaseSeen:
-    """Answer a watch; the text is empty if there is no newer release."""
+    """Answer a watch; the text is empty in a notice or without a newer release."""
 
     release: HeldRelease
--- a/persimmonhall/release/table.capnp
+++ b/persimmonhall/release/table.capnp
@@ -20,6 +20,7 @@
 
 struct WatchRelease {
   after @0 :UInt64;
+  isNotice @1 :Bool;
 }
 
 struct ReleaseSeen {
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -147,7 +147,12 @@
         )
         self.releases = ActiveRelease(dialect.decode_release, self.log, rng)
         self.release_watcher = ReleaseWatcher(
-            self.releases, self._control, self._pool, rng, self.log
+            self.releases,
+            self._control,
+            node_settings.zone,
+            self._pool,
+            rng,
+            self.log,
         )
         self.entry = RoutedEntry(
             LocalNode(node_settings.name, releases.service),
--- a/persimmonhall/wire/codec.py
+++ b/persimmonhall/wire/codec.py
@@ -1,11 +1,12 @@
 """Encode dataclass messages as Cap'n Proto bytes and decode them."""
 
 import dataclasses
+import struct
 from collections.abc import Callable
 from enum import Enum
 from functools import cache
 from pathlib import Path
-from typing import Any, TypeVar, get_args, get_origin, get_type_hints
+from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
 
 import capnp
 
@@ -17,6 +18,22 @@
 
 PACKAGE_PATH = Path(__file__).parents[1]
 MAX_MESSAGE_WORDS = 16 * 1024 * 1024
+ITEM_SIZE = struct.Struct("<H")
+
+
+class Packer(NamedTuple):
+    """Encode one class as bytes of its own; `unpack` raises ValueError."""
+
+    pack: Callable[[Any], bytes]
+    unpack: Callable[[bytes], Any]
+
+
+_packers: dict[type, Packer] = {}
+
+
+def register_packer(cls: type, packer: Packer) -> None:
+    """Encode fields of a class, and lists of it, as Data instead of structs."""
+    _packers[cls] = packer
 
 
 def load_schema(path: Path) -> Any:
@@ -50,6 +67,8 @@
     hint = getattr(hint, "__supertype__", hint)
     if get_origin(hint) is tuple:
         write, read = _make_list_codec(get_args(hint)[0])
+    elif hint in _packers:
+        write, read = _make_packed_codec(_packers[hint])
     elif dataclasses.is_dataclass(hint):
         write, read = _write_struct, _make_struct_reader(hint)
     elif isinstance(hint, type) and issubclass(hint, Enum):
@@ -61,6 +80,8 @@
 
 def _make_list_codec(item: Any) -> tuple[FieldWriter, ValueReader]:
     item = getattr(item, "__supertype__", item)
+    if item in _packers:
+        return _make_packed_list_codec(_packers[item])
     if dataclasses.is_dataclass(item):
         read = _make_struct_reader(item)
         return _write_structs, lambda values: tuple([read(v) for v in values])
@@ -69,6 +90,36 @@
     return _write_scalars, tuple
 
 
+def _make_packed_codec(packer: "Packer") -> tuple[FieldWriter, ValueReader]:
+    def write(builder: Any, wire_name: str, value: Any) -> None:
+        setattr(builder, wire_name, packer.pack(value))
+
+    return write, lambda data: packer.unpack(bytes(data))
+
+
+def _make_packed_list_codec(packer: "Packer") -> tuple[FieldWriter, ValueReader]:
+    """Write items one after the other, each behind its length."""
+
+    def write(builder: Any, wire_name: str, values: tuple) -> None:
+        items = [packer.pack(value) for value in values]
+        parts = [part for item in items for part in (ITEM_SIZE.pack(len(item)), item)]
+        setattr(builder, wire_name, b"".join(parts))
+
+    def read(data: Any) -> tuple:
+        data, start, values = bytes(data), 0, []
+        while start < len(data):
+            if len(data) - start < ITEM_SIZE.size:
+                raise ValueError("damaged message: a list ends inside a length")
+            end = start + ITEM_SIZE.size + ITEM_SIZE.unpack_from(data, start)[0]
+            if end > len(data):
+                raise ValueError("damaged message: a list ends inside an item")
+            values.append(packer.unpack(data[start + ITEM_SIZE.size : end]))
+            start = end
+        return tuple(values)
+
+    return write, read
+
+
 def _identity(value: Any) -> Any:
     return value
 
@@ -109,17 +160,17 @@
     return read
 
 
-def encode(struct: Any, message: Any) -> bytes:
+def encode(schema: Any, message: Any) -> bytes:
     """Encode a dataclass as a struct with the same fields."""
-    builder = struct.new_message()
+    builder = schema.new_message()
     _write_fields(builder, message)
     return builder.to_bytes()
 
 
-def decode(struct: Any, cls: type[MessageT], data: bytes) -> MessageT:
+def decode(schema: Any, cls: type[MessageT], data: bytes) -> MessageT:
     """Decode a struct into a dataclass; raise ValueError on damaged bytes."""
     try:
-        with struct.from_bytes(
+        with schema.from_bytes(
             data, traversal_limit_in_words=MAX_MESSAGE_WORDS
         ) as reader:
             return _make_struct_reader(cls)(reader)
@@ -134,21 +185,21 @@
 class UnionCodec:
     """Encode messages as the members of a struct's union, and decode them."""
 
-    def __init__(self, struct: Any, classes: tuple[type, ...]):
-        self._struct = struct
+    def __init__(self, schema: Any, classes: tuple[type, ...]):
+        self._schema = schema
         self._names = {cls: _member_name(cls) for cls in classes}
         self._readers = {_member_name(cls): _make_struct_reader(cls) for cls in classes}
 
     def encode(self, message: Any) -> bytes:
         """Encode one message of the union."""
-        builder = self._struct.new_message()
+        builder = self._schema.new_message()
         _write_fields(builder.init(self._names[type(message)]), message)
         return builder.to_bytes()
 
     def decode(self, data: bytes) -> Any:
         """Decode one message of the union; raise ValueError on damaged bytes."""
         try:
-            with self._struct.from_bytes(
+            with self._schema.from_bytes(
                 data, traversal_limit_in_words=MAX_MESSAGE_WORDS
             ) as reader:
                 name = str(reader.which())
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -237,11 +237,15 @@
 class _OneControlVm:
     addresses = (Address("10.0.0.9", 1),)
 
+    def addresses_in(self, zone):
+        """Return no address: the VM is in no zone."""
+        return []
+
 
 async def test_unreadable_reply_of_a_control_vm_ends_no_watch(autojump_clock):
     links = _GarbageLinks()
     watcher = ReleaseWatcher(
-        None, _OneControlVm(), links, random.Random(1), EventLog("n")
+        None, _OneControlVm(), "suva", links, random.Random(1), EventLog("n")
     )
     watcher._releases = type("Releases", (), {"index": 0})()
     with trio.move_on_after(5):
