Share the levels of routes among the nodes of a zone

Cause: on a site of 188 nodes an entry gets a reply of a route about once a second. What it reports is outdated after half a second, rises, and lets roots in that the deepest service has no room for.

Change: every 0.2 s, while a route is overloaded and 2 s after, a node sends what its own replies and its own gate report of the level (6 bytes a route) to two random nodes of its zone. Hearsay is not passed on, so that it becomes outdated. No byte crosses zones, and the cost for a node does not grow with their number.

--- a/harness/load_model/scenario.py
+++ b/harness/load_model/scenario.py
@@ -76,6 +76,8 @@
     between_zones_ms: float = 1.4
     to_callers_ms: float = 8.0
     seed: int = 1
+    # Whether nodes share the levels that they observe, as the programs do.
+    shares_levels: bool = True
     disturbances: tuple[Disturbance, ...] = ()
 
 
--- a/harness/load_model/simulation.py
+++ b/harness/load_model/simulation.py
@@ -32,6 +32,11 @@
 )
 from persimmonhall.release.tests.builders import encode_release
 from persimmonhall.routing.call_graph import CallGraph
+from persimmonhall.routing.level_sharing import (
+    REPORT_FANOUT,
+    REPORT_INTERVAL_S,
+    LevelSharing,
+)
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Router
@@ -54,6 +59,7 @@
     server: ModelServer
     gate: RoutedGate
     entry: RoutedEntry
+    sharing: LevelSharing
 
 
 class ModelLinks:
@@ -112,6 +118,10 @@
         """Run the scenario, then let requests in flight finish."""
         self.callers.start()
         self._step_gates()
+        if self.scenario.shares_levels:
+            for node in self.nodes.values():
+                delay_s = REPORT_INTERVAL_S * self.rng.random()
+                self.events.after(delay_s, partial(self._share_levels, node))
         for disturbance in self.scenario.disturbances:
             if disturbance.slow_service:
                 self._schedule_slowdown(disturbance)
@@ -161,6 +171,18 @@
         self.log._buffered_lines.clear()
         self.events.after(STEP_INTERVAL_S, self._step_gates)
 
+    def _share_levels(self, node: ModelNode) -> None:
+        self.events.after(REPORT_INTERVAL_S, partial(self._share_levels, node))
+        report = node.sharing.make_report(node.gate.own_level, self.events.now)
+        if not report:
+            return
+        zone = [n for n in self.nodes.values() if n.zone == node.zone and n is not node]
+        for peer in self.rng.sample(zone, min(REPORT_FANOUT, len(zone))):
+            self.events.after(
+                WITHIN_ZONE_DELAY_S,
+                lambda peer=peer: peer.sharing.merge_report(report, self.events.now),
+            )
+
     def _make_members(self) -> list[Member]:
         members = []
         for service in self.scenario.services:
@@ -260,7 +282,9 @@
             self.log,
         )
         server.entry = entry
-        node = ModelNode(member.node, member.zone, host, server, gate, entry)
+        sharing = LevelSharing(levels)
+        sharing.set_routes(self._kinds)
+        node = ModelNode(member.node, member.zone, host, server, gate, entry, sharing)
         self.nodes[member.node] = self.by_host[host] = node
 
 
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -236,21 +236,29 @@
             self._pool.close_expired(now)
         self._log_level_change()
 
+    def own_level(self, route: RouteName) -> float | None:
+        """Return the level that replies report now, None for routes not run here."""
+        if route not in self._route_run_s or self._closed_reason is not None:
+            return None
+        return self._level_for(route, trio.current_time())
+
     def load(self, route: RouteName, now: float) -> GateLoad:
         """Return the load, with the lowest level of the gate and the route's calls."""
-        local_level = self._level_controller.level + self._work_fractions.is_small(
-            route
-        )
-        level = min(local_level, self._levels.min_called_level(route, now))
         return GateLoad(
             self._in_flight,
             len(self._queue),
             self._limit,
-            level,
+            self._level_for(route, now),
             self._origins.is_requested_by_callers(route),
             self._success_rate(route, now),
         )
 
+    def _level_for(self, route: RouteName, now: float) -> float:
+        local_level = self._level_controller.level + self._work_fractions.is_small(
+            route
+        )
+        return min(local_level, self._levels.min_called_level(route, now))
+
     def _success_rate(self, route: RouteName, now: float) -> float:
         """Return the success rate of a route, 1 if the server makes no calls.
 
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -28,6 +28,7 @@
     CompareDigests,
     Differences,
     Health,
+    LevelReport,
     MemberState,
     PushNews,
     decode_differences,
@@ -67,6 +68,7 @@
         self._is_draining = False
         self._bind_address = address_of(table.local_member.frames)
         self._socket: DatagramSocket | None = None
+        self._on_level_report: Callable[[bytes], None] = lambda levels: None
         self._document_index_listeners: list[DocumentIndexListener] = []
 
     @property
@@ -107,6 +109,16 @@
         """Replace the seed nodes."""
         self._core.set_seeds(seeds)
 
+    def set_level_report_callback(self, callback: Callable[[bytes], None]) -> None:
+        """Set the function that gets the level reports of other nodes."""
+        self._on_level_report = callback
+
+    def send_level_report(self, levels: bytes, count: int) -> None:
+        """Send a report to a number of random nodes of the own zone."""
+        report = LevelReport(levels)
+        self._pending_effects += self._core.send_to_own_zone(report, count)
+        self._wakeup.set()
+
     def set_document_index(self, document_index: LogIndex) -> None:
         """Send this node's document index to peers."""
         self._pending_effects += self._core.set_document_index(document_index)
@@ -177,6 +189,9 @@
             datagram = await socket.receive()
             planned_tick = self._core.next_tick()
             try:
+                if isinstance(datagram, LevelReport):
+                    self._on_level_report(datagram.levels)
+                    continue
                 effects = self._core.receive(datagram, trio.current_time())
                 await self._apply_effects(effects, socket, nursery)
             except Exception:
--- a/persimmonhall/membership/messages.capnp
+++ b/persimmonhall/membership/messages.capnp
@@ -31,12 +31,17 @@
   news @3 :Data;
 }
 
+struct LevelReport {
+  levels @0 :Data;
+}
+
 struct Datagram {
   union {
     ping @0 :Ping;
     ack @1 :Ack;
     pingRequest @2 :PingRequest;
     spread @3 :Spread;
+    levelReport @4 :LevelReport;
   }
 }
 
--- a/persimmonhall/membership/messages.py
+++ b/persimmonhall/membership/messages.py
@@ -123,7 +123,14 @@
     news: tuple[News, ...]
 
 
-Datagram = Ping | Ack | PingRequest | Spread
+@dataclass(frozen=True, slots=True)
+class LevelReport:
+    """Carry what a node has observed of routes, see routing/level_sharing.py."""
+
+    levels: bytes
+
+
+Datagram = Ping | Ack | PingRequest | Spread | LevelReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,7 +227,7 @@
 _STATES = tuple(MemberState)
 register_packer(News, Packer(pack_news, unpack_news))
 register_packer(Member, Packer(_pack_member, _unpack_member))
-DATAGRAMS = UnionCodec(SCHEMA.Datagram, (Ping, Ack, PingRequest, Spread))
+DATAGRAMS = UnionCodec(SCHEMA.Datagram, (Ping, Ack, PingRequest, Spread, LevelReport))
 SYNC_REQUESTS = UnionCodec(SCHEMA.SyncAsk, (CompareDigests, PushNews))
 
 
--- a/persimmonhall/membership/peers.py
+++ b/persimmonhall/membership/peers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from persimmonhall.ids import NodeName
+from persimmonhall.membership.control_members import CONTROL_SERVICE
 from persimmonhall.membership.messages import Member, News
 from persimmonhall.membership.table import MemberTable
 
@@ -39,6 +40,11 @@
             self._remote_members = [m for m in self._members if m.zone != zone]
         return self._members
 
+    @property
+    def own_zone(self) -> list[Member]:
+        """Return the other members of the own zone."""
+        return self._local_members if self.members else []
+
     @property
     def news(self) -> tuple[News, ...]:
         """Return the latest update of every node, this one first."""
@@ -92,6 +98,11 @@
         local_count = min(count - len(remote), len(self._local_members))
         return [*self._rng.sample(self._local_members, local_count), *remote]
 
+    def sample_own_zone_nodes(self, count: int) -> list[Member]:
+        """Return up to count random members of the own zone that are no control VMs."""
+        nodes = [m for m in self.own_zone if m.service != CONTROL_SERVICE]
+        return self._rng.sample(nodes, min(count, len(nodes)))
+
     def random_tombstone(self) -> News | None:
         """Return the update of a random removed node."""
         if not self._tombstones:
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -34,6 +34,11 @@
 from persimmonhall.release.watcher import ReleaseWatcher
 from persimmonhall.reload import SettingsSource, watch_settings
 from persimmonhall.routing.call_graph import CallGraph
+from persimmonhall.routing.level_sharing import (
+    REPORT_FANOUT,
+    REPORT_INTERVAL_S,
+    LevelSharing,
+)
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.routing.route_origins import RouteOrigins
 from persimmonhall.routing.router import Router
@@ -50,6 +55,7 @@
 # Equals the step interval of levels and the check interval of links.
 STEP_INTERVAL_S = 0.1
 STEPS_PER_SLOW_STEP = 5
+STEPS_PER_LEVEL_REPORT = round(REPORT_INTERVAL_S / STEP_INTERVAL_S)
 # Threshold of the youngest GC generation: calls leave no reference cycles behind.
 GC_THRESHOLD_OBJECTS = 20_000
 # Fractions of the grace period. After the first, peers are told to send no more calls;
@@ -122,13 +128,15 @@
         control_addresses = _control_frame_addresses(settings)
         self._control = ControlMembers(self._table, control_addresses)
         self.gossiper = Gossiper(self._table, self._pool, control_addresses, rng)
+        graph = CallGraph()
+        self._levels = RouteLevels(graph)
         suspect_table = SuspectTable()
+        self._level_sharing = LevelSharing(self._levels)
+        self.gossiper.set_level_report_callback(self._merge_level_report)
         self.propagator = SuspectPropagator(
             suspect_table, self._table, self._pool, nursery, rng
         )
         suspects = CrashSuspects(suspect_table, self.propagator)
-        graph = CallGraph()
-        self._levels = RouteLevels(graph)
         self._origins = RouteOrigins()
         self._applied_release_index = 0
         self.gate = RoutedGate(
@@ -297,6 +305,8 @@
             now = trio.current_time()
             self._pauses.record_heartbeat(now)
             self._step(now, now - last)
+            if number % STEPS_PER_LEVEL_REPORT == 0:
+                call_guarded(self._share_levels, now)
             if number % STEPS_PER_SLOW_STEP == 0:
                 self._slow_step(now)
             last = now
@@ -310,6 +320,14 @@
         call_guarded(self.links.step, now)
         call_guarded(self.log.step, now)
 
+    def _share_levels(self, now: float) -> None:
+        report = self._level_sharing.make_report(self.gate.own_level, now)
+        if report:
+            self.gossiper.send_level_report(report, REPORT_FANOUT)
+
+    def _merge_level_report(self, report: bytes) -> None:
+        self._level_sharing.merge_report(report, trio.current_time())
+
     def _slow_step(self, now: float) -> None:
         for server in (self.callers, self.local, self.ready, self.metrics):
             if server is not None:
@@ -318,7 +336,9 @@
         if self.releases.index != self._applied_release_index:
             self._applied_release_index = self.releases.index
             routes = self.releases.routes.release.routes
-            self._origins.keep({route.name for route in routes})
+            names = {route.name for route in routes}
+            self._origins.keep(names)
+            self._level_sharing.set_routes(names)
 
     def _caller_limits(self) -> CallerLimits:
         routes = self.releases.routes
--- /dev/null
+++ b/persimmonhall/routing/level_sharing.py
@@ -0,0 +1,70 @@
+"""Share the levels of routes among the nodes of a zone.
+
+With hundreds of nodes an entry gets few replies of each route, and what they report
+is outdated before the next one. Nodes therefore send what their own replies and
+their own gate report to a few nodes of their zone, at a constant cost for each node.
+"""
+
+import struct
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from persimmonhall.ids import RouteName
+from persimmonhall.routing.route_levels import RouteLevels
+
+REPORT_INTERVAL_S = 0.2
+REPORT_FANOUT = 2
+# The end of an overload is reported for this long, too.
+REPORT_AFTER_OVERLOAD_S = 2.0
+# Levels that differ less than this from the number of ranks count as no overload.
+MIN_OVERLOAD = 0.05
+ENTRY = struct.Struct("<IH")
+LEVEL_SCALE = 1000
+MAX_ENTRIES = 64
+
+
+class LevelSharing:
+    """Make reports of the levels that this node has observed and merge others."""
+
+    def __init__(self, levels: RouteLevels):
+        self._levels = levels
+        self._names_by_hash: dict[int, RouteName] = {}
+        self._overloaded_at: dict[RouteName, float] = {}
+
+    def set_routes(self, names: Iterable[RouteName]) -> None:
+        """Set the routes that reports may be about."""
+        self._names_by_hash = {_hash_of(name): name for name in names}
+
+    def make_report(
+        self, gate_level: Callable[[RouteName], float | None], now: float
+    ) -> bytes:
+        """Encode what this node has observed of routes that are or were overloaded."""
+        entries = []
+        for digest, name in self._names_by_hash.items():
+            level = self._levels.observed_level(name, now)
+            own_level = gate_level(name)
+            if own_level is not None:
+                level = own_level if level is None else min(level, own_level)
+            if level is None:
+                continue
+            if level < self._levels.rank_count - MIN_OVERLOAD:
+                self._overloaded_at[name] = now
+            elif now - self._overloaded_at.get(name, now) > REPORT_AFTER_OVERLOAD_S:
+                del self._overloaded_at[name]
+            if name in self._overloaded_at:
+                entries.append(ENTRY.pack(digest, int(level * LEVEL_SCALE)))
+        return b"".join(entries[:MAX_ENTRIES])
+
+    def merge_report(self, report: bytes, now: float) -> None:
+        """Merge the observations of another node; ignore routes not known here."""
+        for digest, level in ENTRY.iter_unpack(
+            report[: len(report) - len(report) % ENTRY.size]
+        ):
+            name = self._names_by_hash.get(digest)
+            if name is not None:
+                self._levels.merge_level(name, level / LEVEL_SCALE, now)
+
+
+def _hash_of(name: RouteName) -> int:
+    return xxhash.xxh32_intdigest(name.encode())
--- a/persimmonhall/routing/route_levels.py
+++ b/persimmonhall/routing/route_levels.py
@@ -13,6 +13,8 @@
 
 # Each reply reports one gate of a service, and they differ: average over this time.
 AVERAGING_TIME_S = 0.1
+# Reports of other nodes are averages themselves, and several arrive each second.
+MERGE_AVERAGING_TIME_S = 0.2
 # Minimum weight of a reply, used if it immediately follows another.
 MIN_SAMPLE_WEIGHT = 0.1
 # Without replies for this long a level is outdated; it rises so that requests
@@ -33,12 +35,16 @@
     fresh_s: float
     rise_per_s: float
 
-    def add(self, value: float, max_value: float, now: float) -> None:
+    def add(
+        self,
+        value: float,
+        max_value: float,
+        now: float,
+        averaging_s: float = AVERAGING_TIME_S,
+    ) -> None:
         """Add the value of one reply."""
         current = self.value_at(max_value, now)
-        weight = max(
-            MIN_SAMPLE_WEIGHT, min(1.0, (now - self.updated_at) / AVERAGING_TIME_S)
-        )
+        weight = max(MIN_SAMPLE_WEIGHT, min(1.0, (now - self.updated_at) / averaging_s))
         self.value = current + weight * (value - current)
         self.updated_at = now
 
@@ -54,21 +60,44 @@
     def __init__(self, graph: CallGraph):
         self._graph = graph
         self._levels: dict[RouteName, _Average] = {}
+        # Only from replies to this node, without what other nodes have observed.
+        self._observed_levels: dict[RouteName, _Average] = {}
         self._success_rates: dict[RouteName, _Average] = {}
         self._answered_rates: SuccessRates[RouteName] = SuccessRates()
         self._rank_count = 1.0
 
+    @property
+    def rank_count(self) -> float:
+        """Return the number of ranks of the active release."""
+        return self._rank_count
+
     def set_ranks(self, ranks: int) -> None:
         """Set the number of ranks of the active release."""
         self._rank_count = float(ranks)
 
     def record_level(self, route: RouteName, level: float, now: float) -> None:
         """Record the level from a reply."""
+        for levels in (self._levels, self._observed_levels):
+            average = levels.get(route)
+            if average is None:
+                levels[route] = _Average(level, now, LEVEL_FRESH_S, LEVEL_RISE_PER_S)
+            else:
+                average.add(level, self._rank_count, now)
+
+    def observed_level(self, route: RouteName, now: float) -> float | None:
+        """Return the level that replies to this node reported recently, or None."""
+        average = self._observed_levels.get(route)
+        if average is None or now - average.updated_at > LEVEL_FRESH_S:
+            return None
+        return average.value_at(self._rank_count, now)
+
+    def merge_level(self, route: RouteName, level: float, now: float) -> None:
+        """Merge the level that another node has observed."""
         average = self._levels.get(route)
         if average is None:
             self._levels[route] = _Average(level, now, LEVEL_FRESH_S, LEVEL_RISE_PER_S)
         else:
-            average.add(level, self._rank_count, now)
+            average.add(level, self._rank_count, now, MERGE_AVERAGING_TIME_S)
 
     def record_success_rate(
         self, route: RouteName, success_rate: float, now: float
