Send no held order after its time; tell late answers from surplus ones

Found by reading the change: an order held while this process was paused was sent with the time that it had before; a server that answered after its caller had left counted as one that repeats its answers.

Tests: wire/tests/test_held_calls.py, http/tests/test_client.py.

--- a/persimmonhall/http/client.py
+++ b/persimmonhall/http/client.py
@@ -61,8 +61,11 @@
     @property
     def has_surplus_answer(self) -> bool:
         """Return whether the server sent more than the answer to each request."""
-        is_closed = self._stream.is_closed_by_peer
-        return self._has_read_surplus or (self._stream.is_readable and not is_closed)
+        if self._has_read_surplus:
+            return True
+        # What arrives after a request that was given up is its own late answer.
+        has_unread_input = self._stream.is_readable
+        return self._is_idle and has_unread_input and not self._stream.is_closed_by_peer
 
     async def close(self) -> None:
         """Close the connection at once."""
--- a/persimmonhall/http/tests/test_client.py
+++ b/persimmonhall/http/tests/test_client.py
@@ -158,3 +158,29 @@
                 await trio.sleep(0.05)
         nursery.cancel_scope.cancel()
     assert bodies == [b"1", b"2", b"3", b"4"]
+
+
+async def test_late_answer_to_a_request_given_up_is_no_surplus():
+    """Go on reusing connections to a server that answers after the caller has left."""
+    accepted = 0
+
+    async def serve(stream: trio.SocketStream) -> None:
+        nonlocal accepted
+        accepted += 1
+        while await stream.receive_some():
+            if accepted == 1:
+                await trio.sleep(0.05)
+            await stream.send_all(COMPLETE_ANSWER)
+
+    async with trio.open_nursery() as nursery:
+        [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        address = Address(*listener.socket.getsockname()[:2])
+        client = PooledClient(10)
+        request = HttpRequest("GET", "/", (), b"")
+        with trio.move_on_after(0.02):
+            await client.send(address, request, MAX_ANSWER_BYTES)
+        for _ in range(3):
+            await client.send(address, request, MAX_ANSWER_BYTES)
+        nursery.cancel_scope.cancel()
+    assert accepted == 2
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -3,7 +3,7 @@
 import math
 import socket as sockets
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
 import trio
@@ -67,12 +67,12 @@
         self._reply_handler = reply_handler
         self._log = log
         self._pending_calls: set[CallNumber] = set()
-        # Calls of which no byte was sent, in the order of their arrival.
-        self._held_calls: dict[CallNumber, RoutedCall] = {}
-        self._held_since = 0.0
+        # Calls of which no byte was sent, with the time since when, oldest first.
+        self._held_calls: dict[CallNumber, tuple[RoutedCall, float]] = {}
         self._duplex: Duplex | None = None
         self._reader = CallFrameReader()
         self._last_received_at = 0.0
+        self._connected_at = 0.0
         # Unlike the silence timeout, not restarted after a pause of this process.
         self._last_heard_at = -math.inf
         self._is_ping_sent = False
@@ -134,8 +134,12 @@
             return
         if not self._pending_calls:
             return
-        if self._held_calls and now - self._held_since > MAX_HOLD_S:
-            self._return_held_calls(f"no answer to a ping within {MAX_HOLD_S} s")
+        overdue = [
+            number
+            for number, (_, held_since) in self._held_calls.items()
+            if now - max(held_since, self._connected_at) > MAX_HOLD_S
+        ]
+        self._return_held_calls(overdue, f"no answer to a ping within {MAX_HOLD_S} s")
         silent_s = now - self._last_received_at
         if silent_s > MAX_SILENCE_S and self._is_ping_sent:
             self.drop(f"no data from the peer for {silent_s:.2f} s")
@@ -158,38 +162,49 @@
             return
         socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
         self._duplex = Duplex(socket, poller, self._handle_data, self.drop)
-        self._last_received_at = trio.current_time()
+        self._last_received_at = self._connected_at = trio.current_time()
         self._duplex.send(PREAMBLE)
-        for call in [call for call in self._held_calls.values() if call.is_idempotent]:
-            del self._held_calls[call.number]
-            self._duplex.send(_call_frame(call))
+        self._send_held_calls(
+            [n for n, (call, _) in self._held_calls.items() if call.is_idempotent]
+        )
         if self._held_calls:
             # The kernel accepts connections for a process that is paused.
-            self._held_since = self._last_received_at
             self._ping()
 
     def _hold(self, call: RoutedCall, now: float) -> None:
-        if not self._held_calls:
-            self._held_since = now
-        self._held_calls[call.number] = call
+        self._held_calls[call.number] = call, now
+
+    def _send_held_calls(self, numbers: list[CallNumber]) -> None:
+        """Send held calls with the time that is left of each; return the others."""
+        now = trio.current_time()
+        expired = []
+        for number in numbers:
+            call, held_since = self._held_calls[number]
+            left_ms = call.remaining_ms - int((now - held_since) * 1000)
+            if left_ms > 0:
+                del self._held_calls[number]
+                self._duplex.send(_call_frame(replace(call, remaining_ms=left_ms)))
+            else:
+                expired.append(number)
+        self._return_held_calls(expired, "no time was left once the peer responded")
 
     def _ping(self) -> None:
         if not self._is_ping_sent:
             self._is_ping_sent = True
             self._duplex.send(PING_FRAME)
 
-    def _return_held_calls(self, reason: str) -> None:
-        held_calls, self._held_calls = self._held_calls, {}
-        for number in held_calls:
+    def _return_held_calls(self, numbers: list[CallNumber], reason: str) -> None:
+        for number in numbers:
+            del self._held_calls[number]
             self._pending_calls.discard(number)
+        for number in numbers:
             self._reply_handler.handle_link_failure(number, Ran.NO, reason)
 
     def _handle_data(self, data: bytes) -> None:
         self._last_received_at = self._last_heard_at = trio.current_time()
         self._is_ping_sent = False
         if self._held_calls:
-            self._duplex.send(b"".join(map(_call_frame, self._held_calls.values())))
-            self._held_calls.clear()
+            self._send_held_calls(list(self._held_calls))
         try:
             for kind, payload in self._reader.feed(data):
                 if kind == FrameType.REPLY:
@@ -207,7 +222,7 @@
         if self._duplex is not None:
             self._duplex.close()
         not_sent = len(self._held_calls)
-        self._return_held_calls(self.close_reason)
+        self._return_held_calls(list(self._held_calls), self.close_reason)
         calls, self._pending_calls = self._pending_calls, set()
         if calls or self._duplex is None:
             self._log.emit(
--- a/persimmonhall/wire/tests/test_held_calls.py
+++ b/persimmonhall/wire/tests/test_held_calls.py
@@ -65,16 +65,28 @@
         assert number not in self.failures, "two failures of one call"
         self.failures[number] = ran
 
+    @property
+    def calls(self):
+        """Return the calls sent."""
+        return [
+            decode_call(payload)
+            for kind, payload in self._read_frames()
+            if kind == FrameType.CALL
+        ]
+
     @property
     def frames(self):
         """Return the kinds of the frames sent, or the numbers of calls."""
-        data = self.link._duplex.data
-        assert data.startswith(PREAMBLE)
         return [
             decode_call(payload).number if kind == FrameType.CALL else FrameType(kind)
-            for kind, payload in CallFrameReader().feed(data[len(PREAMBLE) :])
+            for kind, payload in self._read_frames()
         ]
 
+    def _read_frames(self):
+        data = self.link._duplex.data
+        assert data.startswith(PREAMBLE)
+        return CallFrameReader().feed(data[len(PREAMBLE) :])
+
 
 @pytest.fixture
 def fixture(monkeypatch):
@@ -106,6 +118,19 @@
     assert fixture.frames == [1]
 
 
+def test_order_held_while_this_process_was_paused_beyond_its_time_is_not_sent(
+    fixture,
+):
+    fixture.connect()
+    fixture.link.send(make_order(1))
+    fixture.link.send(make_call(2, is_idempotent=False, remaining_ms=9000))
+    fixture.now += 6.0
+    fixture.hear()
+    assert fixture.failures == {1: Ran.NO}
+    assert fixture.frames == [FrameType.PING, 2]
+    assert fixture.calls[-1].remaining_ms == 3000
+
+
 def test_repeatable_call_is_sent_at_once(fixture):
     fixture.connect()
     fixture.link.send(make_call(1))
