--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -247,7 +247,7 @@
 
     @property
     def _node_count(self) -> int:
-        return len(self._table.peers()) + 1
+        return self._table.member_count
 
     def _read_headers(
         self, message: Message
--- a/persimmonhall/membership/table.py
+++ b/persimmonhall/membership/table.py
@@ -19,6 +19,11 @@
         """Return this node's own record."""
         return self._local_member
 
+    @property
+    def member_count(self) -> int:
+        """Return the number of members, this node included."""
+        return len(self._members) + 1
+
     def set_local_member(self, local_member: Member) -> None:
         """Replace this node's own record."""
         self._update_index(self._local_member, local_member)
