Count pauses against what a gate of the native path reads, too

Test: call/tests/test_process_pause.py; its first case fails without the change. Pauses below a second are not counted there: an idle process sends a heartbeat every half second only.

--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -1,6 +1,7 @@
 """Admit calls to the backend server and run them."""
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 
 import trio
@@ -37,7 +38,7 @@
 from persimmonhall.http.client import HttpClient, PooledClient
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.once.runner import DirectRunner, Runner
-from persimmonhall.process_pauses import ProcessPauses
+from persimmonhall.process_pauses import MIN_PROCESS_PAUSE_S, ProcessPauses
 from persimmonhall.wire.answer_memory import AnswerMemory, AnswerReservation
 from persimmonhall.wire.link_server import ReplyWithCallback
 
@@ -56,6 +57,7 @@
         process_pauses: ProcessPauses | None = None,
     ):
         self._runner = runner or DirectRunner()
+        self._process_pauses = process_pauses or ProcessPauses()
         self._admission = Admission(process_pauses)
         self._critical_limiter = CriticalLimiter(
             critical_rate_per_s, self._admission.counters
@@ -122,7 +124,7 @@
 
     async def handle(self, payload: bytes) -> ReplyWithCallback:
         """Run an encoded call and return its encoded reply."""
-        call = decode_call(payload)
+        call = self._without_time_paused(decode_call(payload))
         reservation = self._answer_memory.open_reservation()
         try:
             reply = REPLIES.encode(await self.run(call, reservation))
@@ -145,6 +147,14 @@
             self._call_ended.set()
             self._call_ended = trio.Event()
 
+    def _without_time_paused(self, call: Call) -> Call:
+        """Take a pause of this process, in which the call lay unread, off its time."""
+        age_s = self._process_pauses.input_age_s(trio.current_time())
+        if age_s < MIN_PROCESS_PAUSE_S:
+            # Heartbeats of an idle process follow each other only every half second.
+            return call
+        return replace(call, remaining_ms=max(0, call.remaining_ms - int(age_s * 1000)))
+
     def _refuse_queued(self) -> None:
         """Refuse the queued calls if the backend server accepts no more."""
         refusal = self._closed_refusal()
@@ -201,6 +211,9 @@
         )
 
     def _refusal_before_queue(self, call: Call) -> Refusal | None:
+        if call.remaining_ms <= 0:
+            detail = "no time was left when the call was read"
+            return refuse(ErrorKind.DEADLINE_EXCEEDED, detail, ran=Ran.NO)
         backend = self._backend
         if backend is not None and backend.service != call.service:
             detail = f"this node has no backend server of {call.service}"
--- a/persimmonhall/call/tests/test_process_pause.py
+++ b/persimmonhall/call/tests/test_process_pause.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 
+import pytest
 import trio
+from returns.result import Success
 
 from persimmonhall.address import Address
 from persimmonhall.admission.event_loop_monitor import monitor_event_loop
@@ -10,11 +12,14 @@
 from persimmonhall.call.backend import Backend
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gate_client import NO_LOAD
-from persimmonhall.call.messages import Answered
+from persimmonhall.call.messages import REPLIES, Answered, encode_call
 from persimmonhall.call.tests.call_tree import DEADLINE_S, CallTreeModel
+from persimmonhall.errors import Ran
+from persimmonhall.http.messages import HttpAnswer
 from persimmonhall.ids import NodeName, ServiceName
 from persimmonhall.membership.backend_watch import ANNOUNCEMENT_TIMEOUT_S, BackendWatch
 from persimmonhall.process_pauses import ProcessPauses
+from tests.builders import make_call
 
 IN_FLIGHT = 8
 CALLS = 40
@@ -75,3 +80,29 @@
     assert gate.backend == BACKEND
     await trio.sleep(ANNOUNCEMENT_TIMEOUT_S)
     assert gate.backend is None
+
+
+class _CountingClient:
+    """Count the requests that reach the backend server."""
+
+    sent = 0
+
+    async def send(self, address, request, max_answer_bytes, reservation):
+        """Answer at once."""
+        self.sent += 1
+        return Success(HttpAnswer(200, ()))
+
+
+@pytest.mark.parametrize(("remaining_ms", "sent"), [(3000, 0), (9000, 1)])
+async def test_gate_sends_no_call_that_lay_unread_beyond_its_time(
+    nursery, autojump_clock, remaining_ms, sent
+):
+    client, pauses = _CountingClient(), _start_monitor(nursery)
+    gate = Gate(make_client=lambda connections: client, process_pauses=pauses)
+    gate.set_backend(BACKEND)
+    await trio.sleep(0.1)
+    autojump_clock.jump(4)
+    call = make_call(service=BACKEND.service, remaining_ms=remaining_ms)
+    reply = REPLIES.decode((await gate.handle(encode_call(call))).payload)
+    assert client.sent == sent
+    assert sent or reply.ran is Ran.NO
