--- a/harness/load_model/simulation.py
+++ b/harness/load_model/simulation.py
@@ -173,7 +173,8 @@
 
     def _share_levels(self, node: ModelNode) -> None:
         self.events.after(REPORT_INTERVAL_S, partial(self._share_levels, node))
-        report = node.sharing.make_report(node.gate.own_level, self.events.now)
+        now = self.events.now
+        report = node.sharing.make_report(node.gate.own_levels(now), now)
         if not report:
             return
         zone = [n for n in self.nodes.values() if n.zone == node.zone and n is not node]
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -236,11 +236,11 @@
             self._pool.close_expired(now)
         self._log_level_change()
 
-    def own_level(self, route: RouteName) -> float | None:
-        """Return the level that replies report now, None for routes not run here."""
-        if route not in self._route_run_s or self._closed_reason is not None:
-            return None
-        return self._level_for(route, trio.current_time())
+    def own_levels(self, now: float) -> dict[RouteName, float]:
+        """Return the levels that replies report now, of the routes run here."""
+        if self._closed_reason is not None:
+            return {}
+        return {route: self._level_for(route, now) for route in self._route_run_s}
 
     def load(self, route: RouteName, now: float) -> GateLoad:
         """Return the load, with the lowest level of the gate and the route's calls."""
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -321,7 +321,7 @@
         call_guarded(self.log.step, now)
 
     def _share_levels(self, now: float) -> None:
-        report = self._level_sharing.make_report(self.gate.own_level, now)
+        report = self._level_sharing.make_report(self.gate.own_levels(now), now)
         if report:
             self.gossiper.send_level_report(report, REPORT_FANOUT)
 
--- a/persimmonhall/routing/level_sharing.py
+++ b/persimmonhall/routing/level_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import xxhash
 
@@ -36,26 +36,24 @@
         """Set the routes that reports may be about."""
         self._names_by_hash = {_hash_of(name): name for name in names}
 
-    def make_report(
-        self, gate_level: Callable[[RouteName], float | None], now: float
-    ) -> bytes:
+    def make_report(self, gate_levels: dict[RouteName, float], now: float) -> bytes:
         """Encode what this node has observed of routes that are or were overloaded."""
+        levels = self._levels.observed_levels(now)
+        for name, level in gate_levels.items():
+            levels[name] = min(level, levels.get(name, level))
         entries = []
-        for digest, name in self._names_by_hash.items():
-            level = self._levels.observed_level(name, now)
-            own_level = gate_level(name)
-            if own_level is not None:
-                level = own_level if level is None else min(level, own_level)
-            if level is None:
-                continue
-            if level < self._levels.rank_count - MIN_OVERLOAD:
-                self._overloaded_at[name] = now
-            elif now - self._overloaded_at.get(name, now) > REPORT_AFTER_OVERLOAD_S:
-                del self._overloaded_at[name]
-            if name in self._overloaded_at:
-                entries.append(ENTRY.pack(digest, int(level * LEVEL_SCALE)))
+        for name, level in levels.items():
+            if self._is_reported(name, level, now):
+                entries.append(ENTRY.pack(_hash_of(name), int(level * LEVEL_SCALE)))
         return b"".join(entries[:MAX_ENTRIES])
 
+    def _is_reported(self, name: RouteName, level: float, now: float) -> bool:
+        if level < self._levels.rank_count - MIN_OVERLOAD:
+            self._overloaded_at[name] = now
+        elif now - self._overloaded_at.get(name, now) > REPORT_AFTER_OVERLOAD_S:
+            del self._overloaded_at[name]
+        return name in self._overloaded_at
+
     def merge_report(self, report: bytes, now: float) -> None:
         """Merge the observations of another node; ignore routes not known here."""
         for digest, level in ENTRY.iter_unpack(
--- a/persimmonhall/routing/route_levels.py
+++ b/persimmonhall/routing/route_levels.py
@@ -84,12 +84,13 @@
             else:
                 average.add(level, self._rank_count, now)
 
-    def observed_level(self, route: RouteName, now: float) -> float | None:
-        """Return the level that replies to this node reported recently, or None."""
-        average = self._observed_levels.get(route)
-        if average is None or now - average.updated_at > LEVEL_FRESH_S:
-            return None
-        return average.value_at(self._rank_count, now)
+    def observed_levels(self, now: float) -> dict[RouteName, float]:
+        """Return the levels that replies to this node reported recently."""
+        return {
+            route: average.value_at(self._rank_count, now)
+            for route, average in self._observed_levels.items()
+            if now - average.updated_at <= LEVEL_FRESH_S
+        }
 
     def merge_level(self, route: RouteName, level: float, now: float) -> None:
         """Merge the level that another node has observed."""
--- a/persimmonhall/routing/tests/test_level_sharing.py
+++ b/persimmonhall/routing/tests/test_level_sharing.py
@@ -27,7 +27,7 @@
 
     def report(self, now):
         """Make a report."""
-        return self.sharing.make_report(self.gate_levels.get, now)
+        return self.sharing.make_report(self.gate_levels, now)
 
 
 def test_nodes_without_overload_send_nothing():
