Test that restarts on a large site are known everywhere in time

The bounds are the time of a leave (2 s) and the bytes of a node for control (3 KB/s). A level of more than 65 ranks no longer overflows its report.

--- a/persimmonhall/membership/tests/test_core.py
+++ b/persimmonhall/membership/tests/test_core.py
@@ -161,3 +161,30 @@
     while core.next_tick() < now + 70.0:
         core.tick(core.next_tick())
     assert core.health(peer.node) is Health.DEAD
+
+
+def test_restarts_on_a_large_site_are_known_everywhere_in_time():
+    """Tell 200 nodes in 6 zones of 20 servers that leave at once.
+
+    A server that leaves gets no new work after 2 s, and a node spends 3 KB/s on
+    control. Bytes between zones are dear: most of them stay within.
+    """
+    zones = [f"zone-{number}" for number in range(6)]
+    network = SimulatedNetwork(1, DatagramFaults(), count_bytes=True)
+    names = [network.start(number, zones[number % 6]) for number in range(200)]
+    network.introduce_all()
+    network.run(1.0)
+    for node in network.nodes.values():
+        node.sent_bytes = node.sent_between_zones_bytes = 0
+    leaving = names[::10]
+    for name in leaving:
+        network.set_state(name, MemberState.LEAVING)
+    network.run(2.0)
+    for node in network.nodes.values():
+        states = {node.table.get(name).state for name in leaving}
+        assert states == {MemberState.LEAVING}
+    network.run(6.0)
+    sent = sum(node.sent_bytes for node in network.nodes.values())
+    between_zones = sum(n.sent_between_zones_bytes for n in network.nodes.values())
+    assert sent < len(names) * 3000 * 8
+    assert between_zones < sent / 2
--- a/persimmonhall/routing/level_sharing.py
+++ b/persimmonhall/routing/level_sharing.py
@@ -19,8 +19,10 @@
 REPORT_AFTER_OVERLOAD_S = 2.0
 # Levels that differ less than this from the number of ranks count as no overload.
 MIN_OVERLOAD = 0.05
+# Hash of the route's name, and its level.
 ENTRY = struct.Struct("<IH")
 LEVEL_SCALE = 1000
+MAX_U16 = 0xFFFF
 MAX_ENTRIES = 64
 
 
@@ -44,7 +46,8 @@
         entries = []
         for name, level in levels.items():
             if self._is_reported(name, level, now):
-                entries.append(ENTRY.pack(_hash_of(name), int(level * LEVEL_SCALE)))
+                scaled_level = min(int(level * LEVEL_SCALE), MAX_U16)
+                entries.append(ENTRY.pack(_hash_of(name), scaled_level))
         return b"".join(entries[:MAX_ENTRIES])
 
     def _is_reported(self, name: RouteName, level: float, now: float) -> bool:
