Eject a failing server as soon as its failure rate shows it

A server that fails fast also looks cheap: in the new test it got 195 of 200 calls in 0.1 s. Ruled out: load of the machine (seen on an idle one); the bound. Change: the call that makes a server's failure rate cross the threshold starts the check of failing servers; the median rule and the bounded part stay.

--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -121,7 +121,8 @@
             view.record_load(observation.load, now)
             pool.record_usage(view.usage_by_others)
         if observation.outcome is not CallOutcome.REFUSED:
-            view.record_failure(observation.outcome in FAILURE_OUTCOMES)
+            is_failure = observation.outcome in FAILURE_OUTCOMES
+            pool.record_failure(node, is_failure, self._rng, now)
         self._update_ejection(pool, node, view, observation, was_probe, now)
 
     def _update_ejection(
--- a/persimmonhall/routing/server_pool.py
+++ b/persimmonhall/routing/server_pool.py
@@ -2,6 +2,7 @@
 
 import random
 import statistics
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -16,7 +17,6 @@
 MIN_LATENCY_SAMPLES = 5
 SLOW_FACTOR = 3.0
 MIN_SLOW_EXCESS_S = 0.01
-MIN_FAILING_RATE = 0.5
 MAX_MEDIAN_FAILURE_RATE = 0.25
 MAX_EJECTED_FRACTION = 0.5
 USAGE_WEIGHT = 0.05
@@ -74,6 +74,17 @@
         baseline.add(latency_s)
         view.record_latency(latency_s, baseline.latency_s, now)
 
+    def record_failure(
+        self, node: NodeName, is_failure: bool, rng: random.Random, now: float
+    ) -> None:
+        """Record whether a call failed; eject a server that begins to fail at once."""
+        view = self.views[node]
+        was_failing = view.is_failing
+        view.record_failure(is_failure)
+        if view.is_failing and not was_failing and view.eject_reason is None:
+            checked = self._pick_checked(self.members, rng)
+            self._eject_failing(checked | {node: view}, rng, now)
+
     def record_usage(self, usage: float) -> None:
         """Add one reported usage to the mean, which stands in for outdated reports."""
         self.mean_usage += USAGE_WEIGHT * (usage - self.mean_usage)
@@ -125,7 +136,7 @@
         self._eject_failing(local_views | remote_views, rng, now)
 
     def _pick_checked(
-        self, members: list[Member], rng: random.Random
+        self, members: Sequence[Member], rng: random.Random
     ) -> dict[NodeName, ServerView]:
         """Return the servers to check: a bounded number, none of them ejected."""
         start = (
@@ -161,7 +172,7 @@
     def _eject_failing(
         self, checked: dict[NodeName, ServerView], rng: random.Random, now: float
     ) -> None:
-        failing = [n for n, v in checked.items() if v.failure_rate >= MIN_FAILING_RATE]
+        failing = [node for node, view in checked.items() if view.is_failing]
         if not failing:
             return
         failure_rates = (view.failure_rate for view in checked.values())
--- a/persimmonhall/routing/server_view.py
+++ b/persimmonhall/routing/server_view.py
@@ -12,6 +12,7 @@
 SLOW_START_MIN_WEIGHT = 0.1
 LATENCY_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.2
+MIN_FAILING_RATE = 0.5
 STALL_FACTOR = 4.0
 MIN_STALL_S = 0.25
 DEFAULT_STALL_S = 1.0
@@ -90,6 +91,11 @@
             return DEFAULT_STALL_S
         return max(MIN_STALL_S, STALL_FACTOR * self.latency_s)
 
+    @property
+    def is_failing(self) -> bool:
+        """Return whether most of the recent calls failed."""
+        return self.failure_rate >= MIN_FAILING_RATE
+
     def start_call(self, now: float) -> None:
         """Count a call that is sent to the server."""
         if self.outstanding == 0:
--- a/persimmonhall/routing/tests/test_router.py
+++ b/persimmonhall/routing/tests/test_router.py
@@ -32,6 +32,7 @@
         self.outcome = {m.node: CallOutcome.DONE for m in members}
         self.load = {}
         self.now = 0.0
+        self.step_s = STEP_S
         self.chosen = Counter()
         self.reasons = Counter()
         self._open_calls = []
@@ -45,7 +46,7 @@
         return self.chosen
 
     def _step(self) -> None:
-        self.now += STEP_S
+        self.now += self.step_s
         for end in [e for e in self._open_calls if e[0] <= self.now]:
             self._open_calls.remove(end)
             self._end(end)
@@ -95,6 +96,15 @@
     assert chosen[bad] > 0.15 * chosen.total()
 
 
+def test_failing_server_is_ejected_before_the_next_outlier_check():
+    traffic = Traffic(local=2)
+    traffic.step_s = 0.0005
+    traffic.latency_s["suva-cue-2"] = 0.001
+    traffic.run(4)
+    traffic.outcome["suva-cue-2"] = CallOutcome.FAILED
+    assert traffic.run(200)["suva-cue-2"] < 20
+
+
 def test_probes_become_rarer_while_a_server_is_unreachable():
     traffic = Traffic()
     traffic.outcome["suva-cue-2"] = CallOutcome.UNREACHABLE
