Fire timers from the poller and import less in a node of routes

Change: the poller that owns its thread fires timers itself, the periodic step is a timer, cancelled timers wake nobody. A node no longer imports the messages of documents, keys and native calls.

--- a/harness/micro_routing.py
+++ b/harness/micro_routing.py
@@ -5,11 +5,11 @@
 from time import perf_counter_ns
 
 from harness.micro_row import Row
-from persimmonhall.call.messages import Load
 from persimmonhall.ids import NodeName, RootId, ServiceName, ZoneName
 from persimmonhall.membership.messages import Member, MemberState
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.routing.failed_calls import FailedCalls, make_call_key
+from persimmonhall.routing.load import Load
 from persimmonhall.routing.node_retry_budget import NodeRetryBudget
 from persimmonhall.routing.retry_ledger import RetryLedger
 from persimmonhall.routing.router import Observation, Router
--- a/persimmonhall/call/gate.py
+++ b/persimmonhall/call/gate.py
@@ -25,7 +25,6 @@
     REPLIES,
     Answered,
     Call,
-    Load,
     Reply,
     decode_call,
     flatten_headers,
@@ -39,6 +38,7 @@
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
 from persimmonhall.once.runner import DirectRunner, Runner
 from persimmonhall.process_pauses import MIN_PROCESS_PAUSE_S, ProcessPauses
+from persimmonhall.routing.load import Load
 from persimmonhall.wire.answer_memory import AnswerMemory, AnswerReservation
 from persimmonhall.wire.link_server import ReplyWithCallback
 
--- a/persimmonhall/call/gate_client.py
+++ b/persimmonhall/call/gate_client.py
@@ -10,7 +10,6 @@
 from persimmonhall.call.messages import (
     REPLIES,
     Call,
-    Load,
     Reply,
     encode_call,
     make_refused,
@@ -18,6 +17,7 @@
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.ids import NodeName
 from persimmonhall.membership.messages import Member
+from persimmonhall.routing.load import Load
 from persimmonhall.wire.answer_memory import AnswerReservation
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkError, LinkPool
--- a/persimmonhall/call/messages.py
+++ b/persimmonhall/call/messages.py
@@ -8,6 +8,7 @@
 from persimmonhall.errors import ErrorKind, Ran, Refusal
 from persimmonhall.http.messages import Headers
 from persimmonhall.ids import IdempotencyKey, NodeName, RootId, ServiceName
+from persimmonhall.routing.load import Load
 from persimmonhall.wire.codec import UnionCodec, decode, encode, load_schema
 
 SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
@@ -36,16 +37,6 @@
     resend_window_s: int = 0
 
 
-@dataclass(frozen=True)
-class Load:
-    """Report the load of a gate."""
-
-    in_flight: int
-    queued: int
-    limit: int
-    latency_us: int
-
-
 @dataclass(frozen=True)
 class Answered:
     """Carry the complete answer of a backend server."""
--- a/persimmonhall/control/messages.py
+++ b/persimmonhall/control/messages.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from persimmonhall.control.declined import Declined
 from persimmonhall.document.messages import HeldDocument, PutDocument, PutReply
-from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import LogIndex
 from persimmonhall.once.messages import (
     ClaimKey,
@@ -58,15 +58,6 @@
     reply: bytes
 
 
-@dataclass(frozen=True)
-class Declined:
-    """Report why a request could not be served."""
-
-    kind: ErrorKind
-    detail: str
-    ran: Ran
-
-
 @dataclass(frozen=True)
 class NoOp:
     """Change nothing; a new leader commits one to learn what is committed."""
--- a/persimmonhall/metrics.py
+++ b/persimmonhall/metrics.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from persimmonhall.admission.counters import GateCounters
-from persimmonhall.call.messages import Load
+from persimmonhall.routing.load import Load
 from persimmonhall.wire.answer_memory import AnswerMemory
 
 PREFIX = "persimmonhall_"
--- a/persimmonhall/release/watcher.py
+++ b/persimmonhall/release/watcher.py
@@ -7,13 +7,13 @@
 from returns.result import Success
 
 from persimmonhall.address import Address
-from persimmonhall.control.messages import REPLIES, REQUESTS
 from persimmonhall.events import Event, EventLog
 from persimmonhall.guards import call_guarded
 from persimmonhall.ids import ZoneName
 from persimmonhall.membership.control_members import ControlMembers
 from persimmonhall.release.active import ActiveRelease
 from persimmonhall.release.messages import WATCH_TIMEOUT_S, ReleaseSeen, WatchRelease
+from persimmonhall.release.watch_messages import WATCH_REPLIES, WATCHES
 from persimmonhall.wire.frames import Channel
 from persimmonhall.wire.link import LinkPool
 
@@ -79,7 +79,7 @@
 
     async def _watch_once(self, address: Address, is_notice: bool) -> bool:
         watch = WatchRelease(self._releases.index, is_notice)
-        payload = REQUESTS.encode(watch)
+        payload = WATCHES.encode(watch)
         result = None
         with trio.move_on_after(REQUEST_TIMEOUT_S):
             result = await self._links.request(address, Channel.CONTROL, payload)
@@ -92,7 +92,7 @@
 
     async def _handle_reply(self, address: Address, data: bytes) -> bool:
         try:
-            reply = REPLIES.decode(data)
+            reply = WATCH_REPLIES.decode(data)
         except ValueError as error:
             logging.warning("reply of control VM %s not readable: %s", address, error)
             return False
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -1,11 +1,9 @@
 """Run a node that serves callers by the routes of the active release."""
 
 import gc
-import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
-from functools import partial
 
 import trio
 from returns.result import Failure, Result, Success
@@ -253,15 +251,18 @@
         await nursery.start(self.ready.run)
         if self.metrics is not None:
             await nursery.start(self.metrics.run)
+        if owns_thread:
+            nursery.start_soon(self.poller.run_alone, self.timers)
+        else:
+            nursery.start_soon(self.poller.run)
+            nursery.start_soon(self.timers.run)
         for part in (
-            partial(self.poller.run, owns_thread=owns_thread),
-            self.timers.run,
             self.gossiper.run,
             self.propagator.run,
             self.release_watcher.run,
-            self._run_steps,
         ):
             nursery.start_soon(part)
+        self._run_step(0, trio.current_time())
         return RoutedAddresses(callers, local, frames)
 
     async def shut_down(self) -> None:
@@ -303,19 +304,18 @@
         self._control.set_seeds(control_addresses)
         self.gossiper.set_seeds(control_addresses)
 
-    async def _run_steps(self) -> None:
-        """Run all periodic work in one task, as each waiting task adds overhead."""
-        last = trio.current_time()
-        for number in itertools.count():
-            await trio.sleep(STEP_INTERVAL_S)
-            now = trio.current_time()
-            self._pauses.record_heartbeat(now)
-            self._step(now, now - last)
-            if number % STEPS_PER_LEVEL_REPORT == 0:
-                call_guarded(self._share_levels, now)
-            if number % STEPS_PER_SLOW_STEP == 0:
-                self._slow_step(now)
-            last = now
+    def _run_step(self, number: int, last: float) -> None:
+        """Run all periodic work that is due and schedule the next step."""
+        now = trio.current_time()
+        self.timers.call_at(
+            now + STEP_INTERVAL_S, lambda: self._run_step(number + 1, now)
+        )
+        self._pauses.record_heartbeat(now)
+        self._step(now, now - last)
+        if number % STEPS_PER_LEVEL_REPORT == 0:
+            call_guarded(self._share_levels, now)
+        if number % STEPS_PER_SLOW_STEP == 0:
+            call_guarded(self._slow_step, now)
 
     def _step(self, now: float, elapsed_s: float) -> None:
         if self.releases.routes is not None:
--- a/persimmonhall/routing/router.py
+++ b/persimmonhall/routing/router.py
@@ -5,10 +5,10 @@
 from enum import Enum
 from typing import NamedTuple
 
-from persimmonhall.call.messages import Load
 from persimmonhall.ids import NodeName, ServiceName, ZoneName
 from persimmonhall.membership.messages import Member
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.load import Load
 from persimmonhall.routing.server_pool import ServerPool, is_usable
 from persimmonhall.routing.server_view import (
     CallOutcome,
--- a/persimmonhall/routing/server_view.py
+++ b/persimmonhall/routing/server_view.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from persimmonhall.call.messages import Load
+from persimmonhall.routing.load import Load
 
 LOAD_DECAY_S = 1.0
 SLOWNESS_DECAY_S = 10.0
--- a/persimmonhall/routing/tests/test_router.py
+++ b/persimmonhall/routing/tests/test_router.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from persimmonhall.call.messages import Load
 from persimmonhall.ids import ServiceName, ZoneName
 from persimmonhall.membership.messages import MemberState
 from persimmonhall.membership.table import MemberTable
+from persimmonhall.routing.load import Load
 from persimmonhall.routing.router import ChoiceReason, Observation, Router
 from persimmonhall.routing.server_view import CallOutcome
 from tests.builders import add_members, make_member
--- a/persimmonhall/timers.py
+++ b/persimmonhall/timers.py
@@ -1,4 +1,4 @@
-"""Run callbacks at given times with a single task."""
+"""Run callbacks at given times from a single task or poller."""
 
 import heapq
 import itertools
@@ -8,7 +8,7 @@
 import trio
 from absl import logging
 
-# Cancelled timers stay in the heap; without a minimum sleep each of them would cost
+# Without a minimum sleep, timers that are due shortly after each other would each cost
 # an iteration of the event loop.
 MIN_SLEEP_S = 0.01
 
@@ -21,6 +21,11 @@
     def __init__(self, callback: Callable[[], None]):
         self._callback: Callable[[], None] | None = callback
 
+    @property
+    def is_pending(self) -> bool:
+        """Return whether the callback has neither run nor been cancelled."""
+        return self._callback is not None
+
     def cancel(self) -> None:
         """Cancel the callback; no effect if it has run."""
         self._callback = None
@@ -44,7 +49,15 @@
         self._heap: list[tuple[float, int, Timer]] = []
         self._sequence_numbers = itertools.count()
         self._wake_event = trio.Event()
-        self._sleeping_until = math.inf
+        self._sleeping_until = -math.inf
+
+    @property
+    def next_due_at(self) -> float:
+        """Return when the next callback is due, infinity if there is none."""
+        heap = self._heap
+        while heap and not heap[0][2].is_pending:
+            heapq.heappop(heap)
+        return heap[0][0] if heap else math.inf
 
     def now(self) -> float:
         """Return the time of the event loop's clock in seconds."""
@@ -69,7 +82,6 @@
             self._wake_event = trio.Event()
             now = trio.current_time()
             self.fire_due(now)
-            next_due_at = self._heap[0][0] if self._heap else math.inf
-            self._sleeping_until = max(next_due_at, now + MIN_SLEEP_S)
+            self._sleeping_until = max(self.next_due_at, now + MIN_SLEEP_S)
             with trio.move_on_at(self._sleeping_until):
                 await self._wake_event.wait()
--- a/persimmonhall/wire/poller.py
+++ b/persimmonhall/wire/poller.py
@@ -13,6 +13,7 @@
 import trio
 from absl import logging
 
+from persimmonhall.timers import Timers
 from persimmonhall.wire.scheduler import Scheduler, find_scheduler
 
 # Events handled between two checks of the time.
@@ -46,41 +47,46 @@
         if self._callbacks.pop(fd, None) is not None:
             self._epoll.unregister(fd)
 
-    async def run(self, *, owns_thread: bool = False) -> None:
-        """Poll and call the callbacks until cancelled.
-
-        A poller that owns its thread is the only one there and blocks it while no task
-        can run.
-        """
-        scheduler = find_scheduler() if owns_thread else None
+    async def run(self) -> None:
+        """Poll and call the callbacks until cancelled; the thread may be shared."""
         try:
-            if scheduler is None:
-                await self._run_shared()
-            else:
-                await self._run_alone(scheduler)
+            while True:
+                await trio.lowlevel.wait_readable(self._epoll.fileno())
+                await self._poll_until_idle()
         finally:
             self._epoll.close()
 
-    async def _run_shared(self) -> None:
-        while True:
-            await trio.lowlevel.wait_readable(self._epoll.fileno())
-            await self._poll_until_idle()
+    async def run_alone(self, timers: Timers) -> None:
+        """Poll and fire timers until cancelled; no other poller may use the thread."""
+        scheduler = find_scheduler()
+        if scheduler is None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(timers.run)
+                await self.run()
+        try:
+            self._epoll.register(scheduler.fd, select.EPOLLIN)
+            while True:
+                with trio.CancelScope() as scope:
+                    scope.deadline = trio.current_time() + YIELD_INTERVAL_S
+                    await scheduler.wait_until_others_wait()
+                if scope.cancelled_caught:
+                    timers.fire_due(trio.current_time())
+                    self._call_back(self._epoll.poll(0, MAX_EVENTS_PER_POLL))
+                else:
+                    self._poll_until_task_runs(scheduler, timers)
+        finally:
+            self._epoll.close()
 
-    async def _run_alone(self, scheduler: Scheduler) -> None:
-        """Poll while all other tasks wait, and let them run when they can."""
-        self._epoll.register(scheduler.fd, select.EPOLLIN)
+    def _poll_until_task_runs(self, scheduler: Scheduler, timers: Timers) -> None:
+        """Handle events and timers until another task can run."""
         while True:
-            with trio.move_on_after(YIELD_INTERVAL_S) as scope:
-                await scheduler.wait_until_others_wait()
-            if scope.cancelled_caught:
-                self._call_back(self._epoll.poll(0, MAX_EVENTS_PER_POLL))
-            else:
-                self._poll_until_task_runs(scheduler)
-
-    def _poll_until_task_runs(self, scheduler: Scheduler) -> None:
-        """Handle events until another task can run."""
-        while (wait_s := min(scheduler.seconds_until_task_runs, MAX_WAIT_S)) > 0:
-            ready = self._epoll.poll(wait_s, MAX_EVENTS_PER_POLL)
+            now = trio.current_time()
+            timers.fire_due(now)
+            task_wait_s = scheduler.seconds_until_task_runs(now)
+            if task_wait_s <= 0:
+                return
+            timeout_s = min(task_wait_s, timers.next_due_at - now, MAX_WAIT_S)
+            ready = self._epoll.poll(max(0, timeout_s), MAX_EVENTS_PER_POLL)
             self._call_back(ready)
             if any(fd == scheduler.fd for fd, _ in ready):
                 return
--- a/persimmonhall/wire/scheduler.py
+++ b/persimmonhall/wire/scheduler.py
@@ -4,7 +4,6 @@
 installed, and `trio.lowlevel.current_statistics` takes longer than many callbacks.
 """
 
-import trio
 from absl import logging
 
 try:
@@ -22,12 +21,11 @@
         self._deadlines = runner.deadlines
         self.fd: int = runner.io_manager._epoll.fileno()
 
-    @property
-    def seconds_until_task_runs(self) -> float:
+    def seconds_until_task_runs(self, now: float) -> float:
         """Return the time until a task can run if no input arrives for one."""
         if self._run_queue:
             return 0.0
-        return max(0.0, self._deadlines.next_deadline() - trio.current_time())
+        return self._deadlines.next_deadline() - now
 
     async def wait_until_others_wait(self) -> None:
         """Return once every other task waits and no input for one has arrived."""
--- a/persimmonhall/wire/tests/test_poller.py
+++ b/persimmonhall/wire/tests/test_poller.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from persimmonhall.timers import Timers
 from persimmonhall.wire.poller import Poller
 from persimmonhall.wire.scheduler import find_scheduler
 
@@ -33,9 +34,14 @@
 
 
 @pytest.fixture
-async def poller(nursery):
+def timers():
+    return Timers()
+
+
+@pytest.fixture
+async def poller(nursery, timers):
     poller = Poller()
-    nursery.start_soon(lambda: poller.run(owns_thread=True))
+    nursery.start_soon(poller.run_alone, timers)
     await trio.sleep(0.01)
     return poller
 
@@ -89,6 +95,23 @@
         assert trio.current_time() - start < MAX_DELAY_S
 
 
+async def test_timer_fires_in_time_without_a_pass_of_the_scheduler(poller, timers):
+    counter = _PassCounter()
+    trio.lowlevel.add_instrument(counter)
+    fired_at = []
+    start = trio.current_time()
+    for number in range(1, 21):
+        when = start + 0.01 * number
+        timers.call_at(when, lambda: fired_at.append(trio.current_time()))
+    cancelled = timers.call_at(start + 0.05, lambda: fired_at.append(0.0))
+    cancelled.cancel()
+    await trio.sleep(MAX_DELAY_S)
+    trio.lowlevel.remove_instrument(counter)
+    assert len(fired_at) == 20
+    assert start + 0.01 <= fired_at[0] < start + 0.05
+    assert counter.passes < 10
+
+
 async def test_task_that_waits_for_input_wakes(poller, pair):
     ours, peer = pair
     threading.Timer(0.05, peer.send, (b"x",)).start()
