Linger on closing connections with timers instead of tasks

Cause: the call counts of a node showed 185 connections of callers closed in 6 s, each with a task that slept twice (five passes of the scheduler). Change: the linger is a timer; the poller notes input of the scheduler by a callback instead of a search through the events of each poll.

--- a/persimmonhall/http/caller_server.py
+++ b/persimmonhall/http/caller_server.py
@@ -167,15 +167,17 @@
             and self._incoming_message is None
         )
 
-    async def close_after_linger(self) -> None:
+    def linger(self, timers: Timers, give_up_at: float) -> None:
         """Send the last answer, shut down sending and close after LINGER_S."""
-        with trio.move_on_after(SLOW_READER_TIMEOUT_S):
-            while self._duplex.unsent_bytes:
-                await trio.sleep(LINGER_POLL_INTERVAL_S)
-        if not self._duplex.is_closed:
-            self._duplex.shut_down_sending()
-            await trio.sleep(LINGER_S)
-        self.close()
+        if self._duplex.is_closed:
+            return
+        now = timers.now()
+        if self._duplex.unsent_bytes and now < give_up_at:
+            when = now + LINGER_POLL_INTERVAL_S
+            timers.call_at(when, lambda: self.linger(timers, give_up_at))
+            return
+        self._duplex.shut_down_sending()
+        timers.call_at(now + LINGER_S, self.close)
 
     def check(self, now: float) -> None:
         """Close the connection if it exceeds an idle, read or write timeout."""
@@ -319,7 +321,6 @@
         self._connections: set[CallerConnection] = set()
         self._listener: SocketListener | None = None
         self._lingering_connections: set[CallerConnection] = set()
-        self._nursery: trio.Nursery | None = None
 
     @property
     def connection_count(self) -> int:
@@ -335,19 +336,17 @@
         self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled; the owner calls step at regular intervals."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            address = self._address
-            listener = sockets.create_server(
-                (address.host, address.port), backlog=LISTEN_BACKLOG
-            )
-            listener.setblocking(False)
-            bound = Address(*listener.getsockname()[:2])
-            self._listener = SocketListener(
-                listener, self._poller, self._timers, self._add_connection
-            )
-            task_status.started(bound)
-            await trio.sleep_forever()
+        address = self._address
+        listener = sockets.create_server(
+            (address.host, address.port), backlog=LISTEN_BACKLOG
+        )
+        listener.setblocking(False)
+        bound = Address(*listener.getsockname()[:2])
+        self._listener = SocketListener(
+            listener, self._poller, self._timers, self._add_connection
+        )
+        task_status.started(bound)
+        await trio.sleep_forever()
 
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
@@ -361,9 +360,9 @@
 
     def start_linger(self, connection: CallerConnection) -> None:
         """Send the last answer of a connection and close it after LINGER_S."""
-        if connection not in self._lingering_connections and self._nursery is not None:
+        if connection not in self._lingering_connections:
             self._lingering_connections.add(connection)
-            self._nursery.start_soon(connection.close_after_linger)
+            connection.linger(self._timers, self._timers.now() + SLOW_READER_TIMEOUT_S)
 
     def remove(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
--- a/persimmonhall/wire/poller.py
+++ b/persimmonhall/wire/poller.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self._epoll = select.epoll()
         self._callbacks: dict[int, EventCallback] = {}
+        self._has_scheduler_input = False
 
     def add(self, fd: int, events: int, callback: EventCallback) -> None:
         """Register a descriptor and its callback."""
@@ -64,7 +65,7 @@
                 nursery.start_soon(timers.run)
                 await self.run()
         try:
-            self._epoll.register(scheduler.fd, select.EPOLLIN)
+            self.add(scheduler.fd, select.EPOLLIN, self._on_scheduler_input)
             while True:
                 with trio.CancelScope() as scope:
                     scope.deadline = trio.current_time() + YIELD_INTERVAL_S
@@ -79,7 +80,8 @@
 
     def _poll_until_task_runs(self, scheduler: Scheduler, timers: Timers) -> None:
         """Handle events and timers until another task can run."""
-        while True:
+        self._has_scheduler_input = False
+        while not self._has_scheduler_input:
             now = trio.current_time()
             timers.fire_due(now)
             task_wait_s = scheduler.seconds_until_task_runs(now)
@@ -88,8 +90,9 @@
             timeout_s = min(task_wait_s, timers.next_due_at - now, MAX_WAIT_S)
             ready = self._epoll.poll(max(0, timeout_s), MAX_EVENTS_PER_POLL)
             self._call_back(ready)
-            if any(fd == scheduler.fd for fd, _ in ready):
-                return
+
+    def _on_scheduler_input(self, events: int) -> None:
+        self._has_scheduler_input = True
 
     async def _poll_until_idle(self) -> None:
         """Handle events until none has arrived for a while."""
