--- a/persimmonhall/wire/poller.py
+++ b/persimmonhall/wire/poller.py
@@ -22,6 +22,8 @@
 IDLE_TIMEOUT_S = 0.004
 # A busy poller yields this often; timers fire up to this late.
 YIELD_INTERVAL_S = 0.002
+# Messages are handled this often while other tasks stay runnable.
+MAX_TASK_TURN_S = 0.002
 MAX_WAIT_S = 1.0
 EventCallback = Callable[[int], None]
 
@@ -64,11 +66,12 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(timers.run)
                 await self.run()
+            return
         try:
             self.add(scheduler.fd, select.EPOLLIN, self._on_scheduler_input)
             while True:
                 with trio.CancelScope() as scope:
-                    scope.deadline = trio.current_time() + YIELD_INTERVAL_S
+                    scope.deadline = trio.current_time() + MAX_TASK_TURN_S
                     await scheduler.wait_until_others_wait()
                 if scope.cancelled_caught:
                     timers.fire_due(trio.current_time())
