--- a/persimmonhall/routing/server_pool.py
+++ b/persimmonhall/routing/server_pool.py
@@ -80,7 +80,7 @@
     def record_failure(
         self, node: NodeName, is_failure: bool, rng: random.Random, now: float
     ) -> None:
-        """Record whether a call failed; eject a server that begins to fail at once."""
+        """Record whether a call failed; eject a server as soon as most calls fail."""
         view = self.views[node]
         was_failing = view.is_failing
         view.record_failure(is_failure)
--- a/persimmonhall/wire/tests/test_poller.py
+++ b/persimmonhall/wire/tests/test_poller.py
@@ -1,4 +1,4 @@
-"""Check that a poller that owns its thread lets other tasks run."""
+"""Check which work a poller does outside the scheduler, and that tasks still run."""
 
 import os
 import select
