--- a/persimmonhall/release/watcher.py
+++ b/persimmonhall/release/watcher.py
@@ -52,8 +52,8 @@
     async def run(self) -> None:
         """Watch control VMs until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_forever, False)
-            nursery.start_soon(self._watch_forever, True)
+            for is_notice in (False, True):
+                nursery.start_soon(self._watch_forever, is_notice)
 
     async def _watch_forever(self, is_notice: bool) -> None:
         while True:
--- a/persimmonhall/timers.py
+++ b/persimmonhall/timers.py
@@ -49,6 +49,7 @@
         self._heap: list[tuple[float, int, Timer]] = []
         self._sequence_numbers = itertools.count()
         self._wake_event = trio.Event()
+        # No new callback is earlier than this until the task sleeps, if one runs.
         self._sleeping_until = -math.inf
 
     @property
--- a/persimmonhall/wire/codec.py
+++ b/persimmonhall/wire/codec.py
@@ -90,14 +90,14 @@
     return _write_scalars, tuple
 
 
-def _make_packed_codec(packer: "Packer") -> tuple[FieldWriter, ValueReader]:
+def _make_packed_codec(packer: Packer) -> tuple[FieldWriter, ValueReader]:
     def write(builder: Any, wire_name: str, value: Any) -> None:
         setattr(builder, wire_name, packer.pack(value))
 
     return write, lambda data: packer.unpack(bytes(data))
 
 
-def _make_packed_list_codec(packer: "Packer") -> tuple[FieldWriter, ValueReader]:
+def _make_packed_list_codec(packer: Packer) -> tuple[FieldWriter, ValueReader]:
     """Write items one after the other, each behind its length."""
 
     def write(builder: Any, wire_name: str, values: tuple) -> None:
--- a/persimmonhall/wire/poller.py
+++ b/persimmonhall/wire/poller.py
@@ -24,6 +24,7 @@
 YIELD_INTERVAL_S = 0.002
 # Messages are handled this often while other tasks stay runnable.
 MAX_TASK_TURN_S = 0.002
+# Without any deadline or timer the wait would be infinite, which epoll rejects.
 MAX_WAIT_S = 1.0
 EventCallback = Callable[[int], None]
 
--- a/persimmonhall/wire/tests/test_poller.py
+++ b/persimmonhall/wire/tests/test_poller.py
@@ -9,6 +9,7 @@
 import trio
 
 from persimmonhall.timers import Timers
+from persimmonhall.wire import scheduler
 from persimmonhall.wire.poller import Poller
 from persimmonhall.wire.scheduler import find_scheduler
 
@@ -148,6 +149,27 @@
     assert received_at[0] - start < 0.05
 
 
+async def test_poller_serves_with_a_version_of_trio_that_hides_its_parts(
+    nursery, pair, timers, monkeypatch
+):
+    ours, peer = pair
+    monkeypatch.setattr(scheduler, "GLOBAL_RUN_CONTEXT", None)
+    poller = Poller()
+    called, fired = trio.Event(), trio.Event()
+
+    def read(events):
+        poller.remove(ours.fileno())
+        called.set()
+
+    nursery.start_soon(poller.run_alone, timers)
+    poller.add(ours.fileno(), select.EPOLLIN, read)
+    timers.call_at(timers.now() + 0.02, fired.set)
+    peer.send(b"x")
+    with trio.fail_after(MAX_DELAY_S):
+        await called.wait()
+        await fired.wait()
+
+
 async def test_pollers_on_one_thread_do_not_delay_each_other(nursery, pair):
     ours, peer = pair
     pollers = Poller(), Poller()
