Log and count what a server states about itself in its answers

Nothing that callers see changes: no decision uses the statements yet.

A gate reads the limit and the leaving header of each answer, tracks them for one incarnation of the server, and writes instance_notice on each change with the calls sent so far. Metrics: calls_sent_total and calls_rate_limit. Refusals and call_sent name the rate limit beside the slots. A statement that cannot be read is logged and changes nothing. An answer without a limit ends it only if its request was sent after the limit was stated: a slow answer may have been written before.

--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -9,6 +9,11 @@
 from persimmonhall.admission.level import LevelController, WorkFractions
 from persimmonhall.admission.success_rate import SuccessRates
 from persimmonhall.admission.urgency_queue import NESTED_RANK, QueuedCall, UrgencyQueue
+from persimmonhall.call.server_notices import (
+    InvalidNoticeError,
+    ServerNotices,
+    read_notice,
+)
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.events import Event, EventLog, is_sampled
@@ -26,7 +31,7 @@
     HOP_BY_HOP_HEADERS,
     LENGTH_HEADERS,
 )
-from persimmonhall.ids import CallNumber, RouteName
+from persimmonhall.ids import AttemptId, CallNumber, RouteName
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.routing.route_origins import RouteOrigins
@@ -75,6 +80,7 @@
     is_logged: bool
     queued_call: QueuedCall | None = None
     request: BackendRequest | None = None
+    notices: ServerNotices | None = None
     started_at: float = field(default=0.0)
 
 
@@ -108,6 +114,7 @@
         self._make_pool = make_pool
         self._instance: InstanceReport | None = None
         self._pool: BackendPool | None = None
+        self._notices = ServerNotices()
         self._closed_reason: ErrorKind | None = ErrorKind.NO_SERVER
         self._is_draining = False
         self._limit = 0
@@ -143,6 +150,12 @@
         """Return the maximum number of concurrent calls."""
         return self._limit
 
+    @property
+    def rate_limit(self) -> float:
+        """Return how many calls per second the server accepts; may be infinite."""
+        limit = self._notices.current.rate_limit
+        return math.inf if limit is None else limit
+
     @property
     def level(self) -> float:
         """Return up to which rank this gate alone would admit root requests."""
@@ -160,6 +173,8 @@
     def set_instance(self, report: InstanceReport | None) -> None:
         """Apply the report of the backend server; None means that it is gone."""
         previous, self._instance = self._instance, report
+        if report is not None and not self._notices.is_about(report):
+            self._notices = ServerNotices(report.instance, report.born_ms)
         if report is None or report.state is InstanceState.DRAINING:
             self._closed_reason = (
                 ErrorKind.NO_SERVER if report is None else ErrorKind.LEAVING
@@ -384,7 +399,9 @@
         if call.body:
             head_end += b"content-length: %d\r\n" % len(call.body)
         self._in_flight += 1
+        self.counts.sent += 1
         state.started_at = now
+        state.notices = self._notices
         self._graph.count_run(call.route)
         if state.is_logged:
             self._log.emit(
@@ -395,6 +412,7 @@
                 left_ms=left_ms,
                 in_flight=self._in_flight,
                 limit=self._limit,
+                rate_limit=self._notices.current.rate_limit,
             )
         state.request = BackendRequest(
             b"%s%s\r\n%s" % (call.head, head_end, call.body),
@@ -412,6 +430,8 @@
         state.request = None
         self._in_flight -= 1
         now = trio.current_time()
+        if isinstance(result, BackendAnswer):
+            self._record_notice(state, result, now)
         if isinstance(result, BackendFailure):
             self._handle_failure(state, result)
         elif self._is_not_executed(result):
@@ -420,6 +440,40 @@
             self._handle_answer(state, result, now)
         self._start_queued()
 
+    def _record_notice(
+        self, state: _CallState, answer: BackendAnswer, now: float
+    ) -> None:
+        """Record what the instance states about itself."""
+        is_misdirected = answer.status == MISDIRECTED_STATUS
+        if is_misdirected or state.notices is not self._notices:
+            # Another instance answered, or this one has been replaced meanwhile.
+            return
+        try:
+            notice = read_notice(answer.headers, self._headers)
+        except InvalidNoticeError as error:
+            self._log.emit(
+                Event.INSTANCE_NOTICE_INVALID,
+                instance=self._notices.instance,
+                request=state.call.attempt,
+                reason=str(error),
+            )
+            return
+        if self._notices.record(notice, state.started_at, now):
+            self._log_notice(state.call.attempt)
+
+    def _log_notice(self, attempt: AttemptId) -> None:
+        notice = self._notices.current
+        self._log.emit(
+            Event.INSTANCE_NOTICE,
+            instance=self._notices.instance,
+            request=attempt,
+            rate_limit=notice.rate_limit,
+            leaving=notice.is_leaving,
+            sent_total=self.counts.sent,
+            in_flight=self._in_flight,
+            queued=len(self._queue),
+        )
+
     def _handle_answer(
         self, state: _CallState, answer: BackendAnswer, now: float
     ) -> None:
@@ -510,6 +564,7 @@
             queued=len(self._queue),
             in_flight=self._in_flight,
             limit=self._limit,
+            rate_limit=self._notices.current.rate_limit,
         )
         self.counts.record(kind.value, call.route, now - state.arrived_at)
         load = self.load(call.route, now)
--- a/persimmonhall/dialect.py
+++ b/persimmonhall/dialect.py
@@ -24,6 +24,8 @@
     expected_instance: bytes = b"persimmonhall-expected-instance"
     caller_service: bytes = b"persimmonhall-caller-service"
     not_executed: bytes = b"persimmonhall-not-executed"
+    rate_limit: bytes = b"persimmonhall-rate-limit"
+    leaving: bytes = b"persimmonhall-leaving"
 
 
 class InstanceState(Enum):
--- a/persimmonhall/events.py
+++ b/persimmonhall/events.py
@@ -41,6 +41,8 @@
     INSTANCE_SEEN = "instance_seen"
     INSTANCE_GONE = "instance_gone"
     INSTANCE_REPORT_REFUSED = "instance_report_refused"
+    INSTANCE_NOTICE = "instance_notice"
+    INSTANCE_NOTICE_INVALID = "instance_notice_invalid"
     LINK_LOST = "link_lost"
     LINK_REGAINED = "link_regained"
     CONTROL_LOST = "control_lost"
--- a/persimmonhall/exposition.py
+++ b/persimmonhall/exposition.py
@@ -42,6 +42,7 @@
     def __init__(self):
         self.outcomes: Counter[str] = Counter()
         self.resent = 0
+        self.sent = 0
         self.durations: dict[str, DurationHistogram] = {}
 
     def record(self, outcome: str, route: str, duration_s: float) -> None:
@@ -86,6 +87,11 @@
         yield core.CounterMetricFamily(
             f"{PREFIX}resent", "requests sent again", value=self._requests.resent
         )
+        yield core.CounterMetricFamily(
+            f"{PREFIX}calls_sent",
+            "calls sent to the backend server",
+            value=self._calls.sent,
+        )
         for name, value in self._read_gauges().items():
             yield core.GaugeMetricFamily(PREFIX + name, name.replace("_", " "), value)
 
--- a/persimmonhall/platform/names.py
+++ b/persimmonhall/platform/names.py
@@ -10,6 +10,8 @@
     expected_instance=b"x-expected-instance",
     caller_service=b"x-caller-service",
     not_executed=b"x-not-executed",
+    rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 
 READY_PATH = "/ready"
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -214,6 +214,7 @@
             "calls_in_flight": self.gate.in_flight,
             "calls_queued": self.gate.queued,
             "calls_limit": self.gate.limit,
+            "calls_rate_limit": self.gate.rate_limit,
             "level": self.gate.level,
             "release_index": self.releases.index,
             "members": self.gossiper.member_count,
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -7,7 +7,7 @@
 ADAPTER = PACKAGE / "platform"
 PLATFORM_NAMES = re.compile(
     r"(?i:X-(Attempt-Id|Deadline-Ms|Expected-Instance|Caller-Service|Server-Stamp"
-    r"|Not-Executed))|configuration\.(replace|read)|instances\.(heartbeat|deregister)"
+    r"|Not-Executed)|Server-(Limit|Leaving))|configuration\.(replace|read)|instances\.(heartbeat|deregister)"
     r"|routeKind|weightedServices|maxAttempts|seedNodes|applicationAddress"
     r"|(?i:payoff|manifest|work unit|fence number|status check)"
 )
