--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -182,7 +182,7 @@
 class EntryFixture:
     """Run an entry with fake links to a number of servers."""
 
-    def __init__(self, *routes, servers=3, seed=1):
+    def __init__(self, *routes, servers=3, seed=1, zone="suva"):
         own = make_member("own", service="glyph", host=LOCAL_HOST)
         self.table = MemberTable(own)
         for number in range(servers):
@@ -209,7 +209,7 @@
             HEADERS,
             self.releases,
             self.table,
-            Router(self.table, "suva", rng),
+            Router(self.table, zone, rng),
             self.gate,
             lambda: self.links,
             ServiceRetryBudget(0.2, 50.0),
