Keep to the rate limit that a server states

Callers saw nothing: the answers came in time.

Class: what a server says of itself on the data path was taken for the caller's alone; only its reports were believed.

A gate now paces its server by a token bucket at the stated rate: all calls pass it, so no messages and no shares are needed. Calls beyond the limit go to other servers while the entry has any left to try, without a resend: no server has got them. Routing sees a limited server as one of few slots; its level counts only where its service has no room elsewhere.

Frames carry two more flags and an error kind that older nodes do not know, so the preamble changes: links between the versions are refused.

--- a/persimmonhall/call/in_flight_request.py
+++ b/persimmonhall/call/in_flight_request.py
@@ -34,6 +34,8 @@
         "retries",
         "reroutes",
         "overloads",
+        "uncounted_refusals",
+        "has_alternative",
         "may_have_run",
         "timer",
         "failed_answer",
@@ -51,6 +53,9 @@
         self.retries = 0
         self.reroutes = 0
         self.overloads = 0
+        # By gates that did not count the work of the request as theirs.
+        self.uncounted_refusals = 0
+        self.has_alternative = False
         self.may_have_run = False
         self.timer: Timer | None = None
         # Stored while another server is tried; delivered if that attempt fails.
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -51,8 +51,13 @@
 SPARE_CAPACITY_LEVEL_MARGIN = 0.3
 DEADLINE_STATUS = 504
 NO_LOAD = GateLoad(0, 0, 0, 0.0)
-CLOSED_GATE_ERRORS = frozenset(
-    {ErrorKind.LEAVING, ErrorKind.NO_SERVER, ErrorKind.CONNECT_FAILED}
+NOT_SENT_ERRORS = frozenset(
+    {
+        ErrorKind.LEAVING,
+        ErrorKind.NO_SERVER,
+        ErrorKind.CONNECT_FAILED,
+        ErrorKind.RATE_LIMITED,
+    }
 )
 OUTCOME_BY_ERROR = {
     ErrorKind.LEAVING: CallOutcome.UNAVAILABLE,
@@ -225,7 +230,7 @@
         member, request.member = request.member, None
         self._record_outcome(request, member, reply, now)
         if reply.load.limit:
-            self._levels.record_level(request.route.name, reply.load.level, now)
+            self._record_level(request, reply.load, now)
             self._levels.record_success_rate(
                 request.route.name, reply.load.success_rate, now
             )
@@ -238,6 +243,16 @@
         else:
             self._handle_lost_call(request, reply.error, reply.detail, now)
 
+    def _record_level(
+        self, request: InFlightRequest, load: GateLoad, now: float
+    ) -> None:
+        route = request.route.name
+        is_partial = load.is_rate_limited and request.has_alternative
+        if is_partial and load.level >= self._levels.level(route, now):
+            # The gate reported the level of the called services alone.
+            return
+        self._levels.record_level(route, load.level, now)
+
     def handle_link_failure(self, number: CallNumber, ran: Ran, detail: str) -> None:
         """Handle the failure of the link to a gate."""
         kind = ErrorKind.CONNECT_FAILED if ran is Ran.NO else ErrorKind.CONNECTION_LOST
@@ -319,6 +334,9 @@
                 candidates=choice.candidates,
                 release=self._releases.index,
             )
+        request.has_alternative = (
+            request.reroutes < MAX_REROUTES and self._has_untried_server(request)
+        )
         call = RoutedCall(
             request.call_number,
             request.service,
@@ -328,11 +346,12 @@
             request.is_nested,
             route.is_idempotent,
             request.is_head,
-            len(request.tried_nodes) > 1,
+            len(request.tried_nodes) - request.uncounted_refusals > 1,
             max(0, int((request.deadline - now) * 1000)),
             route.latency_objective_ms,
             request.head,
             request.body,
+            request.has_alternative,
         )
         if member.node == self._local.node:
             self._gate.begin(self, call, self.handle_reply)
@@ -443,7 +462,8 @@
         self, request: InFlightRequest, reply: RoutedReply, now: float
     ) -> None:
         kind = reply.error
-        if kind in CLOSED_GATE_ERRORS and request.reroutes < MAX_REROUTES:
+        request.uncounted_refusals += kind is ErrorKind.RATE_LIMITED
+        if kind in NOT_SENT_ERRORS and request.reroutes < MAX_REROUTES:
             request.reroutes += 1
             self._reroute(request, reply, now)
         elif kind is ErrorKind.OVERLOADED and request.overloads < MAX_OVERLOAD_REROUTES:
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -7,6 +7,7 @@
 import trio
 
 from persimmonhall.admission.level import LevelController, WorkFractions
+from persimmonhall.admission.rate_limiter import RateLimiter
 from persimmonhall.admission.success_rate import SuccessRates
 from persimmonhall.admission.urgency_queue import NESTED_RANK, QueuedCall, UrgencyQueue
 from persimmonhall.call.server_notices import (
@@ -35,7 +36,7 @@
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.routing.route_origins import RouteOrigins
-from persimmonhall.timers import Timers
+from persimmonhall.timers import Timer, Timers
 from persimmonhall.wire.call_frames import GateLoad, RoutedCall, RoutedReply
 from persimmonhall.wire.poller import Poller
 
@@ -47,6 +48,7 @@
 # eighth of the objective costs its caller nothing, and its resend can be in time.
 MAX_ROOT_WAIT_FRACTION = 0.125
 MIN_QUEUE_TIMEOUT_S = 0.01
+MIN_START_DELAY_S = 0.001
 # Fraction of its remaining time that a nested call may queue: refusing it would waste
 # the work already done for its root request.
 MAX_NESTED_WAIT_FRACTION = 0.6
@@ -115,6 +117,8 @@
         self._instance: InstanceReport | None = None
         self._pool: BackendPool | None = None
         self._notices = ServerNotices()
+        self._rate_limiter = RateLimiter()
+        self._start_timer: Timer | None = None
         self._closed_reason: ErrorKind | None = ErrorKind.NO_SERVER
         self._is_draining = False
         self._limit = 0
@@ -153,8 +157,15 @@
     @property
     def rate_limit(self) -> float:
         """Return how many calls per second the server accepts; may be infinite."""
-        limit = self._notices.current.rate_limit
-        return math.inf if limit is None else limit
+        return self._rate_limiter.rate
+
+    @property
+    def capacity(self) -> int:
+        """Return how many calls the slots and the rate limit allow to run at once."""
+        if not self._rate_limiter.is_limited:
+            return self._limit
+        concurrency = math.ceil(self._rate_limiter.rate * self._mean_run_s)
+        return max(1, min(self._limit, concurrency))
 
     @property
     def level(self) -> float:
@@ -175,6 +186,7 @@
         previous, self._instance = self._instance, report
         if report is not None and not self._notices.is_about(report):
             self._notices = ServerNotices(report.instance, report.born_ms)
+            self._rate_limiter = RateLimiter()
         if report is None or report.state is InstanceState.DRAINING:
             self._closed_reason = (
                 ErrorKind.NO_SERVER if report is None else ErrorKind.LEAVING
@@ -212,13 +224,19 @@
         if refusal is not None:
             self._refuse(state, *refusal)
             return
+        is_ready = self._rate_limiter.is_ready(now) and not len(self._queue)
+        if not is_ready and call.has_alternative and self._rate_limiter.is_limited:
+            # Other servers of the service may have room now.
+            detail = f"the backend server accepts {self.rate_limit:g} calls per second"
+            self._refuse(state, ErrorKind.RATE_LIMITED, detail)
+            return
         self._calls[origin, call.number] = state
         if not call.is_rerouted:
             # Another gate has already counted its work.
             run_s = self._expected_run_s(call.route)
             self._level_controller.add_work(run_s)
             self._work_fractions.add_work(call.route, run_s)
-        if self._in_flight < self._limit and not len(self._queue):
+        if self._in_flight < self._limit and is_ready:
             self._start(state, now)
         else:
             self._enqueue(state, now)
@@ -244,7 +262,7 @@
 
     def step(self, now: float, elapsed_s: float) -> None:
         """Adjust the level and close idle connections; call every STEP_INTERVAL_S."""
-        self._level_controller.step(len(self._queue), self._limit, elapsed_s)
+        self._level_controller.step(len(self._queue), self.capacity, elapsed_s)
         self._work_fractions.update()
         self._graph.end_interval()
         if self._pool is not None:
@@ -255,24 +273,37 @@
         """Return the levels that replies report now, of the routes run here."""
         if self._closed_reason is not None:
             return {}
-        return {route: self._level_for(route, now) for route in self._route_run_s}
-
-    def load(self, route: RouteName, now: float) -> GateLoad:
+        has_alternative = self._rate_limiter.is_limited
+        return {
+            route: self._level_for(route, now, has_alternative=has_alternative)
+            for route in self._route_run_s
+        }
+
+    def load(
+        self, route: RouteName, now: float, *, has_alternative: bool = False
+    ) -> GateLoad:
         """Return the load, with the lowest level of the gate and the route's calls."""
         return GateLoad(
             self._in_flight,
             len(self._queue),
-            self._limit,
-            self._level_for(route, now),
+            self.capacity,
+            self._level_for(route, now, has_alternative=has_alternative),
             self._origins.is_requested_by_callers(route),
             self._success_rate(route, now),
+            self._rate_limiter.is_limited,
         )
 
-    def _level_for(self, route: RouteName, now: float) -> float:
+    def _level_for(
+        self, route: RouteName, now: float, *, has_alternative: bool
+    ) -> float:
+        called_level = self._levels.min_called_level(route, now)
+        if has_alternative and self._rate_limiter.is_limited:
+            # A rate limit of one server does not show how loaded its service is.
+            return called_level
         local_level = self._level_controller.level + self._work_fractions.is_small(
             route
         )
-        return min(local_level, self._levels.min_called_level(route, now))
+        return min(local_level, called_level)
 
     def _success_rate(self, route: RouteName, now: float) -> float:
         """Return the success rate of a route, 1 if the server makes no calls.
@@ -336,6 +367,8 @@
         if not is_prioritized and now + self._expected_wait_s() > latest_start:
             self._reject_least_urgent(state)
         self._schedule_expiry(latest_start)
+        if self._in_flight < self._limit:
+            self._schedule_start(now)
 
     def _reject_least_urgent(self, state: _CallState) -> None:
         """Reject a less urgent queued call to make room, or else the new call."""
@@ -350,7 +383,10 @@
         self._refuse(state, ErrorKind.OVERLOADED, "no slot available in time")
 
     def _expected_wait_s(self) -> float:
-        return len(self._queue) * self._mean_run_s / max(1, self._limit)
+        queued = len(self._queue)
+        slot_wait_s = queued * self._mean_run_s / max(1, self._limit)
+        rate_wait_s = self._rate_limiter.wait_s(queued - 1, trio.current_time())
+        return max(slot_wait_s, rate_wait_s)
 
     def _expected_run_s(self, route: RouteName) -> float:
         return self._route_run_s.get(route, 0.0)
@@ -377,6 +413,9 @@
     def _start_queued(self) -> None:
         now = trio.current_time()
         while self._closed_reason is None and self._in_flight < self._limit:
+            if not self._rate_limiter.is_ready(now):
+                self._schedule_start(now)
+                return
             queued_call = self._queue.pop_first()
             if queued_call is None:
                 return
@@ -385,8 +424,17 @@
             else:
                 self._start(queued_call.item, now)
 
+    def _schedule_start(self, now: float) -> None:
+        """Start queued calls once the rate limit allows the next one."""
+        is_scheduled = self._start_timer is not None and self._start_timer.is_pending
+        if len(self._queue) and not is_scheduled:
+            # Rounding could make the wait too short to advance the clock.
+            when = now + max(MIN_START_DELAY_S, self._rate_limiter.wait_s(0, now))
+            self._start_timer = self._timers.call_at(when, self._start_queued)
+
     def _start(self, state: _CallState, now: float) -> None:
         call = state.call
+        self._rate_limiter.spend()
         state.queued_call = None
         left_ms = max(1, int((state.deadline - now) * 1000))
         names = self._headers
@@ -459,6 +507,7 @@
             )
             return
         if self._notices.record(notice, state.started_at, now):
+            self._rate_limiter.set_rate(self._notices.current.rate_limit, now)
             self._log_notice(state.call.attempt)
 
     def _log_notice(self, attempt: AttemptId) -> None:
@@ -489,7 +538,7 @@
             if pair[0] not in DROPPED_HEADERS
         )
         self.counts.record(f"status_{answer.status}", route, now - state.arrived_at)
-        load = self.load(route, now)
+        load = self.load(route, now, has_alternative=state.call.has_alternative)
         state.on_reply(
             RoutedReply(
                 state.call.number, load, answer.status, head, answer.body, run_s=run_s
@@ -567,7 +616,7 @@
             rate_limit=self._notices.current.rate_limit,
         )
         self.counts.record(kind.value, call.route, now - state.arrived_at)
-        load = self.load(call.route, now)
+        load = self.load(call.route, now, has_alternative=call.has_alternative)
         state.on_reply(
             RoutedReply(call.number, load, error=kind, detail=detail, ran=ran)
         )
--- a/persimmonhall/call/tests/test_rate_limits.py
+++ b/persimmonhall/call/tests/test_rate_limits.py
@@ -4,6 +4,7 @@
 import trio
 
 from persimmonhall.call.tests.routed_fleet import RoutedFleet
+from persimmonhall.errors import Ran
 
 # The users' bound: in any window, 1.5 times what the limit allows and 5 requests, from
 # 3 s after the limit was first stated.
@@ -42,3 +43,49 @@
         stated_at + REACTION_S, WINDOW_S
     ) <= max_allowed(limit)
     assert fleet.served == len(fleet.exchanges)
+
+
+# Each entry must learn the end of a limit from a server that it no longer chooses.
+async def test_server_is_used_again_once_its_limit_has_ended(autojump_clock):
+    """Send a fair share of the load within seconds."""
+    fleet = RoutedFleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        fleet.servers[0].state_limit(1.0)
+        await fleet.send_load(400, 6.0)
+        fleet.servers[0].stated_headers = ()
+        await fleet.send_load(400, 6.0)
+        now = trio.current_time()
+        shares = [server.arrivals_in(now - 2.0, now) for server in fleet.servers]
+        nursery.cancel_scope.cancel()
+    assert shares[0] >= 0.5 * sum(shares) / len(shares)
+
+
+# With a limit at every server there is no room elsewhere: the limits bind the service.
+async def test_limits_of_all_servers_are_kept_and_used(autojump_clock):
+    """Serve what the limits allow; refuse the rest as not run, most of it at once."""
+    fleet = RoutedFleet()
+    limits = [20.0, 30.0, 20.0, 30.0]
+    stated_at = await run_with_limits(fleet, limits, rate=200, length_s=12.0)
+    for server, limit in zip(fleet.servers, limits, strict=True):
+        start = stated_at + REACTION_S
+        assert server.max_arrivals(start, WINDOW_S) <= max_allowed(limit)
+        assert server.arrivals_in(start, start + 8.0) >= 0.8 * 8.0 * limit
+    refusals = [e.refusal for e in fleet.exchanges if e.refusal is not None]
+    assert all(refusal.ran is Ran.NO for refusal in refusals)
+    assert all(refusal.retry_after_s > 0 for refusal in refusals)
+    before_sent = [r for r in refusals if r.detail != "no slot available in time"]
+    assert len(before_sent) >= 0.5 * len(refusals)
+
+
+async def test_calls_wait_for_the_rate_of_an_only_server(autojump_clock):
+    """Pace the calls of a burst instead of refusing them where nothing else can run."""
+    fleet = RoutedFleet(servers=1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        fleet.servers[0].state_limit(40.0)
+        await fleet.send_load(20, 2.0)
+        await fleet.send_load(1000, 0.006)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.served == len(fleet.exchanges)
--- a/persimmonhall/call/tests/test_server_notices.py
+++ b/persimmonhall/call/tests/test_server_notices.py
@@ -72,8 +72,9 @@
 async def test_unreadable_limit_leaves_the_stated_one_in_force(autojump_clock):
     """Answer the call as usual and keep what was stated before."""
     fixture = GateFixture(make_report())
-    for number, text in ((1, "3"), (2, "many")):
+    for number in (1, 2):
         fixture.begin(make_call(number))
+    for number, text in ((1, "3"), (2, "many")):
         fixture.pool.answer(headers=(limit_of(text),))
         assert fixture.replies[number].status == 200
     assert fixture.gate.rate_limit == 3
--- a/persimmonhall/errors.py
+++ b/persimmonhall/errors.py
@@ -30,6 +30,7 @@
     NO_SERVER = "noServer"
     OVERLOADED = "overloaded"
     NODE_OVERLOADED = "nodeOverloaded"
+    RATE_LIMITED = "rateLimited"
     LEAVING = "leaving"
     RETRY_LIMIT = "retryLimit"
     DEADLINE_EXCEEDED = "deadlineExceeded"
@@ -78,6 +79,7 @@
     ErrorKind.NO_SERVER: ErrorAnswer(503, "No server for the service", Ran.NO, 2.0),
     ErrorKind.OVERLOADED: ErrorAnswer(503, "Service overloaded", Ran.NO, 2.0),
     ErrorKind.NODE_OVERLOADED: ErrorAnswer(503, "Node overloaded", Ran.NO, 2.0),
+    ErrorKind.RATE_LIMITED: ErrorAnswer(503, "Rate limit reached", Ran.NO, 1.0),
     ErrorKind.LEAVING: ErrorAnswer(503, "Server is leaving", Ran.NO, 1.0),
     ErrorKind.RETRY_LIMIT: ErrorAnswer(503, "Retry limit reached", Ran.NO, 2.0),
     ErrorKind.DEADLINE_EXCEEDED: ErrorAnswer(
--- a/persimmonhall/routing/load.py
+++ b/persimmonhall/routing/load.py
@@ -1,6 +1,7 @@
 """Define the load that a gate reports with each reply."""
 
 from dataclasses import dataclass
+from typing import ClassVar
 
 
 @dataclass(frozen=True)
@@ -11,3 +12,5 @@
     queued: int
     limit: int
     latency_us: int
+    # Backend servers of documents state no rate limit.
+    is_rate_limited: ClassVar[bool] = False
--- a/persimmonhall/routing/server_view.py
+++ b/persimmonhall/routing/server_view.py
@@ -7,6 +7,9 @@
 from persimmonhall.routing.load import Load
 
 LOAD_DECAY_S = 1.0
+# A rate limit is assumed to have ended without a report for this long: a server that
+# gets no calls cannot state that it has.
+RATE_LIMIT_FRESH_S = 2.0
 SLOWNESS_DECAY_S = 10.0
 SLOW_START_WINDOW_S = 10.0
 SLOW_START_MIN_WEIGHT = 0.1
@@ -83,6 +86,10 @@
     ejected_at: float = -math.inf
     ejection_count: int = 0
     is_probing: bool = False
+    is_rate_limited: bool = False
+
+    def __post_init__(self):
+        self._unlimited_slots = self.slots
 
     @property
     def stall_s(self) -> float:
@@ -111,6 +118,9 @@
     def record_load(self, load: Load, now: float) -> None:
         """Record a load report, less this node's calls, which outstanding counts."""
         self.slots = max(1, load.limit)
+        self.is_rate_limited = load.is_rate_limited
+        if not load.is_rate_limited:
+            self._unlimited_slots = self.slots
         others = max(0, load.in_flight + load.queued - self.outstanding)
         self.usage_by_others = others / self.slots
         self.reported_at = now
@@ -141,6 +151,9 @@
 
     def cost(self, default_usage: float, now: float) -> float:
         """Return the relative cost of one more call, for comparing servers only."""
+        if self.is_rate_limited and now - self.reported_at > RATE_LIMIT_FRESH_S:
+            self.is_rate_limited = False
+            self.slots = self._unlimited_slots
         weight = min(
             1.0,
             max(SLOW_START_MIN_WEIGHT, (now - self.warm_since) / SLOW_START_WINDOW_S),
--- a/persimmonhall/wire/call_frames.py
+++ b/persimmonhall/wire/call_frames.py
@@ -13,7 +13,7 @@
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import AttemptId, CallNumber, RouteName, ServiceName
 
-PREAMBLE = b"PSC2"
+PREAMBLE = b"PSC3"
 FRAME_HEADER = struct.Struct("<IB")
 CALL_HEADER = struct.Struct("<QBBIIHHHII")
 REPLY_HEADER = struct.Struct("<QBBHIHHHHHIII")
@@ -24,6 +24,10 @@
 IDEMPOTENT_FLAG = 2
 HEAD_FLAG = 4
 REROUTED_FLAG = 8
+ALTERNATIVE_FLAG = 16
+# Flags of replies.
+REQUESTED_BY_CALLERS_FLAG = 1
+RATE_LIMITED_FLAG = 2
 LEVEL_SCALE = 1000
 SUCCESS_RATE_SCALE = 10_000
 MAX_U16 = 0xFFFF
@@ -52,7 +56,8 @@
 
     The head has the request line and headers without the empty line that ends them, so
     that the gate can append its own headers. A rerouted call was refused by another
-    gate. `rank` is the rank of the route's priority; 0 is the most urgent.
+    gate that has counted its work. `rank` is the rank of the route's priority; 0 is the
+    most urgent. A call with an alternative can be rerouted if it is refused.
     """
 
     number: CallNumber
@@ -68,6 +73,7 @@
     objective_ms: int
     head: bytes
     body: bytes
+    has_alternative: bool = False
 
 
 class GateLoad(NamedTuple):
@@ -83,6 +89,7 @@
     level: float
     is_requested_by_callers: bool = False
     success_rate: float = 1.0
+    is_rate_limited: bool = False
 
 
 @dataclass(slots=True)
@@ -116,6 +123,7 @@
     flags = call.is_nested * NESTED_FLAG
     flags |= call.is_idempotent * IDEMPOTENT_FLAG | call.is_head * HEAD_FLAG
     flags |= call.is_rerouted * REROUTED_FLAG
+    flags |= call.has_alternative * ALTERNATIVE_FLAG
     header = CALL_HEADER.pack(
         call.number,
         flags,
@@ -154,6 +162,7 @@
             objective_ms,
             head,
             body,
+            bool(flags & ALTERNATIVE_FLAG),
         )
     except (struct.error, UnicodeDecodeError) as error:
         raise CallFrameError(f"damaged call: {error}") from error
@@ -168,7 +177,8 @@
     header = REPLY_HEADER.pack(
         reply.number,
         ANSWERED_OUTCOME if is_answer else RAN_VALUES.index(reply.ran),
-        load.is_requested_by_callers,
+        load.is_requested_by_callers * REQUESTED_BY_CALLERS_FLAG
+        | load.is_rate_limited * RATE_LIMITED_FLAG,
         reply.status,
         int(reply.retry_after_s * 1000),
         min(load.in_flight, MAX_U16),
@@ -189,7 +199,7 @@
         fields = REPLY_HEADER.unpack_from(data)
     except struct.error as error:
         raise CallFrameError(f"damaged reply: {error}") from error
-    number, outcome, is_requested_by_callers, status, retry_ms = fields[:5]
+    number, outcome, flags, status, retry_ms = fields[:5]
     in_flight, queued, limit, level, success_rate, run_us = fields[5:11]
     head, body = _split_fields(data, REPLY_HEADER.size, fields[11:])
     load = GateLoad(
@@ -197,8 +207,9 @@
         queued,
         limit,
         level / LEVEL_SCALE,
-        bool(is_requested_by_callers),
+        bool(flags & REQUESTED_BY_CALLERS_FLAG),
         success_rate / SUCCESS_RATE_SCALE,
+        bool(flags & RATE_LIMITED_FLAG),
     )
     run_s = run_us / 1_000_000
     if outcome == ANSWERED_OUTCOME:
--- a/persimmonhall/wire/tests/test_call_frames.py
+++ b/persimmonhall/wire/tests/test_call_frames.py
@@ -18,11 +18,12 @@
 )
 
 LOAD = GateLoad(3, 2, 40, 2.25)
+LIMITED_LOAD = LOAD._replace(is_rate_limited=True)
 
 
 def test_call_round_trip():
     """Decode a call to what was encoded."""
-    call = make_call(7, is_nested=True, body=b"{}", rank=2)
+    call = make_call(7, is_nested=True, body=b"{}", rank=2, has_alternative=True)
     assert decode_call(encode_call(call)) == call
 
 
@@ -30,6 +31,7 @@
     "reply",
     [
         RoutedReply(1, LOAD, 200, b"x-a: b\r\n", b"body", run_s=0.25),
+        RoutedReply(3, LIMITED_LOAD, error=ErrorKind.RATE_LIMITED, ran=Ran.NO),
         RoutedReply(2, LOAD, error=ErrorKind.OVERLOADED, detail="full", ran=Ran.NO),
     ],
 )
