Close a gate when its server states in an answer that it leaves

A server that only its answers showed to be leaving went on to get requests until it was gone; callers who waited on one of them lost it then. Same class as the rate limit.

A report of draining may come seconds later, or never (some servers deregister first), and a ready report that is under way must not reopen the gate: what an answer states holds for the incarnation.

--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -101,6 +101,7 @@
         on_unavailable: Callable[[], None] = lambda: None,
         on_death: Callable[[list[RoutedCall]], None] = lambda calls: None,
         make_pool: Callable[..., BackendPool] = BackendPool,
+        on_leaving: Callable[[], None] = lambda: None,
     ):
         self._headers = headers
         self._poller = poller
@@ -111,6 +112,7 @@
         self._log = log
         self._on_unavailable = on_unavailable
         self._on_death = on_death
+        self._on_leaving = on_leaving
         self._lost_calls: list[tuple[float, RoutedCall]] = []
         self._is_probing = False
         self._make_pool = make_pool
@@ -172,6 +174,11 @@
         """Return up to which rank this gate alone would admit root requests."""
         return self._level_controller.level
 
+    @property
+    def is_server_leaving(self) -> bool:
+        """Return whether the server states in its answers that it leaves."""
+        return self._notices.current.is_leaving
+
     @property
     def is_idle(self) -> bool:
         """Return whether no call is running or queued."""
@@ -200,7 +207,8 @@
         ):
             self._open_pool(report)
         self._limit = usable_slots(report.slots)
-        self._closed_reason = ErrorKind.LEAVING if self._is_draining else None
+        is_closed = self._is_draining or self.is_server_leaving
+        self._closed_reason = ErrorKind.LEAVING if is_closed else None
         self._start_queued()
 
     def drain(self) -> None:
@@ -506,9 +514,19 @@
                 reason=str(error),
             )
             return
+        was_leaving = self.is_server_leaving
         if self._notices.record(notice, state.started_at, now):
             self._rate_limiter.set_rate(self._notices.current.rate_limit, now)
             self._log_notice(state.call.attempt)
+            if self.is_server_leaving and not was_leaving:
+                self._close_for_leaving()
+
+    def _close_for_leaving(self) -> None:
+        """Send no more calls to this incarnation of the server."""
+        if self._closed_reason is None:
+            self._closed_reason = ErrorKind.LEAVING
+            self._refuse_queued()
+        self._on_leaving()
 
     def _log_notice(self, attempt: AttemptId) -> None:
         notice = self._notices.current
--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -71,6 +71,7 @@
         self.origins = RouteOrigins()
         self.timers = Timers()
         self.unavailable_count = 0
+        self.leaving_count = 0
         self.deaths = []
         self.replies = {}
         self.gate = RoutedGate(
@@ -84,6 +85,7 @@
             self._count_unavailable,
             self.deaths.append,
             FakePool,
+            self._count_leaving,
         )
         self.gate.set_ranks(3)
         if report is not None:
@@ -105,6 +107,9 @@
     def _count_unavailable(self):
         self.unavailable_count += 1
 
+    def _count_leaving(self):
+        self.leaving_count += 1
+
 
 class FakeLinks:
     """Hold calls until the test replies to them."""
--- a/persimmonhall/call/tests/routed_fleet.py
+++ b/persimmonhall/call/tests/routed_fleet.py
@@ -177,6 +177,10 @@
         """Return how many requests got an answer of a server."""
         return sum(exchange.status == 200 for exchange in self.exchanges)
 
+    def report(self, number: int, **changes) -> None:
+        """Report a server to its gate."""
+        self.gates_by_address[self.addresses[number]].report(**changes)
+
     def restart_gate(self, number: int) -> None:
         """Replace a gate by a new one that knows only the server's next report."""
         self.gates_by_address[self.addresses[number]] = ModelGate(
--- a/persimmonhall/membership/instance_watch.py
+++ b/persimmonhall/membership/instance_watch.py
@@ -62,6 +62,10 @@
         """Tell peers that the backend server accepts no connections."""
         self._gossiper.announce(self._local_service, 0, MemberState.EMPTY)
 
+    def announce_leaving(self) -> None:
+        """Tell peers that the backend server leaves."""
+        self._gossiper.announce(self._local_service, 0, MemberState.LEAVING)
+
     def step(self, now: float) -> None:
         """Remove the instance if its reports have stopped."""
         latest = self._latest_report
@@ -122,7 +126,7 @@
             Event.INSTANCE_GONE, instance=instance, reason="instance deregistered"
         )
         self._gate.set_instance(None)
-        self._gossiper.announce(self._local_service, 0, MemberState.LEAVING)
+        self.announce_leaving()
 
     def _rejection_reason(self, report: InstanceReport) -> str | None:
         if self._local_service and report.service != self._local_service:
@@ -136,7 +140,7 @@
     def _apply_report(self, report: InstanceReport) -> None:
         self._gate.set_instance(report)
         state = MemberState.READY
-        if report.state is InstanceState.DRAINING:
+        if report.state is InstanceState.DRAINING or self._gate.is_server_leaving:
             state = MemberState.LEAVING
         self._gossiper.announce(report.service, self._gate.limit, state)
 
--- a/persimmonhall/membership/tests/test_instance_watch.py
+++ b/persimmonhall/membership/tests/test_instance_watch.py
@@ -21,6 +21,7 @@
     def __init__(self):
         self.instance = None
         self.limit = 9
+        self.is_server_leaving = False
 
     def set_instance(self, report):
         """Record a report."""
@@ -140,3 +141,13 @@
     fixture.instance_watch.handle_call(LeaveCall("i-1", 9000))
     fixture.send_report(born_ms=1000, sequence=50)
     assert fixture.gate.instance is None
+
+
+# A report that is under way when the answers say that the server leaves says ready.
+async def test_report_does_not_announce_a_leaving_server_as_ready(fixture):
+    """Keep peers from choosing a server whose answers state that it leaves."""
+    fixture.send_report(sequence=1)
+    fixture.gate.is_server_leaving = True
+    fixture.instance_watch.announce_leaving()
+    fixture.send_report(sequence=2)
+    assert fixture.gossiper.state is MemberState.LEAVING
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -148,6 +148,7 @@
             self.log,
             lambda: self.instances.announce_unavailable(),
             lambda calls: suspects.report_death(calls),
+            on_leaving=lambda: self.instances.announce_leaving(),
         )
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
