Remind a restarted gate of what its server stated

A node that restarts beside a running server forgot that the server leaves or limits its rate.

Each reply carries the notice in force with the id and start time of the server, entries remember it for the node and send it with their next calls. A gate believes a limit until its server has answered, leaving for good; another incarnation is not meant by it.

--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -15,6 +15,7 @@
 )
 from persimmonhall.call.root_admission import RootAdmission
 from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.call.server_notices import NoticeMemory
 from persimmonhall.dialect import HeaderNames
 from persimmonhall.errors import ErrorKind, Ran, Refusal, refuse
 from persimmonhall.events import Event, EventLog, is_sampled
@@ -132,6 +133,7 @@
         self._admission = RootAdmission(levels, self._response_times, rng)
         self._call_numbers = itertools.count(1)
         self._waiting_requests: dict[CallNumber, InFlightRequest] = {}
+        self._notices = NoticeMemory()
         self.counts = CallCounters()
         self.last_request_at = 0.0
 
@@ -229,6 +231,7 @@
         now = trio.current_time()
         member, request.member = request.member, None
         self._record_outcome(request, member, reply, now)
+        self._notices.record(member.node, reply.notice, is_answer=reply.error is None)
         if reply.load.limit:
             self._record_level(request, reply.load, now)
             self._levels.record_success_rate(
@@ -352,6 +355,7 @@
             request.head,
             request.body,
             request.has_alternative,
+            self._notices.recall(member.node),
         )
         if member.node == self._local.node:
             self._gate.begin(self, call, self.handle_reply)
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -228,6 +228,8 @@
             now + call.remaining_ms / 1000,
             is_sampled(call.attempt),
         )
+        if call.notice:
+            self._recall_notice(call, now)
         refusal = self._refusal(state)
         if refusal is not None:
             self._refuse(state, *refusal)
@@ -516,30 +518,39 @@
             return
         was_leaving = self.is_server_leaving
         if self._notices.record(notice, state.started_at, now):
-            self._rate_limiter.set_rate(self._notices.current.rate_limit, now)
-            self._log_notice(state.call.attempt)
-            if self.is_server_leaving and not was_leaving:
-                self._close_for_leaving()
+            self._apply_notice(state.call.attempt, now, "answer", was_leaving)
 
-    def _close_for_leaving(self) -> None:
-        """Send no more calls to this incarnation of the server."""
-        if self._closed_reason is None:
-            self._closed_reason = ErrorKind.LEAVING
-            self._refuse_queued()
-        self._on_leaving()
+    def _recall_notice(self, call: RoutedCall, now: float) -> None:
+        """Learn from an entry what the server stated before this node restarted."""
+        was_leaving = self.is_server_leaving
+        if self._notices.recall(call.notice, now):
+            self._apply_notice(call.attempt, now, "entry", was_leaving)
 
-    def _log_notice(self, attempt: AttemptId) -> None:
+    def _apply_notice(
+        self, attempt: AttemptId, now: float, source: str, was_leaving: bool
+    ) -> None:
         notice = self._notices.current
+        self._rate_limiter.set_rate(notice.rate_limit, now)
         self._log.emit(
             Event.INSTANCE_NOTICE,
             instance=self._notices.instance,
             request=attempt,
+            source=source,
             rate_limit=notice.rate_limit,
             leaving=notice.is_leaving,
             sent_total=self.counts.sent,
             in_flight=self._in_flight,
             queued=len(self._queue),
         )
+        if notice.is_leaving and not was_leaving:
+            self._close_for_leaving()
+
+    def _close_for_leaving(self) -> None:
+        """Send no more calls to this incarnation of the server."""
+        if self._closed_reason is None:
+            self._closed_reason = ErrorKind.LEAVING
+            self._refuse_queued()
+        self._on_leaving()
 
     def _handle_answer(
         self, state: _CallState, answer: BackendAnswer, now: float
@@ -559,7 +570,13 @@
         load = self.load(route, now, has_alternative=state.call.has_alternative)
         state.on_reply(
             RoutedReply(
-                state.call.number, load, answer.status, head, answer.body, run_s=run_s
+                state.call.number,
+                load,
+                answer.status,
+                head,
+                answer.body,
+                run_s=run_s,
+                notice=self._notices.encoded,
             )
         )
 
@@ -636,7 +653,14 @@
         self.counts.record(kind.value, call.route, now - state.arrived_at)
         load = self.load(call.route, now, has_alternative=call.has_alternative)
         state.on_reply(
-            RoutedReply(call.number, load, error=kind, detail=detail, ran=ran)
+            RoutedReply(
+                call.number,
+                load,
+                error=kind,
+                detail=detail,
+                ran=ran,
+                notice=self._notices.encoded,
+            )
         )
 
     def _log_level_change(self) -> None:
--- a/persimmonhall/call/tests/test_leaving_servers.py
+++ b/persimmonhall/call/tests/test_leaving_servers.py
@@ -61,3 +61,34 @@
     fixture.gate.set_instance(make_report(sequence=2))
     fixture.begin(make_call(2))
     assert len(fixture.pool.sent) == 1
+
+
+# After a restart a gate knew nothing of what its server had stated: the server was in
+# use again.
+async def test_leaving_server_stays_unused_after_its_gate_restarts(autojump_clock):
+    """Learn from the entries, which remember it, though the report says ready."""
+    fleet = RoutedFleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        stated_at = await run_with_leaving_server(fleet, 3.0)
+        fleet.restart_gate(0)
+        await fleet.send_load(200, 4.0)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.servers[0].max_arrivals(stated_at + DRAIN_TIMEOUT_S, 60.0) == 0
+    assert fleet.served == len(fleet.exchanges)
+
+
+async def test_new_incarnation_is_used_though_entries_remember_the_last(autojump_clock):
+    """Send requests to a server that has started again next to a restarted gate."""
+    fleet = RoutedFleet()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        await run_with_leaving_server(fleet, 3.0)
+        fleet.restart_gate(0)
+        fleet.servers[0].stated_headers = ()
+        fleet.report(0, born_ms=5000)
+        restarted_at = trio.current_time()
+        await fleet.send_load(200, 6.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.servers[0].max_arrivals(restarted_at, 6.0) > 0
--- a/persimmonhall/call/tests/test_rate_limits.py
+++ b/persimmonhall/call/tests/test_rate_limits.py
@@ -89,3 +89,19 @@
         await trio.sleep(1.0)
         nursery.cancel_scope.cancel()
     assert fleet.served == len(fleet.exchanges)
+
+
+# A restarted gate sent what its slots allow until the first answer stated the limit.
+async def test_limit_is_kept_when_the_gate_restarts(autojump_clock):
+    """Learn the limit from the entries, before the server has answered."""
+    fleet = RoutedFleet(servers=1, slots=100)
+    fleet.servers[0].run_s = 1.0
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fleet.run)
+        fleet.servers[0].state_limit(2.0)
+        await fleet.send_load(400, 6.0)
+        fleet.restart_gate(0)
+        restarted_at = trio.current_time()
+        await fleet.send_load(400, 4.0)
+        nursery.cancel_scope.cancel()
+    assert fleet.servers[0].max_arrivals(restarted_at, WINDOW_S) <= max_allowed(2.0)
--- a/persimmonhall/call/tests/test_server_notices.py
+++ b/persimmonhall/call/tests/test_server_notices.py
@@ -78,3 +78,24 @@
         fixture.pool.answer(headers=(limit_of(text),))
         assert fixture.replies[number].status == 200
     assert fixture.gate.rate_limit == 3
+
+
+@pytest.mark.parametrize(
+    "encoded", [b"", b"\xff", b"1 2", b"1000 nan 0 i-1", b"x 3 1 i-1", b"1000 3 1 i-2"]
+)
+def test_unreadable_or_foreign_reminder_changes_nothing(encoded):
+    """Ignore a reminder that cannot be read or is about another instance."""
+    notices = ServerNotices("i-1", 1000)
+    assert not notices.recall(encoded, now=1.0)
+    assert notices.current == ServerNotice()
+
+
+def test_reminder_of_a_limit_gives_way_to_answers():
+    """Believe an entry until the server answers, and not afterwards."""
+    told = ServerNotices("i-1", 1000)
+    told.record(ServerNotice(4.0), sent_at=0.0, now=1.0)
+    notices = ServerNotices("i-1", 1000)
+    assert notices.recall(told.encoded, now=2.0)
+    assert notices.record(ServerNotice(), sent_at=2.1, now=3.0)
+    assert not notices.recall(told.encoded, now=4.0)
+    assert notices.current.rate_limit is None
--- a/persimmonhall/wire/call_frames.py
+++ b/persimmonhall/wire/call_frames.py
@@ -15,8 +15,8 @@
 
 PREAMBLE = b"PSC3"
 FRAME_HEADER = struct.Struct("<IB")
-CALL_HEADER = struct.Struct("<QBBIIHHHII")
-REPLY_HEADER = struct.Struct("<QBBHIHHHHHIII")
+CALL_HEADER = struct.Struct("<QBBIIHHHHII")
+REPLY_HEADER = struct.Struct("<QBBHIHHHHHIHII")
 CALL_NUMBER = struct.Struct("<Q")
 MAX_FRAME_BYTES = 128 * 1024 * 1024
 
@@ -57,7 +57,8 @@
     The head has the request line and headers without the empty line that ends them, so
     that the gate can append its own headers. A rerouted call was refused by another
     gate that has counted its work. `rank` is the rank of the route's priority; 0 is the
-    most urgent. A call with an alternative can be rerouted if it is refused.
+    most urgent. A call with an alternative can be rerouted if it is refused. `notice`
+    reminds the gate of what its server stated before, see call/server_notices.py.
     """
 
     number: CallNumber
@@ -74,6 +75,7 @@
     head: bytes
     body: bytes
     has_alternative: bool = False
+    notice: bytes = b""
 
 
 class GateLoad(NamedTuple):
@@ -109,6 +111,7 @@
     ran: Ran = Ran.YES
     retry_after_s: float = 0.0
     run_s: float = 0.0
+    notice: bytes = b""
 
 
 def pack_frame(kind: FrameType, payload: bytes = b"") -> bytes:
@@ -133,10 +136,13 @@
         len(service),
         len(route),
         len(attempt),
+        len(call.notice),
         len(call.head),
         len(call.body),
     )
-    return b"".join((header, service, route, attempt, call.head, call.body))
+    return b"".join(
+        (header, service, route, attempt, call.notice, call.head, call.body)
+    )
 
 
 def decode_call(data: bytes) -> RoutedCall:
@@ -145,7 +151,7 @@
         number, flags, rank, remaining_ms, objective_ms, *sizes = (
             CALL_HEADER.unpack_from(data)
         )
-        service, route, attempt, head, body = _split_fields(
+        service, route, attempt, notice, head, body = _split_fields(
             data, CALL_HEADER.size, sizes
         )
         return RoutedCall(
@@ -163,6 +169,7 @@
             head,
             body,
             bool(flags & ALTERNATIVE_FLAG),
+            notice,
         )
     except (struct.error, UnicodeDecodeError) as error:
         raise CallFrameError(f"damaged call: {error}") from error
@@ -187,10 +194,11 @@
         min(int(load.level * LEVEL_SCALE), MAX_U16),
         int(load.success_rate * SUCCESS_RATE_SCALE),
         int(reply.run_s * 1_000_000),
+        len(reply.notice),
         len(head),
         len(body),
     )
-    return b"".join((header, head, body))
+    return b"".join((header, reply.notice, head, body))
 
 
 def decode_reply(data: bytes) -> RoutedReply:
@@ -201,7 +209,7 @@
         raise CallFrameError(f"damaged reply: {error}") from error
     number, outcome, flags, status, retry_ms = fields[:5]
     in_flight, queued, limit, level, success_rate, run_us = fields[5:11]
-    head, body = _split_fields(data, REPLY_HEADER.size, fields[11:])
+    notice, head, body = _split_fields(data, REPLY_HEADER.size, fields[11:])
     load = GateLoad(
         in_flight,
         queued,
@@ -213,7 +221,7 @@
     )
     run_s = run_us / 1_000_000
     if outcome == ANSWERED_OUTCOME:
-        return RoutedReply(number, load, status, head, body, run_s=run_s)
+        return RoutedReply(number, load, status, head, body, run_s=run_s, notice=notice)
     try:
         kind, ran = ERROR_KINDS_BY_VALUE[head.decode()], RAN_VALUES[outcome]
     except (KeyError, IndexError, UnicodeDecodeError) as error:
@@ -227,6 +235,7 @@
         detail=body.decode(errors="replace"),
         ran=ran,
         retry_after_s=retry_ms / 1000,
+        notice=notice,
     )
 
 
--- a/persimmonhall/wire/tests/test_call_frames.py
+++ b/persimmonhall/wire/tests/test_call_frames.py
@@ -23,15 +23,19 @@
 
 def test_call_round_trip():
     """Decode a call to what was encoded."""
-    call = make_call(7, is_nested=True, body=b"{}", rank=2, has_alternative=True)
+    call = make_call(
+        7, is_nested=True, body=b"{}", rank=2, has_alternative=True, notice=b"1"
+    )
     assert decode_call(encode_call(call)) == call
 
 
 @pytest.mark.parametrize(
     "reply",
     [
-        RoutedReply(1, LOAD, 200, b"x-a: b\r\n", b"body", run_s=0.25),
-        RoutedReply(3, LIMITED_LOAD, error=ErrorKind.RATE_LIMITED, ran=Ran.NO),
+        RoutedReply(1, LOAD, 200, b"x-a: b\r\n", b"body", run_s=0.25, notice=b"n"),
+        RoutedReply(
+            3, LIMITED_LOAD, error=ErrorKind.RATE_LIMITED, ran=Ran.NO, notice=b"n"
+        ),
         RoutedReply(2, LOAD, error=ErrorKind.OVERLOADED, detail="full", ran=Ran.NO),
     ],
 )
