Bound what a backend server can send that is no answer

A connection now fails with over 1 MiB beside bodies, over 8 answers to other requests, or over 32 MiB of either body; bodies of other requests are not kept. All answers in progress at a server are bounded by 48 MiB in sum: the largest is cut. Small parts of a body are merged, for requests of callers too (same reader). The request fails as possibly run.

--- a/persimmonhall/http/backend_pool.py
+++ b/persimmonhall/http/backend_pool.py
@@ -25,6 +25,11 @@
 PROBE_DELAY_S = 0.02
 MAX_HEADER_BYTES = 64 * 1024
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Heads, chunk framing and interim answers, all but the bodies of answers.
+MAX_OVERHEAD_BYTES = 1024 * 1024
+MAX_SKIPPED_ANSWERS = 8
+# All answers in progress; each is copied once when it is sent on.
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 DEFAULT_IDLE_TIMEOUT_S = 4.0  # for servers that send no Keep-Alive timeout
 # Of the timeout that the server announces, so that it never closes first.
 IDLE_TIMEOUT_FRACTION = 0.7
@@ -102,7 +107,11 @@
         self._pending_connection: PendingConnection | None = None
         self._reader = AnswerReader(MAX_HEADER_BYTES)
         self._message: Message | None = None
-        self._has_skipped_answer = False
+        self._is_own_message = False
+        self._skipped_answers = 0
+        self._skipped_body_bytes = 0
+        self._received_bytes = 0
+        self.buffered_bytes = 0
         self.usable_until = 0.0
 
     @property
@@ -122,8 +131,14 @@
         request.connection = self
         self._reader = AnswerReader(MAX_HEADER_BYTES)
         self._message = None
+        self._received_bytes = 0
         self._duplex.send(request.data)
 
+    def cut_answer(self, detail: str) -> None:
+        """Fail the request within its answer and close the connection."""
+        self._fail(BackendFailure(SendFault.ANSWER_TRUNCATED, detail))
+        self.close()
+
     def close(self) -> None:
         """Close the connection and drop its request."""
         self._request = None
@@ -148,6 +163,7 @@
             # Data without a request in progress: the connection can't be reused.
             self.close()
             return
+        self._received_bytes += len(data)
         try:
             self._reader.feed(data)
             keeps_open = self._process_answers()
@@ -167,22 +183,47 @@
     def _process_answers(self) -> bool:
         """Finish the request once its answer is complete; return whether to read on."""
         while True:
+            request = self._request
             if self._message is None:
                 self._message = self._reader.next_message()
                 if self._message is None:
+                    self._check_overhead(0)
                     return True
-            message, request = self._message, self._request
-            if message.body_size > MAX_ANSWER_BYTES:
+                self._is_own_message = self._matches_attempt(self._message, request)
+            message = self._message
+            if max(message.body_size, message.content_length) > MAX_ANSWER_BYTES:
                 detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
                 self._fail(BackendFailure(SendFault.ANSWER_TRUNCATED, detail))
                 return False
+            if not self._is_own_message:
+                message.body_parts.clear()
             if not self._is_complete(message, request):
                 self._reader.raise_if_failed()
+                self._check_overhead(message.body_size)
+                if self._is_own_message:
+                    self._pool.set_buffered(self, message.body_size)
                 return True
             self._message = None
-            if self._matches_attempt(message, request):
+            if self._is_own_message:
                 return self._finish_request(message)
-            self._has_skipped_answer = True
+            self._skip_answer(message)
+
+    def _skip_answer(self, message: Message) -> None:
+        """Skip an answer to an earlier request; raise an error if there are many."""
+        self._skipped_answers += 1
+        self._skipped_body_bytes += message.body_size
+        if (
+            self._skipped_answers > MAX_SKIPPED_ANSWERS
+            or self._skipped_body_bytes > MAX_ANSWER_BYTES
+        ):
+            raise BadMessageError("too many answers to other requests")
+
+    def _check_overhead(self, body_size: int) -> None:
+        """Raise an error once much has arrived that is no part of a body."""
+        overhead = self._received_bytes - self._skipped_body_bytes - body_size
+        if overhead > MAX_OVERHEAD_BYTES:
+            detail = f"over {MAX_OVERHEAD_BYTES} bytes beside the answer's body"
+            raise BadMessageError(detail)
 
     def _is_complete(self, message: Message, request: BackendRequest) -> bool:
         if request.is_head or message.status in NO_BODY_STATUSES:
@@ -195,7 +236,8 @@
 
     def _finish_request(self, message: Message) -> bool:
         request, self._request = self._request, None
-        is_clean = not self._reader.has_surplus_data and not self._has_skipped_answer
+        self._pool.set_buffered(self, 0)
+        is_clean = not self._reader.has_surplus_data and not self._skipped_answers
         is_reusable = message.keeps_alive and is_clean and not request.is_head
         if is_reusable:
             self._pool.return_connection(self, _idle_timeout_s(message.headers))
@@ -255,6 +297,12 @@
         self._max_connections = max_connections
         self._idle: list[_BackendConnection] = []
         self._connections: set[_BackendConnection] = set()
+        self._buffered_bytes = 0
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the size of all answers in progress."""
+        return self._buffered_bytes
 
     def send(self, request: BackendRequest) -> None:
         """Send a request; its callback runs once, unless the request is aborted."""
@@ -308,8 +356,18 @@
         connection.usable_until = trio.current_time() + idle_timeout_s
         self._idle.append(connection)
 
+    def set_buffered(self, connection: _BackendConnection, size: int) -> None:
+        """Set the size of an answer in progress; cut the largest beyond the bound."""
+        self._buffered_bytes += size - connection.buffered_bytes
+        connection.buffered_bytes = size
+        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+            largest = max(self._connections, key=lambda c: c.buffered_bytes)
+            largest.cut_answer(f"the answers are over {MAX_BUFFERED_BYTES} bytes")
+
     def remove(self, connection: _BackendConnection) -> None:
         """Remove a closed connection from the pool."""
+        self._buffered_bytes -= connection.buffered_bytes
+        connection.buffered_bytes = 0
         self._connections.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
--- a/persimmonhall/http/message_reader.py
+++ b/persimmonhall/http/message_reader.py
@@ -41,6 +41,7 @@
 VISIBLE_ASCII = range(0x21, 0x7F)
 CHUNKED = b"chunked"
 FIRST_FINAL_STATUS = 200
+MIN_PART_BYTES = 4096
 
 
 class BadMessageError(Exception):
@@ -84,6 +85,15 @@
         """Return the part of the body that has arrived."""
         return b"".join(self.body_parts)
 
+    def add_body(self, data: bytes) -> None:
+        """Add bytes of the body; merge small parts, as each takes memory of its own."""
+        parts = self.body_parts
+        if parts and len(parts[-1]) < MIN_PART_BYTES:
+            parts[-1] += data
+        else:
+            parts.append(data)
+        self.body_size += len(data)
+
 
 def to_http_request(message: Message) -> HttpRequest:
     """Convert a complete message to a request."""
@@ -194,8 +204,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body (httptools callback)."""
-        self._current_message.body_parts.append(data)
-        self._current_message.body_size += len(data)
+        self._current_message.add_body(data)
         self._chunk_framing_bytes = 0
 
     def on_message_complete(self) -> None:
@@ -273,8 +282,7 @@
     def _read_simple_body(self) -> None:
         part = self._remove_bytes(min(len(self._buffer), self._simple_body_remaining))
         message = self._current_message
-        message.body_parts.append(part)
-        message.body_size += len(part)
+        message.add_body(part)
         self._simple_body_remaining -= len(part)
         if not self._simple_body_remaining:
             message.is_complete = True
