Keep to the connections that a service accepts

The release states for each service how many connections a server accepts; no program used it. A gate opened up to 16 connections beyond the slots of its server, whatever the release said: a server that accepts fewer resets the others, and their requests may have run.

The gate bounds its connections and running calls by it, when the release or the server changes. The test failed before (no such limit).

--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -1,7 +1,7 @@
 """Queue the calls of routes and run them on the local backend server."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import trio
@@ -32,7 +32,7 @@
     HOP_BY_HOP_HEADERS,
     LENGTH_HEADERS,
 )
-from persimmonhall.ids import AttemptId, CallNumber, RouteName
+from persimmonhall.ids import AttemptId, CallNumber, RouteName, ServiceName
 from persimmonhall.routing.call_graph import CallGraph
 from persimmonhall.routing.route_levels import RouteLevels
 from persimmonhall.routing.route_origins import RouteOrigins
@@ -124,6 +124,7 @@
         self._closed_reason: ErrorKind | None = ErrorKind.NO_SERVER
         self._is_draining = False
         self._limit = 0
+        self._connection_limits: Mapping[ServiceName, int] = {}
         self._in_flight = 0
         self._queue: UrgencyQueue[_CallState] = UrgencyQueue()
         self._calls: dict[tuple[object, CallNumber], _CallState] = {}
@@ -188,6 +189,12 @@
         """Set the number of priority ranks of the active release."""
         self._level_controller.set_ranks(ranks)
 
+    def set_connection_limits(self, limits: Mapping[ServiceName, int]) -> None:
+        """Set how many connections a server of each service accepts; 0 is unlimited."""
+        self._connection_limits = limits
+        if self._instance is not None and self._pool is not None:
+            self._limit_by_connections(self._instance)
+
     def set_instance(self, report: InstanceReport | None) -> None:
         """Apply the report of the backend server; None means that it is gone."""
         previous, self._instance = self._instance, report
@@ -206,7 +213,7 @@
             or self._pool is None
         ):
             self._open_pool(report)
-        self._limit = usable_slots(report.slots)
+        self._limit_by_connections(report)
         is_closed = self._is_draining or self.is_server_leaving
         self._closed_reason = ErrorKind.LEAVING if is_closed else None
         self._start_queued()
@@ -336,6 +343,16 @@
             report.slots + SPARE_CONNECTIONS,
         )
 
+    def _limit_by_connections(self, report: InstanceReport) -> None:
+        """Set the limits for a server by its slots and the connections it accepts."""
+        slots, connections = report.slots, report.slots + SPARE_CONNECTIONS
+        accepted = self._connection_limits.get(report.service, 0)
+        if accepted > 0:
+            connections = min(connections, accepted)
+            slots = min(slots, accepted)
+        self._pool.max_connections = connections
+        self._limit = usable_slots(slots)
+
     def _refusal(self, state: _CallState) -> tuple[ErrorKind, str] | None:
         instance = self._instance
         if instance is not None and instance.service != state.call.service:
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -180,3 +180,18 @@
     assert 900 not in fixture.replies
     fixture.pool.answer(headers=ANSWER)
     assert fixture.pool.sent[-1].attempt_id == b"a900"
+
+
+# A server that accepts fewer connections than it has slots had the others reset.
+async def test_gate_opens_no_more_connections_than_the_service_accepts(autojump_clock):
+    """Keep to the release's number of connections, before and after a report."""
+    fixture = GateFixture(make_report(slots=100))
+    fixture.gate.set_connection_limits({"maps": 10})
+    for number in range(50):
+        fixture.begin(make_call(number, is_nested=True))
+    assert len(fixture.pool.sent) == usable_slots(10)
+    assert fixture.pool.max_connections == 10
+    fixture.gate.set_instance(make_report(slots=100, sequence=2))
+    assert fixture.gate.limit == usable_slots(10)
+    fixture.gate.set_connection_limits({"maps": 0})
+    assert fixture.gate.limit == usable_slots(100)
--- a/persimmonhall/http/backend_pool.py
+++ b/persimmonhall/http/backend_pool.py
@@ -294,7 +294,7 @@
         self.poller = poller
         self._timers = timers
         self.attempt_header = attempt_header
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self._idle: list[_BackendConnection] = []
         self._connections: set[_BackendConnection] = set()
         self._buffered_bytes = 0
@@ -310,8 +310,8 @@
         if connection is not None:
             connection.send(request)
             return
-        if len(self._connections) >= self._max_connections:
-            detail = f"{self._max_connections} connections are open"
+        if len(self._connections) >= self.max_connections:
+            detail = f"{self.max_connections} connections are open"
             request.on_result(BackendFailure(SendFault.NOT_CONNECTED, detail))
             return
         connection = request.connection = _BackendConnection(self, request)
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -343,8 +343,11 @@
         call_guarded(self.instances.step, now)
         if self.releases.index != self._applied_release_index:
             self._applied_release_index = self.releases.index
-            routes = self.releases.routes.release.routes
-            names = {route.name for route in routes}
+            release = self.releases.routes.release
+            self.gate.set_connection_limits(
+                {service.name: service.max_connections for service in release.services}
+            )
+            names = {route.name for route in release.routes}
             self._origins.keep(names)
             self._level_sharing.set_routes(names)
 
