--- a/persimmonhall/platform/tests/test_dialect.py
+++ b/persimmonhall/platform/tests/test_dialect.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from persimmonhall.call.server_notices import ServerNotice, read_notice
 from persimmonhall.dialect import (
     InstanceState,
     LeaveCall,
@@ -14,6 +15,7 @@
 )
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.platform.dialect import PlatformDialect
+from persimmonhall.platform.names import HEADER_NAMES
 from persimmonhall.release.schema import RouteKind
 
 DIALECT = PlatformDialect()
@@ -159,3 +161,10 @@
     one = b'{"version": "01", "routes": []}'
     two = b'{"routes":[],"version":"01"}'
     assert DIALECT.release_digest(one) == DIALECT.release_digest(two)
+
+
+# The header that a server in need sets was passed on unread.
+def test_statements_of_servers_are_read_by_their_names_on_the_platform():
+    """Read the rate limit and the leaving header."""
+    headers = ((b"server-limit", b"23.1"), (b"server-leaving", b"1"))
+    assert read_notice(headers, HEADER_NAMES) == ServerNotice(23.1, is_leaving=True)
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -76,6 +76,7 @@
 
     def __init__(self):
         self.requests = []
+        self.extra_headers = b""
 
     async def serve(self, stream):
         """Serve one connection."""
@@ -88,9 +89,9 @@
                 if line.startswith(name)
             ]
             head = (
-                b"HTTP/1.1 200 OK\r\n%s%s\r\nx-stamp: s1\r\ncontent-length: 5\r\n\r\n"
+                b"HTTP/1.1 200 OK\r\n%s%s\r\nx-stamp: s1\r\n%scontent-length: 5\r\n\r\n"
             )
-            await stream.send_all(head % (name, attempt) + b"chart")
+            await stream.send_all(head % (name, attempt, self.extra_headers) + b"chart")
 
 
 class RoutedNodesFixture:
@@ -277,3 +278,22 @@
         assert (await routed_nodes.get(attempt="a2"))[0] == 200
         assert not gate.is_ready
     assert (await routed_nodes.get(attempt="a3"))[0] == 503
+
+
+# Peers chose a server until its report said that it drains, which may never come.
+async def test_server_that_states_that_it_leaves_is_announced_as_leaving(routed_nodes):
+    """Deliver the answer, tell the entry, and send no further request."""
+    with trio.fail_after(8):
+        while await routed_nodes.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await routed_nodes.report()
+    await routed_nodes.get_until_status(200)
+    routed_nodes.backend.extra_headers = HEADERS.leaving + b": 1\r\n"
+    assert (await routed_nodes.get(attempt="a2"))[0] == 200
+    await routed_nodes.report(sequence=2)
+    with trio.fail_after(2):
+        while routed_nodes.nodes[0]._table.servers_of("maps"):
+            await trio.sleep(0.02)
+    received = len(routed_nodes.backend.requests)
+    assert (await routed_nodes.get(attempt="a3"))[0] == 503
+    assert len(routed_nodes.backend.requests) == received
