Skip the tracking of notices while no server states anything

An answer without the two headers ends the reading at once while nothing is in force, and entries keep no notices that do not exist.

--- a/persimmonhall/admission/rate_limiter.py
+++ b/persimmonhall/admission/rate_limiter.py
@@ -13,14 +13,10 @@
 
     def __init__(self):
         self._rate = math.inf
+        self.is_limited = False
         self._tokens = 0.0
         self._updated_at = 0.0
 
-    @property
-    def is_limited(self) -> bool:
-        """Return whether a limit is in force."""
-        return self._rate != math.inf
-
     @property
     def rate(self) -> float:
         """Return the calls per second, infinity without a limit."""
@@ -29,12 +25,13 @@
     def set_rate(self, rate: float | None, now: float) -> None:
         """Set the calls per second; None ends the limit."""
         if rate is None:
-            self._rate = math.inf
+            self._rate, self.is_limited = math.inf, False
             return
         if self.is_limited:
             self._refill(now)
         else:
             self._tokens, self._updated_at = 0.0, now
+        self.is_limited = True
         self._rate = max(MIN_RATE_PER_S, rate)
 
     def is_ready(self, now: float) -> bool:
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -231,7 +231,10 @@
         now = trio.current_time()
         member, request.member = request.member, None
         self._record_outcome(request, member, reply, now)
-        self._notices.record(member.node, reply.notice, is_answer=reply.error is None)
+        if reply.notice or not self._notices.is_empty:
+            self._notices.record(
+                member.node, reply.notice, is_answer=reply.error is None
+            )
         if reply.load.limit:
             self._record_level(request, reply.load, now)
             self._levels.record_success_rate(
@@ -354,7 +357,7 @@
             request.head,
             request.body,
             request.has_alternative,
-            self._notices.recall(member.node),
+            b"" if self._notices.is_empty else self._notices.recall(member.node),
         )
         if member.node == self._local.node:
             self._gate.begin(self, call, self.handle_reply)
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -13,6 +13,7 @@
 from persimmonhall.call.server_notices import (
     InvalidNoticeError,
     ServerNotices,
+    has_notice,
     read_notice,
 )
 from persimmonhall.dialect import HeaderNames, InstanceReport, InstanceState
@@ -243,8 +244,9 @@
         if refusal is not None:
             self._refuse(state, *refusal)
             return
-        is_ready = self._rate_limiter.is_ready(now) and not len(self._queue)
-        if not is_ready and call.has_alternative and self._rate_limiter.is_limited:
+        limiter = self._rate_limiter
+        is_ready = not len(self._queue) and limiter.is_ready(now)
+        if not is_ready and call.has_alternative and limiter.is_limited:
             # Other servers of the service may have room now.
             detail = f"the backend server accepts {self.rate_limit:g} calls per second"
             self._refuse(state, ErrorKind.RATE_LIMITED, detail)
@@ -302,7 +304,7 @@
         return GateLoad(
             self._in_flight,
             len(self._queue),
-            math.ceil(self.capacity),
+            math.ceil(self.capacity) if self._rate_limiter.is_limited else self._limit,
             self._level_for(route, now),
             self._origins.is_requested_by_callers(route),
             self._success_rate(route, now),
@@ -516,6 +518,10 @@
         if is_misdirected or state.notices is not self._notices:
             # Another instance answered, or this one has been replaced meanwhile.
             return
+        if not has_notice(answer.headers, self._headers) and (
+            self._notices.record_none()
+        ):
+            return
         try:
             notice = read_notice(answer.headers, self._headers)
         except InvalidNoticeError as error:
--- a/persimmonhall/call/server_notices.py
+++ b/persimmonhall/call/server_notices.py
@@ -34,6 +34,12 @@
     """Signal a statement that cannot be read; what was stated before holds."""
 
 
+def has_notice(headers: Headers, names: HeaderNames) -> bool:
+    """Return whether an answer states anything."""
+    notice_names = (names.rate_limit, names.leaving)
+    return any(name in notice_names for name, _ in headers)
+
+
 def read_notice(headers: Headers, names: HeaderNames) -> ServerNotice:
     """Read the statement in an answer's headers; raise InvalidNoticeError."""
     rate_limit: float | None = None
@@ -83,6 +89,11 @@
         """Return whether the report is of this incarnation."""
         return (report.instance, report.born_ms) == (self._instance, self._born_ms)
 
+    def record_none(self) -> bool:
+        """Record an answer without a notice; return False if one is in force."""
+        self._has_answered = True
+        return self._notice is NO_NOTICE
+
     def record(self, notice: ServerNotice, sent_at: float, now: float) -> bool:
         """Record the notice in the answer to a request; return whether it changed."""
         self._has_answered = True
@@ -124,10 +135,10 @@
     def _set(self, notice: ServerNotice) -> bool:
         if notice == self._notice:
             return False
-        self._notice = notice
+        self._notice = NO_NOTICE if notice == NO_NOTICE else notice
         rate = "" if notice.rate_limit is None else repr(notice.rate_limit)
         text = f"{self._born_ms} {rate} {notice.is_leaving:d} {self._instance}"
-        encoded = b"" if notice == NO_NOTICE else text.encode()
+        encoded = b"" if self._notice is NO_NOTICE else text.encode()
         self._encoded = encoded if len(encoded) <= MAX_NOTICE_BYTES else b""
         return True
 
@@ -138,6 +149,11 @@
     def __init__(self):
         self._notices: dict[NodeName, bytes] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no server states anything."""
+        return not self._notices
+
     def recall(self, node: NodeName) -> bytes:
         """Return the last notice of a node's server, empty if it stated nothing."""
         return self._notices.get(node, b"")
