--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -12,6 +12,7 @@
 from persimmonhall.admission.urgency_queue import NESTED_RANK, QueuedCall, UrgencyQueue
 from persimmonhall.call.server_notices import (
     InvalidNoticeError,
+    ServerNotice,
     ServerNotices,
     has_notice,
     read_notice,
@@ -531,7 +532,8 @@
                 request=state.call.attempt,
                 reason=str(error),
             )
-            return
+            rate_limit = self._notices.current.rate_limit
+            notice = ServerNotice(rate_limit, error.is_leaving)
         was_leaving = self.is_server_leaving
         if self._notices.record(notice, state.started_at, now):
             self._apply_notice(state.call.attempt, now, "answer", was_leaving)
--- a/persimmonhall/call/server_notices.py
+++ b/persimmonhall/call/server_notices.py
@@ -31,7 +31,11 @@
 
 
 class InvalidNoticeError(Exception):
-    """Signal a statement that cannot be read; what was stated before holds."""
+    """Signal a rate limit that cannot be read; the limit stated before holds."""
+
+    def __init__(self, detail: str, *, is_leaving: bool):
+        super().__init__(detail)
+        self.is_leaving = is_leaving
 
 
 def has_notice(headers: Headers, names: HeaderNames) -> bool:
@@ -42,21 +46,14 @@
 
 def read_notice(headers: Headers, names: HeaderNames) -> ServerNotice:
     """Read the statement in an answer's headers; raise InvalidNoticeError."""
-    rate_limit: float | None = None
-    is_leaving = False
-    for name, value in headers:
-        if name == names.rate_limit:
-            if DECIMAL.fullmatch(value) is None:
-                raise InvalidNoticeError(f"{value[:40]!r} is not a decimal number")
-            # The lowest of several limits satisfies each of them.
-            rate_limit = min(
-                float(value), math.inf if rate_limit is None else rate_limit
-            )
-        elif name == names.leaving:
-            if value != LEAVING_VALUE:
-                raise InvalidNoticeError(f"{value[:40]!r} is not {LEAVING_VALUE!r}")
-            is_leaving = True
-    return ServerNotice(rate_limit, is_leaving)
+    is_leaving = (names.leaving, LEAVING_VALUE) in headers
+    rates = [value for name, value in headers if name == names.rate_limit]
+    for value in rates:
+        if DECIMAL.fullmatch(value) is None:
+            detail = f"{value[:40]!r} is not a decimal number"
+            raise InvalidNoticeError(detail, is_leaving=is_leaving)
+    # The lowest of several limits satisfies each of them.
+    return ServerNotice(min(map(float, rates), default=None), is_leaving)
 
 
 class ServerNotices:
--- a/persimmonhall/call/tests/test_server_notices.py
+++ b/persimmonhall/call/tests/test_server_notices.py
@@ -99,3 +99,12 @@
     assert notices.record(ServerNotice(), sent_at=2.1, now=3.0)
     assert not notices.recall(told.encoded, now=4.0)
     assert notices.current.rate_limit is None
+
+
+async def test_leaving_is_believed_beside_an_unreadable_limit(autojump_clock):
+    """Close the gate for a server that leaves, whatever else it states."""
+    fixture = GateFixture(make_report())
+    fixture.begin(make_call(1))
+    fixture.pool.answer(headers=((HEADERS.leaving, b"1"), limit_of("many")))
+    assert fixture.leaving_count == 1
+    assert fixture.gate.rate_limit == math.inf
