--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -52,6 +52,7 @@
 SPARE_CAPACITY_LEVEL_MARGIN = 0.3
 DEADLINE_STATUS = 504
 NO_LOAD = GateLoad(0, 0, 0, 0.0)
+# Refusals of gates that other servers of the service may not share.
 NOT_SENT_ERRORS = frozenset(
     {
         ErrorKind.LEAVING,
