--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,156 +1,105 @@
-"""Callers upload on new connections, until their node takes more memory than it has.
+"""An operator makes hundreds of changes to a manifest with many routes.
 
-The stand-in of the platform kills a process that uses more than memoryMb, and starts it
-again after a short delay.
+All control processes take more memory than they have, again and again.
 """
 
 import asyncio
-import re
-from pathlib import Path
+import json
+import time
 
 from case import run_case
-from deployment import (
-    TOUCH_S,
-    exchange,
-    make_manifest,
-    make_request,
-    new_attempt_id,
-    read_answer,
-    split_address,
-)
-from server import Server
-
-HOST = "media.example"
-UPLOADS_PATH = "/uploads/"
-ORDERS_PATH = "/orders/"
-DEADLINE_MS = 5000
-UPLOAD = bytes(1024 * 1024)
-SHORT_UPLOAD = bytes(1024)
-UPLOADS = 400
-GAP_S = 0.03
-ORDER_WORK_S = 0.5
-KEPT_CONNECTIONS = 10
-MEMORY_CHECK_S = 0.05
-RESTART_DELAY_S = 0.5
-# The rule allows so many.
-MAX_CUT = 3
-
-
-class MemoryWatch:
-    """Kill a process that uses more memory than it has, as DEPLOY.md says."""
-
-    def __init__(self, program, record):
-        self.peak_mb = 0.0
-        self.has_killed = False
-        self._program = program
-        self._record = record
-        self._limit_mb = program.settings["limits"]["memoryMb"]
-
-    def __str__(self):
-        return f"{self._program.name} took up to {self.peak_mb:.0f} MB"
-
-    async def run(self):
-        """Check the memory until cancelled."""
-        while True:
-            path = Path(f"/proc/{self._program.process.pid}/status")
-            match = re.search(r"VmRSS:\s*(\d+) kB", path.read_text())
-            used_mb = int(match[1]) / 1024 if match else 0.0
-            self.peak_mb = max(self.peak_mb, used_mb)
-            if used_mb > self._limit_mb:
-                self._record.write(f"platform: {self}, over {self._limit_mb}: killed")
-                self._program.kill()
-                self.has_killed = True
-                await asyncio.sleep(RESTART_DELAY_S)
-                self._program.start()
-            await asyncio.sleep(MEMORY_CHECK_S)
+from deployment import exchange, make_manifest
+from platform_memory import MemoryWatch
+
+CORE_MEMORY_MB = 296
+# Three times the largest count of big_config.
+ROUTES = 3 * 1936
+FEW_ROUTES = 8
+GAP_S = 0.17
+PLAY_S = 100.0
+MAX_VERSIONS = 450
+ANSWER_TIMEOUT_S = 10.0
+# So many ends of a process, on half of the core, break the rule.
+ENDS = 3
+
+
+def make_text(routes):
+    """Return a manifest as an operator's tool writes it, without its versions."""
+    manifest = make_manifest(
+        [
+            {
+                "name": f"r-{number:07d}",
+                "host": f"host{number % 7}.example",
+                "pathPrefix": f"/p{number}/",
+                "service": "up",
+            }
+            for number in range(routes)
+        ],
+        "@VERS@@",
+        "@BASE@@",
+    )
+    return json.dumps(manifest, indent=4).encode()
 
 
-async def send_orders(address, record, orders, is_over):
-    """Send orders on one kept connection."""
-    reader, writer = await asyncio.open_connection(*split_address(address))
-    while not is_over.is_set():
-        attempt = new_attempt_id()
-        path = f"{ORDERS_PATH}{attempt}"
-        request = make_request("POST", HOST, path, attempt, DEADLINE_MS, b"order")
-        try:
-            writer.write(request)
-            status, _, _ = await read_answer(reader)
-        except (OSError, asyncio.IncompleteReadError):
-            orders[attempt] = "closed without an answer"
-            record.write(f"client: order {attempt}: closed without an answer")
-            return
-        orders[attempt] = status
-    writer.transport.abort()
+async def put(addresses, data, record):
+    """Send a change to one control machine after the other until it is acked."""
+    head = (
+        "POST /rpc?call=configuration.replace HTTP/1.1\r\nHost: control\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
+    )
+    backoff_s = 0.05
+    while True:
+        for address in addresses:
+            try:
+                request = head.encode() + data
+                answer = await exchange(address, request, ANSWER_TIMEOUT_S)
+                status = answer[0]
+            except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+                status = type(error).__name__
+            if status == 200:
+                return
+            record.write(f"operator: {status} from {address}")
+            if status in (400, 409, 412, 413, 422):
+                raise RuntimeError(f"the change is refused with {status}")
+            await asyncio.sleep(backoff_s)
+        backoff_s = min(1.0, 2 * backoff_s)
 
 
 async def play(deployment, has_trouble):
-    """Upload, while other clients of the node send orders."""
+    """Change the manifest steadily."""
     record = deployment.record
-    entry = deployment.add_node("sidecar-1", "zone-1", "front")
-    media_node = deployment.add_node("sidecar-2", "zone-2", "media")
-    order_node = deployment.add_node("sidecar-3", "zone-3", "orders")
-
-    async def store(method, path, attempt, body):
-        return b"stored"
-
-    async def book(method, path, attempt, body):
-        await asyncio.sleep(ORDER_WORK_S)
-        return b"booked"
-
+    for control in deployment.controls:
+        control.settings["limits"]["memoryMb"] = CORE_MEMORY_MB
     deployment.start()
-    media, orders_server = (
-        Server(media_node, record, store),
-        Server(order_node, record, book),
-    )
-    await media.start()
-    await orders_server.start()
-    kind = {"host": HOST, "routeKind": "non_idempotent"}
-    routes = [
-        {"pathPrefix": UPLOADS_PATH, "service": "media"},
-        {"pathPrefix": ORDERS_PATH, "service": "orders"},
+    first = {"host": "a.example", "pathPrefix": "/a/", "service": "up"}
+    await deployment.put_manifest(make_manifest([first]))
+    addresses = [
+        control.settings["listenAddresses"]["controlPlane"]
+        for control in deployment.controls
     ]
-    await deployment.put_manifest(make_manifest([kind | route for route in routes]))
-    for node in deployment.nodes:
-        await deployment.wait_until_ready(node)
-    await asyncio.sleep(TOUCH_S)
-    watches = [MemoryWatch(node, record) for node in deployment.nodes]
+    watches = [MemoryWatch(control, record) for control in deployment.controls]
     watching = [asyncio.create_task(watch.run()) for watch in watches]
-    address = entry.settings["listenAddresses"]["outbound"]
-    orders = {}
-    is_over = asyncio.Event()
-    callers = [
-        asyncio.create_task(send_orders(address, record, orders, is_over))
-        for _ in range(KEPT_CONNECTIONS)
-    ]
-    upload = UPLOAD if has_trouble else SHORT_UPLOAD
-    uploads = 0
-    while uploads < UPLOADS and not any(watch.has_killed for watch in watches):
-        attempt = new_attempt_id()
-        path = f"{UPLOADS_PATH}{uploads}"
-        request = make_request("POST", HOST, path, attempt, DEADLINE_MS, upload)
-        try:
-            status, _, _ = await exchange(address, request, DEADLINE_MS / 1000)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            status = type(error).__name__
-        record.write(f"client: upload {attempt}, {len(upload)} bytes: {status}")
-        uploads += status == 200
-        await asyncio.sleep(GAP_S)
-    is_over.set()
-    await asyncio.gather(*callers)
+    text = make_text(ROUTES if has_trouble else FEW_ROUTES)
+    record.write(f"a manifest has {len(text)} bytes")
+    end = time.monotonic() + PLAY_S
+    version = 1
+    while time.monotonic() < end and version < MAX_VERSIONS:
+        began = time.monotonic()
+        data = text.replace(b"@BASE@@", b"%08x" % version)
+        data = data.replace(b"@VERS@@", b"%08x" % (version + 1))
+        await put(addresses, data, record)
+        version += 1
+        if version % 20 == 0:
+            record.write(f"version {version} is acked; {', '.join(map(str, watches))}")
+        if 2 * sum(watch.kills >= ENDS for watch in watches) >= len(watches):
+            break
+        await asyncio.sleep(max(0, began + GAP_S - time.monotonic()))
     for task in watching:
         task.cancel()
-    cut = [
-        attempt
-        for attempt, status in orders.items()
-        if status == "closed without an answer" and attempt in orders_server.runs
-    ]
-    memory = ", ".join(map(str, watches))
-    record.write(f"{uploads} uploads, {len(orders)} orders, {len(cut)} cut; {memory}")
-    if len(cut) > MAX_CUT:
-        return [
-            f"LOST: {len(cut)} kept connections closed while their orders ran, "
-            f"after {uploads} uploads"
-        ]
+    ends = [watch.kills for watch in watches]
+    record.write(f"{version} versions; ends by memory: {ends}")
+    if 2 * sum(count >= ENDS for count in ends) >= len(ends):
+        return [f"Fault: control processes ended {ends} times for lack of memory"]
     return []
 
 
