--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,107 +1,114 @@
-"""A server breaks off an answer without a length, before it has read the body.
+"""A core machine is replaced as planned, the core killed, and later a disk lost.
 
-The server answers a long upload early, as RULES.md allows. Its answers have no length
-and end with their connections. One of the two servers breaks off one answer in 50,
-which resets the connection.
+The kill comes after the new machine has caught up, and before the control plane has
+removed the old one from its voters.
 """
 
 import asyncio
+import shutil
+import signal
+import time
+from pathlib import Path
 
 from case import run_case
-from deployment import (
-    TOUCH_S,
-    exchange,
-    make_manifest,
-    make_request,
-    new_attempt_id,
-    read_head,
-)
-from server import Server, make_head
-
-HOST = "reports.example"
-PATH = "/reports/"
-DEADLINE_MS = 6000
-# Longer than what the kernel holds for a server that does not read.
-UPLOAD = bytes(12 * 1024 * 1024)
-ANSWER = b"a line of the report\n" * 2000
-SENT_AT_FIRST = 5000
-# Whole answers to short requests, besides the one that is broken off.
-OTHERS = 49
-MAX_SENT = 300
-
-
-class ReportServer(Server):
-    """Begin to answer before the body of a request is read."""
-
-    def __init__(self, node, record, *, breaks_off):
-        super().__init__(node, record, None)
-        self._breaks_off = breaks_off
-
-    async def _serve_one(self, reader, writer):
-        _, headers = await read_head(reader)
-        attempt = headers["x-attempt-id"]
-        self.runs.append(attempt)
-        writer.write(make_head(attempt) + ANSWER[:SENT_AT_FIRST])
-        await writer.drain()
-        sent = f"{SENT_AT_FIRST} of {len(ANSWER)} bytes"
-        self._record.write(f"server {self.name}: {attempt}: has sent {sent}")
-        await asyncio.sleep(0.05)
-        size = int(headers["content-length"])
-        if self._breaks_off and size == len(UPLOAD):
-            self._record.write(f"server {self.name}: {attempt}: resets its connection")
-            writer.transport.abort()
-            raise ConnectionResetError
-        await reader.readexactly(size)
-        writer.write(ANSWER[SENT_AT_FIRST:])
-        await writer.drain()
-        self._record.write(f"server {self.name}: {attempt}: has sent the rest")
-        # The connection ends the answer.
-        raise ConnectionError
+from deployment import GRACE_S, call_json, make_manifest
+
+# After the new machine has started.
+STOP_OLD_S = 2.0
+# After the old machine has ended.
+KILL_ALL_S = 2.5
+BACK_S = 0.5
+# Far longer than catchUpS and the time in which a replaced machine is retired.
+CALM_S = 15.0
+DISK_BACK_S = 1.0
+RECOVERY_S = 15.0
+READ_S = 25.0
+
+
+async def operate(addresses, call, body, record):
+    """Make a call at one machine after the other; return the answer, None if none."""
+    for address in addresses:
+        try:
+            status, _, data = await call_json(
+                address, f"/rpc?call=configuration.{call}", body, 3.0
+            )
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            status, data = type(error).__name__, b""
+        record.write(f"operator: {call} at {address}: {status}")
+        if status == 200:
+            return data
+    return None
+
+
+async def operate_until(addresses, call, body, record, end):
+    """Repeat a call until it succeeds or the time is over."""
+    while True:
+        answer = await operate(addresses, call, body, record)
+        if answer is not None or time.monotonic() > end:
+            return answer
+        await asyncio.sleep(0.5)
+
+
+def address_of(control):
+    """Return the address of the operator's API of a control machine."""
+    return control.settings["listenAddresses"]["controlPlane"]
+
+
+def wipe(control):
+    """Empty the disk of a control machine."""
+    folder = Path(control.settings["dataDirectory"])
+    shutil.rmtree(folder)
+    folder.mkdir()
+    control.settings["bootstrap"] = False
 
 
 async def play(deployment, has_trouble):
-    """Send requests one by one; each answer must be whole or a failure."""
+    """Replace a machine, kill the core, change the manifest, lose a disk, read back."""
     record = deployment.record
-    entry = deployment.add_node("sidecar-1", "zone-1", "front")
-    faulty_node = deployment.add_node("sidecar-2", "zone-1", "reports")
-    sound_node = deployment.add_node("sidecar-3", "zone-2", "reports")
+    old, second, third = deployment.controls
     deployment.start()
-    faulty = ReportServer(faulty_node, record, breaks_off=has_trouble)
-    sound = ReportServer(sound_node, record, breaks_off=False)
-    await faulty.start()
-    await sound.start()
-    route = {"host": HOST, "pathPrefix": PATH, "service": "reports"}
-    route["routeKind"] = "non_idempotent"
+    route = {"host": "a.example", "pathPrefix": "/a/", "service": "alpha"}
     await deployment.put_manifest(make_manifest([route]))
-    for node in deployment.nodes:
-        await deployment.wait_until_ready(node)
-    await asyncio.sleep(TOUCH_S)
-    address = entry.settings["listenAddresses"]["outbound"]
-    breaks = []
-    whole = sent = uploads = 0
-    while not uploads or len(faulty.runs) < OTHERS + 1:
-        if sent > MAX_SENT:
-            raise RuntimeError(f"server {faulty.name} gets too few requests")
-        attempt = new_attempt_id()
-        path = f"{PATH}{sent}"
-        is_long = len(faulty.runs) >= OTHERS
-        upload = UPLOAD if is_long else b"a short report"
-        request = make_request("POST", HOST, path, attempt, DEADLINE_MS, upload)
-        record.write(f"client: sends POST {path} {attempt}, {len(upload)} bytes")
-        answer = await exchange(address, request, DEADLINE_MS / 1000)
-        status, headers, body = answer
-        stamp = headers.get("x-server-stamp")
-        length = headers.get("content-length")
-        text = f"{status}, stamp {stamp}, content-length {length}, {len(body)} bytes"
-        record.write(f"client: {attempt}: {text}")
-        sent += 1
-        uploads += is_long
-        whole += status == 200 and body == ANSWER
-        if status == 200 and body != ANSWER:
-            breaks.append(f"MIXED: {text}, but the server's body has {len(ANSWER)}")
-    if whole < sent - has_trouble:
-        raise RuntimeError(f"only {whole} of {sent} answers are whole")
-    return breaks
+    await asyncio.sleep(6)
+    new = deployment.add_control("core-4", "zone-1")
+    new.start()
+    await asyncio.sleep(STOP_OLD_S)
+    old.signal(signal.SIGTERM)
+    end = time.monotonic() + GRACE_S
+    while not old.has_ended() and time.monotonic() < end:
+        await asyncio.sleep(0.05)
+    old.kill()
+    record.write("core-1: gone for good")
+    await asyncio.sleep(KILL_ALL_S)
+    core = [second, third, new]
+    if has_trouble:
+        for control in core:
+            control.kill()
+        await asyncio.sleep(BACK_S)
+        for control in core:
+            control.start()
+    await asyncio.sleep(CALM_S)
+    addresses = [address_of(control) for control in core]
+    manifest = make_manifest([route], "00000002", "00000001")
+    end = time.monotonic() + RECOVERY_S
+    if await operate_until(addresses, "replace", manifest, record, end) is None:
+        raise RuntimeError("the second manifest is not acknowledged")
+    record.write("operator: version 00000002 is acked; one disk is lost")
+    second.kill()
+    wipe(second)
+    await asyncio.sleep(DISK_BACK_S)
+    second.start()
+    await asyncio.sleep(RECOVERY_S)
+    end = time.monotonic() + READ_S
+    text = await operate_until(addresses, "read", {}, record, end)
+    if text is None:
+        return [
+            f"CONFIG: the acknowledged manifest is not read back within "
+            f"{RECOVERY_S + READ_S:.0f} s after the loss of one disk"
+        ]
+    if b'"00000002"' not in text:
+        return ["CONFIG: an older manifest is read back"]
+    return []
 
 
 run_case(__file__, play)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,7 +1,8 @@
-"""Callers upload on new connections, until their node takes more memory than it has.
+"""A server breaks off an answer without a length, before it has read the body.
 
-The stand-in of the platform kills a process that uses more than memoryMb, and starts it
-again after a short delay.
+The server answers a long upload early, as RULES.md allows. Its answers have no length
+and end with their connections. One of the two servers breaks off one answer in 50,
+which resets the connection.
 """
 
 import asyncio
@@ -13,113 +14,94 @@
     make_manifest,
     make_request,
     new_attempt_id,
-    read_answer,
-    split_address,
+    read_head,
 )
-from platform_memory import MemoryWatch
-from server import Server
+from server import Server, make_head
 
-HOST = "media.example"
-UPLOADS_PATH = "/uploads/"
-ORDERS_PATH = "/orders/"
-DEADLINE_MS = 5000
-UPLOAD = bytes(1024 * 1024)
-SHORT_UPLOAD = bytes(1024)
-UPLOADS = 400
-GAP_S = 0.03
-ORDER_WORK_S = 0.5
-KEPT_CONNECTIONS = 10
-# The rule allows so many.
-MAX_CUT = 3
+HOST = "reports.example"
+PATH = "/reports/"
+DEADLINE_MS = 6000
+# Longer than what the kernel holds for a server that does not read.
+UPLOAD = bytes(12 * 1024 * 1024)
+ANSWER = b"a line of the report\n" * 2000
+SENT_AT_FIRST = 5000
+# Whole answers to short requests, besides the one that is broken off.
+OTHERS = 49
+MAX_SENT = 300
 
 
-async def send_orders(address, record, orders, is_over):
-    """Send orders on one kept connection."""
-    reader, writer = await asyncio.open_connection(*split_address(address))
-    while not is_over.is_set():
-        attempt = new_attempt_id()
-        path = f"{ORDERS_PATH}{attempt}"
-        request = make_request("POST", HOST, path, attempt, DEADLINE_MS, b"order")
-        try:
-            writer.write(request)
-            status, _, _ = await read_answer(reader)
-        except (OSError, asyncio.IncompleteReadError):
-            orders[attempt] = "closed without an answer"
-            record.write(f"client: order {attempt}: closed without an answer")
-            return
-        orders[attempt] = status
-    writer.transport.abort()
+class ReportServer(Server):
+    """Begin to answer before the body of a request is read."""
+
+    def __init__(self, node, record, *, breaks_off):
+        super().__init__(node, record, None)
+        self._breaks_off = breaks_off
+
+    async def _serve_one(self, reader, writer):
+        _, headers = await read_head(reader)
+        attempt = headers["x-attempt-id"]
+        self.runs.append(attempt)
+        writer.write(make_head(attempt) + ANSWER[:SENT_AT_FIRST])
+        await writer.drain()
+        sent = f"{SENT_AT_FIRST} of {len(ANSWER)} bytes"
+        self._record.write(f"server {self.name}: {attempt}: has sent {sent}")
+        await asyncio.sleep(0.05)
+        size = int(headers["content-length"])
+        if self._breaks_off and size == len(UPLOAD):
+            self._record.write(f"server {self.name}: {attempt}: resets its connection")
+            writer.transport.abort()
+            raise ConnectionResetError
+        await reader.readexactly(size)
+        writer.write(ANSWER[SENT_AT_FIRST:])
+        await writer.drain()
+        self._record.write(f"server {self.name}: {attempt}: has sent the rest")
+        # The connection ends the answer.
+        raise ConnectionError
 
 
 async def play(deployment, has_trouble):
-    """Upload, while other clients of the node send orders."""
+    """Send requests one by one; each answer must be whole or a failure."""
     record = deployment.record
     entry = deployment.add_node("sidecar-1", "zone-1", "front")
-    media_node = deployment.add_node("sidecar-2", "zone-2", "media")
-    order_node = deployment.add_node("sidecar-3", "zone-3", "orders")
-
-    async def store(method, path, attempt, body):
-        return b"stored"
-
-    async def book(method, path, attempt, body):
-        await asyncio.sleep(ORDER_WORK_S)
-        return b"booked"
-
+    faulty_node = deployment.add_node("sidecar-2", "zone-1", "reports")
+    sound_node = deployment.add_node("sidecar-3", "zone-2", "reports")
     deployment.start()
-    media, orders_server = (
-        Server(media_node, record, store),
-        Server(order_node, record, book),
-    )
-    await media.start()
-    await orders_server.start()
-    kind = {"host": HOST, "routeKind": "non_idempotent"}
-    routes = [
-        {"pathPrefix": UPLOADS_PATH, "service": "media"},
-        {"pathPrefix": ORDERS_PATH, "service": "orders"},
-    ]
-    await deployment.put_manifest(make_manifest([kind | route for route in routes]))
+    faulty = ReportServer(faulty_node, record, breaks_off=has_trouble)
+    sound = ReportServer(sound_node, record, breaks_off=False)
+    await faulty.start()
+    await sound.start()
+    route = {"host": HOST, "pathPrefix": PATH, "service": "reports"}
+    route["routeKind"] = "non_idempotent"
+    await deployment.put_manifest(make_manifest([route]))
     for node in deployment.nodes:
         await deployment.wait_until_ready(node)
     await asyncio.sleep(TOUCH_S)
-    watches = [MemoryWatch(node, record) for node in deployment.nodes]
-    watching = [asyncio.create_task(watch.run()) for watch in watches]
     address = entry.settings["listenAddresses"]["outbound"]
-    orders = {}
-    is_over = asyncio.Event()
-    callers = [
-        asyncio.create_task(send_orders(address, record, orders, is_over))
-        for _ in range(KEPT_CONNECTIONS)
-    ]
-    upload = UPLOAD if has_trouble else SHORT_UPLOAD
-    uploads = 0
-    while uploads < UPLOADS and not any(watch.kills for watch in watches):
+    breaks = []
+    whole = sent = uploads = 0
+    while not uploads or len(faulty.runs) < OTHERS + 1:
+        if sent > MAX_SENT:
+            raise RuntimeError(f"server {faulty.name} gets too few requests")
         attempt = new_attempt_id()
-        path = f"{UPLOADS_PATH}{uploads}"
+        path = f"{PATH}{sent}"
+        is_long = len(faulty.runs) >= OTHERS
+        upload = UPLOAD if is_long else b"a short report"
         request = make_request("POST", HOST, path, attempt, DEADLINE_MS, upload)
-        try:
-            status, _, _ = await exchange(address, request, DEADLINE_MS / 1000)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            status = type(error).__name__
-        record.write(f"client: upload {attempt}, {len(upload)} bytes: {status}")
-        uploads += status == 200
-        await asyncio.sleep(GAP_S)
-    is_over.set()
-    await asyncio.gather(*callers)
-    for task in watching:
-        task.cancel()
-    cut = [
-        attempt
-        for attempt, status in orders.items()
-        if status == "closed without an answer" and attempt in orders_server.runs
-    ]
-    memory = ", ".join(map(str, watches))
-    record.write(f"{uploads} uploads, {len(orders)} orders, {len(cut)} cut; {memory}")
-    if len(cut) > MAX_CUT:
-        return [
-            f"LOST: {len(cut)} kept connections closed while their orders ran, "
-            f"after {uploads} uploads"
-        ]
-    return []
+        record.write(f"client: sends POST {path} {attempt}, {len(upload)} bytes")
+        answer = await exchange(address, request, DEADLINE_MS / 1000)
+        status, headers, body = answer
+        stamp = headers.get("x-server-stamp")
+        length = headers.get("content-length")
+        text = f"{status}, stamp {stamp}, content-length {length}, {len(body)} bytes"
+        record.write(f"client: {attempt}: {text}")
+        sent += 1
+        uploads += is_long
+        whole += status == 200 and body == ANSWER
+        if status == 200 and body != ANSWER:
+            breaks.append(f"MIXED: {text}, but the server's body has {len(ANSWER)}")
+    if whole < sent - has_trouble:
+        raise RuntimeError(f"only {whole} of {sent} answers are whole")
+    return breaks
 
 
 run_case(__file__, play)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,15 +1,15 @@
-"""A node restarts beside a server that has left, and a late ping restores it.
+"""A node that stops as planned takes an order late and breaks it off.
 
-The server gets orders again until it exits, and what it then works on is lost.
+Its zone has no other node, so its clients go on to send requests there.
 """
 
 import asyncio
+import random
+import signal
 import time
 
 from case import run_case
 from deployment import (
-    BOUNDS,
-    TOUCH_S,
     exchange,
     make_manifest,
     make_request,
@@ -19,98 +19,83 @@
 
 HOST = "orders.example"
 PATH = "/orders/"
-RESTART_DELAY_S = 0.5
-LATE_S = 3.0
-WORK_S = 0.5
-RATE_PER_S = 20
-# Time after its leave for which the server goes on to serve.
-SERVES_ON_S = 8.0
-DRAIN_S = BOUNDS["drainTimeoutMs"] / 1000
+DEADLINE_MS = 5000
+# Work of the servers as in the site file: a mean, a spread, and a tail of five times.
+MEAN_S, SPREAD, TAIL = 0.48, 0.3, 5
+WARM_UP_S = 12.0
+RATE_PER_S = 10
+SENT_AFTER_S = 3.3
 
 
 async def play(deployment, has_trouble):
-    """Restart the node of a server that has left; then its last ping arrives late."""
+    """Send orders steadily, and a long one after the SIGTERM of the entry."""
     record = deployment.record
     entry = deployment.add_node("sidecar-1", "zone-1", "front")
-    leaving_node = deployment.add_node("sidecar-2", "zone-1", "orders")
-    other_node = deployment.add_node("sidecar-3", "zone-2", "orders")
+    gate = deployment.add_node("sidecar-2", "zone-2", "orders")
+    rng = random.Random(1)
 
     async def run(method, path, attempt, body):
-        await asyncio.sleep(WORK_S)
+        is_long = path.endswith("/long")
+        work_s = MEAN_S * (TAIL if is_long else rng.uniform(1 - SPREAD, 1 + SPREAD))
+        await asyncio.sleep(work_s)
         return b"booked"
 
     deployment.start()
-    leaving = Server(leaving_node, record, run)
-    other = Server(other_node, record, run)
-    await leaving.start()
-    await other.start()
-    route = {"host": HOST, "pathPrefix": PATH, "service": "orders"}
-    route["routeKind"] = "non_idempotent"
-    await deployment.put_manifest(make_manifest([route]))
+    server = Server(gate, record, run)
+    await server.start()
+    manifest = make_manifest(
+        [
+            {
+                "host": HOST,
+                "pathPrefix": PATH,
+                "service": "orders",
+                "routeKind": "non_idempotent",
+                "timeoutMs": 6000,
+                "targetLatencyMs": 1200,
+            }
+        ]
+    )
+    await deployment.put_manifest(manifest)
     for node in deployment.nodes:
         await deployment.wait_until_ready(node)
-    await asyncio.sleep(TOUCH_S)
+    await asyncio.sleep(1)
     address = entry.settings["listenAddresses"]["outbound"]
-    sent_at = {}
-    statuses = {}
 
-    async def send():
+    async def send(path):
         attempt = new_attempt_id()
-        sent_at[attempt] = time.monotonic()
-        path = f"{PATH}{attempt}"
-        request = make_request("POST", HOST, path, attempt, 3000, b"order")
+        request = make_request("POST", HOST, path, attempt, DEADLINE_MS, b"order")
+        started = time.monotonic()
+        record.write(f"client: sends {attempt} {path}")
         try:
-            status, _, _ = await exchange(address, request, 3.0)
+            status, headers, _ = await exchange(address, request, DEADLINE_MS / 1000)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            status = type(error).__name__
-        statuses[attempt] = status
-        record.write(f"client: {attempt} {status}")
+            status, headers = type(error).__name__, {}
+        took = time.monotonic() - started
+        stamp = headers.get("x-server-stamp")
+        record.write(f"client: {attempt} {status} stamp {stamp} after {took:.2f} s")
+        return attempt, status, stamp, took
+
+    async def send_steadily():
+        number = 0
+        while True:
+            number += 1
+            tasks.append(asyncio.create_task(send(f"{PATH}{number}")))
+            await asyncio.sleep(1 / RATE_PER_S)
 
-    # A server whose last ping is late leaves without having reported draining.
-    late_ping = leaving.make_ping()
-    await leaving.stop_pinging()
-    status = await leaving.send_leave()
-    acked_at = time.monotonic()
-    record.write(f"server sidecar-2: has left, ack {status}")
-    if status != 200:
-        raise RuntimeError("no ack")
-    if has_trouble:
-        leaving_node.kill()
-        await asyncio.sleep(RESTART_DELAY_S)
-        leaving_node.start()
-        await deployment.wait_until_ready(leaving_node)
-    restarted_at = time.monotonic()
-    await asyncio.sleep(max(0, acked_at + LATE_S - time.monotonic()))
-    status = await leaving.send_ping(late_ping)
-    record.write(
-        f"server sidecar-2: ping sent before it left arrives "
-        f"{time.monotonic() - acked_at:.2f} s late, answer {status}"
-    )
-    await asyncio.sleep(max(0, restarted_at + TOUCH_S + 0.5 - time.monotonic()))
-    in_touch_at = time.monotonic()
-    record.write("all machines are in touch")
     tasks = []
-    while time.monotonic() < acked_at + SERVES_ON_S:
-        tasks.append(asyncio.create_task(send()))
-        await asyncio.sleep(1 / RATE_PER_S)
-    leaving.close()
-    record.write("server sidecar-2: exits")
+    steady = asyncio.create_task(send_steadily())
+    await asyncio.sleep(WARM_UP_S)
+    if has_trouble:
+        entry.signal(signal.SIGTERM)
+    await asyncio.sleep(SENT_AFTER_S)
+    attempt, status, stamp, took = await send(f"{PATH}long")
+    steady.cancel()
     await asyncio.gather(*tasks)
-    late = [
-        attempt
-        for attempt in leaving.runs
-        if sent_at[attempt] >= max(in_touch_at, acked_at + DRAIN_S)
-    ]
-    lost = [attempt for attempt in late if statuses[attempt] != 200]
-    record.write(
-        f"runs after the ack: {len(late)} at sidecar-2, {len(other.runs)} else"
-    )
-    if late:
-        seconds = sent_at[late[0]] - acked_at
-        return [
-            f"DRAIN: {len(late)} requests reached the server that had left, "
-            f"the first {seconds:.2f} s after the ack; {len(lost)} were lost"
-        ]
+    await asyncio.sleep(1)
+    if not has_trouble and stamp is None:
+        raise RuntimeError(f"the order is answered {status} without trouble")
+    if attempt in server.runs and stamp is None:
+        return [f"LOST: {status} after {took:.2f} s while its server was at work"]
     return []
 
 
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,105 +1,116 @@
-"""An operator makes hundreds of changes to a manifest with many routes.
+"""A node restarts beside a server that has left, and a late ping restores it.
 
-All control processes take more memory than they have, again and again.
+The server gets orders again until it exits, and what it then works on is lost.
 """
 
 import asyncio
-import json
 import time
 
 from case import run_case
-from deployment import exchange, make_manifest
-from platform_memory import MemoryWatch
+from deployment import (
+    BOUNDS,
+    TOUCH_S,
+    exchange,
+    make_manifest,
+    make_request,
+    new_attempt_id,
+)
+from server import Server
 
-CORE_MEMORY_MB = 296
-# Three times the largest count of big_config.
-ROUTES = 3 * 1936
-FEW_ROUTES = 8
-GAP_S = 0.17
-PLAY_S = 100.0
-MAX_VERSIONS = 450
-ANSWER_TIMEOUT_S = 10.0
-# So many ends of a process, on half of the core, break the rule.
-ENDS = 3
+HOST = "orders.example"
+PATH = "/orders/"
+RESTART_DELAY_S = 0.5
+LATE_S = 3.0
+WORK_S = 0.5
+RATE_PER_S = 20
+# Time after its leave for which the server goes on to serve.
+SERVES_ON_S = 8.0
+DRAIN_S = BOUNDS["drainTimeoutMs"] / 1000
 
 
-def make_text(routes):
-    """Return a manifest as an operator's tool writes it, without its versions."""
-    manifest = make_manifest(
-        [
-            {
-                "name": f"r-{number:07d}",
-                "host": f"host{number % 7}.example",
-                "pathPrefix": f"/p{number}/",
-                "service": "up",
-            }
-            for number in range(routes)
-        ],
-        "@VERS@@",
-        "@BASE@@",
-    )
-    return json.dumps(manifest, indent=4).encode()
+async def play(deployment, has_trouble):
+    """Restart the node of a server that has left; then its last ping arrives late."""
+    record = deployment.record
+    entry = deployment.add_node("sidecar-1", "zone-1", "front")
+    leaving_node = deployment.add_node("sidecar-2", "zone-1", "orders")
+    other_node = deployment.add_node("sidecar-3", "zone-2", "orders")
 
+    async def run(method, path, attempt, body):
+        await asyncio.sleep(WORK_S)
+        return b"booked"
 
-async def put(addresses, data, record):
-    """Send a change to one control machine after the other until it is acked."""
-    head = (
-        "POST /rpc?call=configuration.replace HTTP/1.1\r\nHost: control\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n\r\n"
-    )
-    backoff_s = 0.05
-    while True:
-        for address in addresses:
-            try:
-                request = head.encode() + data
-                answer = await exchange(address, request, ANSWER_TIMEOUT_S)
-                status = answer[0]
-            except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-                status = type(error).__name__
-            if status == 200:
-                return
-            record.write(f"operator: {status} from {address}")
-            if status in (400, 409, 412, 413, 422):
-                raise RuntimeError(f"the change is refused with {status}")
-            await asyncio.sleep(backoff_s)
-        backoff_s = min(1.0, 2 * backoff_s)
+    deployment.start()
+    leaving = Server(leaving_node, record, run)
+    other = Server(other_node, record, run)
+    await leaving.start()
+    await other.start()
+    route = {"host": HOST, "pathPrefix": PATH, "service": "orders"}
+    route["routeKind"] = "non_idempotent"
+    await deployment.put_manifest(make_manifest([route]))
+    for node in deployment.nodes:
+        await deployment.wait_until_ready(node)
+    await asyncio.sleep(TOUCH_S)
+    address = entry.settings["listenAddresses"]["outbound"]
+    sent_at = {}
+    statuses = {}
 
+    async def send():
+        attempt = new_attempt_id()
+        sent_at[attempt] = time.monotonic()
+        path = f"{PATH}{attempt}"
+        request = make_request("POST", HOST, path, attempt, 3000, b"order")
+        try:
+            status, _, _ = await exchange(address, request, 3.0)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            status = type(error).__name__
+        statuses[attempt] = status
+        record.write(f"client: {attempt} {status}")
 
-async def play(deployment, has_trouble):
-    """Change the manifest steadily."""
-    record = deployment.record
-    for control in deployment.controls:
-        control.settings["limits"]["memoryMb"] = CORE_MEMORY_MB
-    deployment.start()
-    first = {"host": "a.example", "pathPrefix": "/a/", "service": "up"}
-    await deployment.put_manifest(make_manifest([first]))
-    addresses = [
-        control.settings["listenAddresses"]["controlPlane"]
-        for control in deployment.controls
+    # A server whose last ping is late leaves without having reported draining.
+    late_ping = leaving.make_ping()
+    await leaving.stop_pinging()
+    status = await leaving.send_leave()
+    acked_at = time.monotonic()
+    record.write(f"server sidecar-2: has left, ack {status}")
+    if status != 200:
+        raise RuntimeError("no ack")
+    if has_trouble:
+        leaving_node.kill()
+        await asyncio.sleep(RESTART_DELAY_S)
+        leaving_node.start()
+        await deployment.wait_until_ready(leaving_node)
+    restarted_at = time.monotonic()
+    await asyncio.sleep(max(0, acked_at + LATE_S - time.monotonic()))
+    status = await leaving.send_ping(late_ping)
+    record.write(
+        f"server sidecar-2: ping sent before it left arrives "
+        f"{time.monotonic() - acked_at:.2f} s late, answer {status}"
+    )
+    await asyncio.sleep(max(0, restarted_at + TOUCH_S + 0.5 - time.monotonic()))
+    in_touch_at = time.monotonic()
+    record.write("all machines are in touch")
+    tasks = []
+    while time.monotonic() < acked_at + SERVES_ON_S:
+        tasks.append(asyncio.create_task(send()))
+        await asyncio.sleep(1 / RATE_PER_S)
+    leaving.close()
+    record.write("server sidecar-2: exits")
+    await asyncio.gather(*tasks)
+    late = [
+        attempt
+        for attempt in leaving.runs
+        if sent_at[attempt] >= max(in_touch_at, acked_at + DRAIN_S)
     ]
-    watches = [MemoryWatch(control, record) for control in deployment.controls]
-    watching = [asyncio.create_task(watch.run()) for watch in watches]
-    text = make_text(ROUTES if has_trouble else FEW_ROUTES)
-    record.write(f"a manifest has {len(text)} bytes")
-    end = time.monotonic() + PLAY_S
-    version = 1
-    while time.monotonic() < end and version < MAX_VERSIONS:
-        began = time.monotonic()
-        data = text.replace(b"@BASE@@", b"%08x" % version)
-        data = data.replace(b"@VERS@@", b"%08x" % (version + 1))
-        await put(addresses, data, record)
-        version += 1
-        if version % 20 == 0:
-            record.write(f"version {version} is acked; {', '.join(map(str, watches))}")
-        if 2 * sum(watch.kills >= ENDS for watch in watches) >= len(watches):
-            break
-        await asyncio.sleep(max(0, began + GAP_S - time.monotonic()))
-    for task in watching:
-        task.cancel()
-    ends = [watch.kills for watch in watches]
-    record.write(f"{version} versions; ends by memory: {ends}")
-    if 2 * sum(count >= ENDS for count in ends) >= len(ends):
-        return [f"Fault: control processes ended {ends} times for lack of memory"]
+    lost = [attempt for attempt in late if statuses[attempt] != 200]
+    record.write(
+        f"runs after the ack: {len(late)} at sidecar-2, {len(other.runs)} else"
+    )
+    if late:
+        seconds = sent_at[late[0]] - acked_at
+        return [
+            f"DRAIN: {len(late)} requests reached the server that had left, "
+            f"the first {seconds:.2f} s after the ack; {len(lost)} were lost"
+        ]
     return []
 
 
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -19,6 +20,7 @@
     It returns a list of what broke the rule.
     """
     record = Record(Path(script).with_name("record.txt"))
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {has_trouble}")
     with tempfile.TemporaryDirectory() as folder:
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -145,6 +145,13 @@
         self.nodes.append(program)
         return program
 
+    def add_control(self, name, zone):
+        """Add a control machine at a new address, with an empty disk."""
+        program = self._add_control(name, next(self._hosts), zone)
+        program.settings["bootstrap"] = False
+        self.controls.append(program)
+        return program
+
     def start(self):
         """Start all programs."""
         for program in self.programs:
