--- a/persimmonhall/call/call_dispatcher.py
+++ b/persimmonhall/call/call_dispatcher.py
@@ -8,6 +8,7 @@
 from persimmonhall.call.in_flight_request import InFlightRequest
 from persimmonhall.call.routed_gate import RoutedGate
 from persimmonhall.call.server_notices import NoticeMemory
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.event_time import current_time
 from persimmonhall.http.messages import FIRST_SERVER_ERROR_STATUS
@@ -45,11 +46,13 @@
         router: Router,
         gate: RoutedGate,
         links: Callable[[], CallLinkPool],
+        shutdown: ShutdownWindow,
     ):
         self._local = local
         self._router = router
         self._gate = gate
         self._links = links
+        self._shutdown = shutdown
         self._call_numbers = itertools.count(1)
         self._waiting_requests: dict[CallNumber, InFlightRequest] = {}
         self._notices = NoticeMemory()
@@ -150,6 +153,7 @@
         objective_ms = route.latency_objective_ms
         if not request.is_nested:
             objective_ms = objective_left_ms(objective_ms, request.room_wait_s)
+        deadline = self._shutdown.work_deadline(request.deadline)
         notice = b""
         if not self._notices.is_empty:
             notice = self._notices.recall(request.member.node)
@@ -163,7 +167,7 @@
             route.is_idempotent,
             request.is_head,
             len(request.tried_nodes) - request.uncounted_refusals > 1,
-            max(0, int((request.deadline - now) * 1000)),
+            max(0, int((deadline - now) * 1000)),
             objective_ms,
             request.head,
             request.body,
--- a/persimmonhall/call/entry.py
+++ b/persimmonhall/call/entry.py
@@ -24,6 +24,7 @@
     plan_request,
 )
 from persimmonhall.call.retries import RetryLimiter
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.document.active import ActiveDocuments
 from persimmonhall.errors import ErrorKind, Ran, Refusal, problem_answer, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -57,6 +58,7 @@
         quarantine: SuspectRouting | None = None,
         answer_memory: AnswerMemory | None = None,
         process_pauses: ProcessPauses | None = None,
+        shutdown: ShutdownWindow | None = None,
     ):
         self._node = node
         self._documents = documents
@@ -69,6 +71,7 @@
         self._executions = executions
         self._answer_memory = answer_memory or AnswerMemory()
         self._process_pauses = process_pauses or ProcessPauses()
+        self._shutdown = shutdown or ShutdownWindow()
 
     async def handle(
         self, request: HttpRequest, listener: Listener = Listener.CALLERS
@@ -110,6 +113,9 @@
             kind = ErrorKind.DEADLINE_EXCEEDED
             return make_refused(refuse(kind, detail, ran=Ran.NO), NO_LOAD)
         deadline = now + plan.time_budget_ms / 1000
+        if plan.is_root and not self._shutdown.may_finish(deadline, 0.0, now):
+            detail = "this node shuts down before the request could finish"
+            return make_refused(refuse(ErrorKind.LEAVING, detail), NO_LOAD)
         self._retry_limiter.open_request(plan, deadline)
         attempts = _Attempts(reservation)
         reply: Reply | None = None
--- a/persimmonhall/call/entry_factory.py
+++ b/persimmonhall/call/entry_factory.py
@@ -13,6 +13,7 @@
     QuarantineCheck,
     RequestCheck,
     RequestObserver,
+    ShutdownCheck,
 )
 from persimmonhall.call.request_factory import RequestFactory
 from persimmonhall.call.request_reader import RequestReader
@@ -20,6 +21,7 @@
 from persimmonhall.call.root_admission import RootAdmission
 from persimmonhall.call.routed_entry import RoutedEntry
 from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.dialect import HeaderNames
 from persimmonhall.events import EventLog
 from persimmonhall.membership.table import MemberTable
@@ -59,6 +61,7 @@
     pauses: ProcessPauses = field(default_factory=ProcessPauses)
     proof: ReleaseProof = field(default_factory=lambda: ReleaseProof(0.0))
     limits: NodeLimits | None = None
+    shutdown: ShutdownWindow = field(default_factory=ShutdownWindow)
 
 
 def make_routed_entry(parts: EntryParts) -> RoutedEntry:
@@ -72,12 +75,13 @@
     )
     keys = ActiveKeys(parts.releases)
     key_check = KeyCheck(parts.releases, keys, parts.proof, parts.rng)
-    checks: list[RequestCheck] = [key_check, admission]
-    head_checks: list[RequestCheck] = [key_check]
+    shutdown_check = ShutdownCheck(parts.shutdown, response_times)
+    checks: list[RequestCheck] = [key_check, shutdown_check, admission]
+    head_checks: list[RequestCheck] = [key_check, shutdown_check]
     observers: list[RequestObserver] = []
     if parts.limits is not None:
         quota_check = QuotaCheck(parts.limits, parts.rng, returns)
-        checks.insert(1, quota_check)
+        checks.insert(2, quota_check)
         head_checks.append(QuotaHeadCheck(quota_check))
         observers.append(quota_check)
     if parts.suspects is not None:
@@ -93,8 +97,12 @@
         parts.releases,
         parts.knowledge,
         admission,
-        EntryChecks(at_head=head_checks, at_start=checks, at_send=(key_check,)),
-        CallDispatcher(parts.local, parts.router, parts.gate, parts.links),
+        EntryChecks(
+            at_head=head_checks, at_start=checks, at_send=(key_check, shutdown_check)
+        ),
+        CallDispatcher(
+            parts.local, parts.router, parts.gate, parts.links, parts.shutdown
+        ),
         RetryPolicy(
             parts.table, parts.releases, levels, response_times, parts.retry_budget
         ),
--- a/persimmonhall/call/request_checks.py
+++ b/persimmonhall/call/request_checks.py
@@ -5,7 +5,9 @@
 
 from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.in_flight_request import InFlightRequest
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.errors import ErrorKind, Ran
+from persimmonhall.routing.response_times import ResponseTimes
 
 
 class CheckRefusal(NamedTuple):
@@ -60,3 +62,21 @@
         if refusal is None:
             return None
         return CheckRefusal(refusal.kind, refusal.detail, {})
+
+
+class ShutdownCheck:
+    """Refuse requests that may still run when the process ends."""
+
+    def __init__(self, window: ShutdownWindow, response_times: ResponseTimes):
+        self._window = window
+        self._response_times = response_times
+
+    def refusal(self, request: InFlightRequest, now: float) -> CheckRefusal | None:
+        """Return why a request is refused, None if it can finish."""
+        expected_s = self._response_times.timeout_s(request.route.name)
+        if self._window.may_finish(request.deadline, expected_s, now):
+            return None
+        detail = "this node shuts down before the request could finish"
+        return CheckRefusal(
+            ErrorKind.LEAVING, detail, {"expected_s": round(expected_s, 3)}
+        )
--- a/persimmonhall/call/root_admission.py
+++ b/persimmonhall/call/root_admission.py
@@ -1,6 +1,5 @@
 """Decide which root requests an entry admits."""
 
-import math
 import random
 
 from persimmonhall.admission.level import admitted_fraction
@@ -40,8 +39,6 @@
         self._levels = levels
         self._response_times = response_times
         self._rng = rng
-        # Time at which shutdown cancels the requests that still run.
-        self.shutdown_deadline = math.inf
 
     def keep_routes(self, names: set[RouteName]) -> None:
         """Forget the routes that are not in the active release."""
@@ -52,9 +49,6 @@
         if request.is_nested:
             return None
         route = request.route
-        if now + self._response_times.timeout_s(route.name) > self.shutdown_deadline:
-            detail = "this node shuts down before the request could finish"
-            return CheckRefusal(ErrorKind.LEAVING, detail, {})
         success_rate = self._levels.success_rate(route.name, now)
         if (
             is_unlikely_to_succeed(success_rate)
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -86,10 +86,6 @@
         """Return the number of requests that wait for the reply of a gate."""
         return self._dispatcher.in_flight
 
-    def set_shutdown_deadline(self, deadline: float) -> None:
-        """Refuse new requests that may still run at the deadline."""
-        self._admission.shutdown_deadline = deadline
-
     def keep_routes(self, names: set[RouteName]) -> None:
         """Forget the routes that are not in the active release."""
         self._admission.keep_routes(names)
@@ -129,10 +125,7 @@
     def may_send(self, number: CallNumber) -> bool:
         """Return whether a call that was held before it was sent may still be sent."""
         request = self._dispatcher.find(number)
-        if request is None:
-            return False
-        now = current_time()
-        return not any(c.refusal(request, now) for c in self._checks.at_send)
+        return request is not None and self._may_be_sent(request, current_time())
 
     def refuse_waiting(self) -> None:
         """Answer every request in progress, as this node is about to stop."""
@@ -207,6 +200,9 @@
                 return True
         return False
 
+    def _may_be_sent(self, request: InFlightRequest, now: float) -> bool:
+        return not any(c.refusal(request, now) for c in self._checks.at_send)
+
     def _record_load(
         self, request: InFlightRequest, load: GateLoad, now: float
     ) -> None:
@@ -272,7 +268,10 @@
             kind = ErrorKind.DEADLINE_EXCEEDED
             self._answers.refuse(request, kind, detail, ran, now)
             return
-        if self._retries.try_acquire_overdue(request, now):
+        # A call that is given up for another one that can't be sent is broken off.
+        if self._may_be_sent(request, now) and self._retries.try_acquire_overdue(
+            request, now
+        ):
             ran = self._dispatcher.cancel(request, CallOutcome.TIMED_OUT)
             request.may_have_run |= ran is not Ran.NO
             self._retry(request, "no answer within the response time estimate", now)
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -10,6 +10,7 @@
 from persimmonhall.call.gate_load import GateLoadMeter
 from persimmonhall.call.gate_queue import CallState, GateQueue, ReplyCallback
 from persimmonhall.call.gate_replies import GateReplies
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.dialect import HeaderNames, InstanceReport
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.event_time import current_time
@@ -57,11 +58,13 @@
         log: EventLog,
         listeners: BackendListeners | None = None,
         make_pool: Callable[..., BackendPool] = BackendPool,
+        shutdown: ShutdownWindow | None = None,
     ):
         self._headers = headers
         self._timers = timers
         self._graph = knowledge.graph
         self._log = log
+        self._shutdown = shutdown or ShutdownWindow()
         self._in_flight = 0
         self._calls: dict[tuple[object, CallNumber], CallState] = {}
         self._load_meter = GateLoadMeter(knowledge)
@@ -309,7 +312,8 @@
         session = self._session
         session.rate_limiter.spend()
         state.queued_call = None
-        left_ms = max(1, int((state.deadline - now) * 1000))
+        deadline = self._shutdown.work_deadline(state.deadline)
+        left_ms = max(1, int((deadline - now) * 1000))
         names = self._headers
         head_end = b"%s: %d\r\n%s: %s\r\n" % (
             names.deadline_ms,
--- a/persimmonhall/call/tests/call_tree.py
+++ b/persimmonhall/call/tests/call_tree.py
@@ -17,6 +17,7 @@
 from persimmonhall.call.messages import Answered, Call, Reply, make_refused
 from persimmonhall.call.request_plan import Listener
 from persimmonhall.call.retries import RetryLimiter
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.document.active import ActiveDocuments
 from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.http.messages import HttpAnswer, HttpRequest
@@ -83,6 +84,7 @@
         self._select_fault = select_fault
         self._process_pauses = process_pauses
         self.are_links_cut = False
+        self.shutdown = ShutdownWindow()
         self.executions = ExecutionTracker()
         self.runs: Counter[tuple[RootId, str]] = Counter()
         self.calls: list[Call] = []
@@ -126,6 +128,7 @@
             SelfLimit(),
             self.executions,
             process_pauses=self._process_pauses,
+            shutdown=self.shutdown,
         )
 
     def _make_retry_limiter(self, tokens: RetryTokens) -> RetryLimiter:
--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -8,6 +8,7 @@
 from persimmonhall.call.call_dispatcher import LocalNode
 from persimmonhall.call.entry_factory import EntryParts, make_routed_entry
 from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.dialect import HeaderNames, NativeDialect
 from persimmonhall.events import EventLog
 from persimmonhall.http.backend_pool import BackendAnswer
@@ -80,6 +81,7 @@
         self.leaving_count = 0
         self.deaths = []
         self.replies = {}
+        self.shutdown = ShutdownWindow()
         self.gate = RoutedGate(
             HEADERS,
             None,
@@ -90,6 +92,7 @@
                 self._count_unavailable, self.deaths.append, self._count_leaving
             ),
             FakePool,
+            self.shutdown,
         )
         self.gate.set_ranks(3)
         if report is not None:
@@ -218,6 +221,7 @@
         self.gate = FakeGate()
         self.timers = Timers()
         self.pauses = ProcessPauses()
+        self.shutdown = ShutdownWindow()
         self.entry = make_routed_entry(
             EntryParts(
                 local=LocalNode("own", "glyph"),
@@ -234,6 +238,7 @@
                 log=EventLog("n"),
                 pauses=self.pauses,
                 proof=proof or ReleaseProof(0.0),
+                shutdown=self.shutdown,
             )
         )
 
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -300,7 +300,8 @@
         fixture.send_request()
         await trio.sleep(0.2)
         fixture.reply()
-    fixture.entry.set_shutdown_deadline(trio.current_time() + 1.0)
+    now = trio.current_time()
+    fixture.shutdown.set(now + 1.0, now + 1.0)
     begun = fixture.send_request()
     assert begun.status is None
     fixture.reply()
@@ -312,6 +313,67 @@
     assert refused.refusal.ran is Ran.NO
 
 
+# An order sent late in a shutdown ran longer than others and was broken off at the end.
+async def test_order_that_may_outlive_a_shutdown_is_refused(autojump_clock):
+    """Refuse it as not run, once callers have left, unless its deadline comes first."""
+    fixture = EntryFixture(NON_IDEMPOTENT_ROUTE)
+    for _ in range(20):
+        fixture.send_request()
+        await trio.sleep(0.2)
+        fixture.reply()
+    now = trio.current_time()
+    fixture.shutdown.set(now + 1.0, now + 3.0)
+    early = fixture.send_request(attempt="a1")
+    assert early.status is None
+    fixture.reply()
+    await trio.sleep(1.0)
+    refused = fixture.send_request(attempt="a2")
+    assert refused.status is ErrorKind.LEAVING
+    assert refused.refusal.ran is Ran.NO
+    deadline = {HEADERS.deadline_ms.decode().replace("-", "_"): b"1500"}
+    served = fixture.send_request(attempt="a3", **deadline)
+    assert served.status is None
+
+
+# Calls of the local server were passed on to the last moment and broken off.
+async def test_call_of_the_local_server_may_not_outlive_a_shutdown(autojump_clock):
+    """Refuse late calls as not run; bound the time that the others give a server."""
+    fixture = EntryFixture(NON_IDEMPOTENT_ROUTE)
+    fixture.origins.keep(set())
+    fixture.send_request()
+    await trio.sleep(0.2)
+    fixture.reply()
+    now = trio.current_time()
+    fixture.shutdown.set(now + 1.0, now + 3.0)
+    begun = fixture.send_request(attempt="a2")
+    assert begun.status is None
+    assert fixture.calls[-1].is_nested
+    assert fixture.calls[-1].remaining_ms < 3000
+    await trio.sleep(1.5)
+    refused = fixture.send_request(attempt="a3")
+    assert refused.status is ErrorKind.LEAVING
+    assert refused.refusal.ran is Ran.NO
+
+
+# Giving up an overdue call breaks it off if no other server can be tried any more.
+async def test_overdue_call_is_awaited_if_it_can_not_be_sent_again(autojump_clock):
+    """Late in a shutdown: wait for the answer in place of a second attempt."""
+    fixture = EntryFixture(make_route())
+    fixture.send_request()
+    await trio.sleep(0.1)
+    fixture.reply()
+    now = trio.current_time()
+    fixture.shutdown.set(now + 0.2, now + 1.5)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fixture.timers.run)
+        begun = fixture.send_request(attempt="a2")
+        await trio.sleep(1.2)
+        nursery.cancel_scope.cancel()
+    assert not fixture.links.cancelled
+    fixture.reply()
+    assert begun.status == 200
+
+
 @pytest.mark.parametrize(("is_connected", "status"), [(True, 502), (False, 503)])
 async def test_stopping_entry_answers_the_requests_that_are_left(
     autojump_clock, is_connected, status
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -24,6 +24,20 @@
     assert data.endswith(b"content-length: 3\r\n\r\nxyz")
 
 
+# A run with more time than the process has left ended with a lost connection.
+async def test_run_of_a_stopping_node_is_given_no_more_time_than_the_node_has(
+    autojump_clock,
+):
+    """Let the server end the run itself, so that its calls end before, too."""
+    fixture = GateFixture(make_report())
+    now = trio.current_time()
+    fixture.shutdown.set(now + 1.0, now + 2.0)
+    fixture.begin(make_call(remaining_ms=5000))
+    [request] = fixture.pool.sent
+    left_ms = int(request.data.partition(b"deadline-ms: ")[2].partition(b"\r\n")[0])
+    assert 1000 < left_ms < 2000
+
+
 async def test_gate_sends_no_more_calls_than_usable_slots(autojump_clock):
     """Surge of 100 calls at a server of 10 slots: the rest is queued in the gate."""
     fixture = GateFixture(make_report(slots=10))
--- a/persimmonhall/node.py
+++ b/persimmonhall/node.py
@@ -15,6 +15,7 @@
 from persimmonhall.call.gate import Gate
 from persimmonhall.call.gate_client import GateClient
 from persimmonhall.call.retries import RetryLimiter
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.control.client import ControlClient
 from persimmonhall.document.active import ActiveDocuments
 from persimmonhall.document.fetcher import DocumentFetcher
@@ -111,6 +112,7 @@
     tokens = RetryTokens(node_settings.name, RetryLedger(), table, links)
     gate_client = GateClient(node_settings.name, gate, links)
     retry_limiter = RetryLimiter(tokens)
+    shutdown_window = ShutdownWindow()
     entry = Entry(
         node_settings.name,
         documents,
@@ -123,6 +125,7 @@
         once.quarantine,
         entry_answers,
         process_pauses,
+        shutdown_window,
     )
     stop = trio.Event()
     quarantine_api = QuarantineApi(once.quarantine)
@@ -158,7 +161,9 @@
     def write_refusal(refusal: Refusal) -> HttpAnswer:
         return problem_answer(refusal, rng)
 
-    shutdown = GracefulShutdown(gate, gossiper, node_settings.drain_seconds)
+    shutdown = GracefulShutdown(
+        gate, gossiper, node_settings.drain_seconds, shutdown_window
+    )
 
     async def serve(handler, address, closing, task_status=trio.TASK_STATUS_IGNORED):
         await serve_http(
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -14,6 +14,7 @@
 from persimmonhall.call.crash_suspects import CrashSuspects
 from persimmonhall.call.entry_factory import EntryParts, make_routed_entry
 from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.dialect import Dialect
 from persimmonhall.events import Event, EventLog
 from persimmonhall.exposition import Exposition
@@ -144,6 +145,7 @@
         suspects = CrashSuspects(suspect_table, self.propagator)
         self._origins = knowledge.origins
         self._applied_release_index = 0
+        self._shutdown = ShutdownWindow()
         self.gate = RoutedGate(
             dialect.headers,
             self.poller,
@@ -155,6 +157,7 @@
                 on_death=suspects.report_death,
                 on_leaving=lambda: self.instances.announce_leaving(),
             ),
+            shutdown=self._shutdown,
         )
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
@@ -202,6 +205,7 @@
                 pauses=self._pauses,
                 proof=self._proof,
                 limits=self.pooled_counts.limits,
+                shutdown=self._shutdown,
             )
         )
         self.links = CallLinkPool(
@@ -310,6 +314,7 @@
             self.gate,
             self.calls,
             self.gossiper,
+            self._shutdown,
             self.settings.releases.grace_s,
         )
 
--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -4,6 +4,7 @@
 
 from persimmonhall.call.routed_entry import RoutedEntry
 from persimmonhall.call.routed_gate import RoutedGate
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.http.caller_server import CallerServer
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.wire.call_server import CallServer
@@ -19,6 +20,8 @@
 REQUEST_END_FRACTION = 0.88
 # Callers leave after two failed readiness checks, which are one second apart.
 CALLER_NOTICE_S = 2.5
+# Callers know by now: what they send later has to end with the answer of its server.
+LATE_REQUEST_S = 2.8
 # Callers that have sent no request for this long have left.
 CALLER_IDLE_S = 0.5
 
@@ -29,12 +32,13 @@
     gate: RoutedGate,
     calls: CallServer,
     gossiper: Gossiper,
+    window: ShutdownWindow,
     grace_s: float,
 ) -> None:
     """Serve callers as long as they come, then refuse what is left."""
     start = trio.current_time()
     callers.is_draining = True
-    entry.set_shutdown_deadline(start + REQUEST_END_FRACTION * grace_s)
+    window.set(start + LATE_REQUEST_S, start + REQUEST_END_FRACTION * grace_s)
     await trio.sleep(PEER_NOTICE_FRACTION * grace_s)
     gossiper.announce_draining()
     await trio.sleep((GATE_CLOSE_FRACTION - PEER_NOTICE_FRACTION) * grace_s)
