--- a/persimmonhall/control/voter_replacement.py
+++ b/persimmonhall/control/voter_replacement.py
@@ -1,10 +1,9 @@
 """Remove a control VM from the replica set after another has replaced it."""
 
-import math
-
 import trio
 from absl import logging
 
+from persimmonhall.ids import ReplicaId
 from persimmonhall.raft.core import RaftCore
 from persimmonhall.raft.driver import RaftDriver
 from persimmonhall.raft.role import Role
@@ -18,25 +17,24 @@
 # The initial replicas join within 1 to 2 s of bootstrap, and a VM with a wiped disk
 # rejoins as quickly. Neither counts as a replacement.
 STABLE_AFTER_S = 5.0
-# In a planned replacement, the old VM stops soon after the new one has joined.
-REPLACEMENT_WINDOW_S = 30.0
+# A set that has grown was enlarged on purpose if all its voters answer for this long.
+REPLACEMENT_WINDOW_S = 600.0
 # A smaller set has no majority left after the loss of one voter.
 MIN_VOTERS = 3
 
 
 class ReplacedVoterRemover:
-    """Remove the only unresponsive voter after a new one has enlarged the set.
+    """Remove as many unresponsive voters as new ones have enlarged the set by.
 
-    Every replica tracks the set, as the replaced voter may be the leader.
+    The size of the settled set is part of the log: a leader that has just started
+    knows as well as its predecessor that the set has grown.
     """
 
     def __init__(self, core: RaftCore, driver: RaftDriver):
         self._core = core
         self._driver = driver
-        self._voter_count = 0
-        self._count_changed_at = -math.inf
-        self._shrunk_since: float | None = None
-        self._replacement_until = -math.inf
+        self._answering_voters: tuple[ReplicaId, ...] = ()
+        self._answering_since = 0.0
 
     async def run(self) -> None:
         """Check the set periodically until cancelled."""
@@ -45,48 +43,53 @@
             self.step(trio.current_time())
 
     def step(self, now: float) -> None:
-        """Remove a replaced voter if this replica leads and all others respond."""
+        """Settle the set, or remove a replaced voter, if this replica leads."""
         core = self._core
+        if core.role is not Role.LEADER:
+            self._answering_voters = ()
+            return
         voters = core.replicas.voters
-        self._track_voter_count(len(voters), now)
-        has_extra_voter = now < self._replacement_until and len(voters) > MIN_VOTERS
-        if core.role is not Role.LEADER or not has_extra_voter:
+        silent_s = {voter: core.time_since_reply_s(voter, now) for voter in voters}
+        unresponsive = [v for v, s in silent_s.items() if s > UNRESPONSIVE_AFTER_S]
+        if unresponsive:
+            self._answering_voters = ()
+            self._remove_replaced(unresponsive, silent_s, now)
             return
-        time_since_reply_s = {
-            voter: core.time_since_reply_s(voter, now) for voter in voters
-        }
-        unresponsive = [
-            voter
-            for voter, seconds in time_since_reply_s.items()
-            if seconds > UNRESPONSIVE_AFTER_S
-        ]
-        if len(unresponsive) != 1:
+        if voters != self._answering_voters:
+            self._answering_voters, self._answering_since = voters, now
+        if now - self._answering_since >= self._settling_time_s():
+            self._settle(now)
+
+    def _settling_time_s(self) -> float:
+        surplus = self._core.replicas.surplus_voters
+        return REPLACEMENT_WINDOW_S if surplus > 0 else STABLE_AFTER_S
+
+    def _settle(self, now: float) -> None:
+        replicas = self._core.replicas
+        voter_count = len(replicas.voters)
+        # A wiped voter leaves the set before it gets its vote back.
+        is_incomplete = voter_count < replicas.settled_voters and replicas.has_learners
+        if voter_count == replicas.settled_voters or is_incomplete:
             return
-        [replaced] = unresponsive
-        if time_since_reply_s[replaced] > REMOVE_AFTER_S and core.remove(replaced, now):
-            logging.warning(
-                "replica retired id=%s silent_s=%.1f",
-                replaced,
-                time_since_reply_s[replaced],
-            )
-            self._replacement_until = -math.inf
+        if self._core.settle(now):
+            logging.info("replica set settled voters=%d", voter_count)
             self._driver.wake()
 
-    def _track_voter_count(self, voter_count: int, now: float) -> None:
-        """Detect growth of a stable set, except a wiped voter that rejoins."""
-        if voter_count < self._voter_count:
-            if self._shrunk_since is None:
-                self._shrunk_since = now
-            elif now - self._shrunk_since >= STABLE_AFTER_S:
-                self._set_voter_count(voter_count, now)
+    def _remove_replaced(
+        self,
+        unresponsive: list[ReplicaId],
+        silent_s: dict[ReplicaId, float],
+        now: float,
+    ) -> None:
+        """Remove the voter that is silent for longest if each silent one is surplus."""
+        replicas = self._core.replicas
+        if len(replicas.voters) <= MIN_VOTERS:
             return
-        self._shrunk_since = None
-        if voter_count > self._voter_count:
-            if self._voter_count and now - self._count_changed_at >= STABLE_AFTER_S:
-                self._replacement_until = now + REPLACEMENT_WINDOW_S
-            self._set_voter_count(voter_count, now)
-
-    def _set_voter_count(self, voter_count: int, now: float) -> None:
-        self._voter_count = voter_count
-        self._count_changed_at = now
-        self._shrunk_since = None
+        if len(unresponsive) > replicas.surplus_voters:
+            return
+        replaced = max(unresponsive, key=silent_s.__getitem__)
+        if silent_s[replaced] > REMOVE_AFTER_S and self._core.remove(replaced, now):
+            logging.warning(
+                "replica retired id=%s silent_s=%.1f", replaced, silent_s[replaced]
+            )
+            self._driver.wake()
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -177,6 +177,10 @@
         """Propose to remove a member; return False if that is not possible now."""
         return self._leader is not None and self._leader.remove(replica, now)
 
+    def settle(self, now: float) -> bool:
+        """Propose that the set has its intended voters; False if not possible now."""
+        return self._leader is not None and self._leader.settle(now)
+
     def transfer_leadership(self, now: float) -> bool:
         """Start a leadership transfer; return False unless one was started."""
         return self._leader is not None and self._leader.transfer_leadership(now)
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -3,6 +3,7 @@
 from persimmonhall.ids import LogIndex, ReplicaId
 from persimmonhall.raft.log import encode_replicas
 from persimmonhall.raft.membership import (
+    as_settled,
     next_change,
     with_joined_member,
     without_member,
@@ -107,6 +108,10 @@
             without_member(self._state.replicas, replica), now
         )
 
+    def settle(self, now: float) -> bool:
+        """Propose to count the present voters as the settled ones."""
+        return self._propose_replicas(as_settled(self._state.replicas), now)
+
     def transfer_leadership(self, now: float) -> bool:
         """Start a transfer to the active voter with the most complete log."""
         voters = [
--- a/persimmonhall/raft/membership.py
+++ b/persimmonhall/raft/membership.py
@@ -26,6 +26,11 @@
     return replace(replicas, members=kept)
 
 
+def as_settled(replicas: ReplicaSet) -> ReplicaSet:
+    """Return the replica set with its voters counted as the settled ones."""
+    return replace(replicas, settled_voters=len(replicas.voters))
+
+
 def next_change(
     replicas: ReplicaSet, caught_up: Container[ReplicaId]
 ) -> ReplicaSet | None:
--- a/persimmonhall/raft/messages.capnp
+++ b/persimmonhall/raft/messages.capnp
@@ -17,6 +17,7 @@
 struct ReplicaSet {
   cluster @0 :Text;
   members @1 :List(Member);
+  settledVoters @2 :UInt16;
 }
 
 struct SnapshotHead {
--- a/persimmonhall/raft/messages.py
+++ b/persimmonhall/raft/messages.py
@@ -41,10 +41,14 @@
 
 @dataclass(frozen=True)
 class ReplicaSet:
-    """List the replicas of one cluster."""
+    """List the replicas of one cluster.
+
+    The number of voters that the set had when it last settled is 0 until it has.
+    """
 
     cluster: str = ""
     members: tuple[Member, ...] = ()
+    settled_voters: int = 0
 
     @property
     def voters(self) -> tuple[ReplicaId, ...]:
@@ -56,6 +60,16 @@
         """Return the number of voters in a majority."""
         return len(self.voters) // 2 + 1
 
+    @property
+    def surplus_voters(self) -> int:
+        """Return by how many voters the set has grown since it settled."""
+        return len(self.voters) - self.settled_voters if self.settled_voters else 0
+
+    @property
+    def has_learners(self) -> bool:
+        """Return whether a member is still to be caught up."""
+        return not all(member.voter for member in self.members)
+
     def get(self, replica: ReplicaId) -> Member | None:
         """Return a member by id, or None."""
         return next((m for m in self.members if m.id == replica), None)
--- a/persimmonhall/raft/tests/test_membership.py
+++ b/persimmonhall/raft/tests/test_membership.py
@@ -1,6 +1,13 @@
 """Test the membership changes that make a replica with a new disk a voter."""
 
-from persimmonhall.raft.membership import MAX_VOTERS, next_change, with_joined_member
+from persimmonhall.raft.log import decode_replicas, encode_replicas
+from persimmonhall.raft.membership import (
+    MAX_VOTERS,
+    as_settled,
+    next_change,
+    with_joined_member,
+    without_member,
+)
 from persimmonhall.raft.messages import Member, ReplicaSet
 
 
@@ -49,3 +56,14 @@
 def test_number_of_voters_is_limited():
     voters = tuple((f"r{n}#1", True) for n in range(MAX_VOTERS))
     assert next_change(make_set(*voters, ("new#1", False)), {"new#1"}) is None
+
+
+# The growth of a set was known only to processes that had seen it.
+def test_growth_since_the_set_settled_is_part_of_the_set():
+    settled = as_settled(make_set(*THREE_VOTERS))
+    joined = with_joined_member(settled, Member("d#1", "d", "new", False))
+    assert (joined.surplus_voters, joined.has_learners) == (0, True)
+    grown = decode_replicas(encode_replicas(next_change(joined, {"d#1"})))
+    assert (grown.surplus_voters, grown.has_learners) == (1, False)
+    assert without_member(grown, "a#1").surplus_voters == 0
+    assert make_set(*THREE_VOTERS).surplus_voters == 0
