--- a/persimmonhall/http/tests/test_backend_pool.py
+++ b/persimmonhall/http/tests/test_backend_pool.py
@@ -70,10 +70,11 @@
         self.nursery.start_soon(timers.run)
         self.pool = BackendPool(address, poller, timers, ATTEMPT_HEADER, 10)
 
-    async def send_request(self, attempt_id=b"a1", *, is_idempotent=True):
+    async def send_request(self, attempt_id=b"a1", *, is_idempotent=True, body=b""):
         """Send one request and return its result."""
         count = len(self.results)
-        data = b"GET / HTTP/1.1\r\nhost: a\r\nx-id: %s\r\n\r\n" % attempt_id
+        head = b"GET / HTTP/1.1\r\nhost: a\r\nx-id: %s\r\ncontent-length: %d\r\n\r\n"
+        data = head % (attempt_id, len(body)) + body
         self.pool.send(
             BackendRequest(
                 data,
@@ -106,6 +107,16 @@
     assert fixture.server.connections == 1
 
 
+# The start of an answer that was reset reached the caller as the whole of it.
+@pytest.mark.parametrize("size", [0, 12 * 1024 * 1024])
+async def test_answer_without_length_that_is_reset_is_truncated(nursery, size):
+    """Reset it after a part, also while the body of its request is still sent."""
+    part = b"HTTP/1.1 200 OK\r\nx-id: a1\r\n\r\n" + b"x" * 5000
+    fixture = await start_fixture(nursery, [part, "reset"])
+    result = await fixture.send_request(body=bytes(size))
+    assert result.fault is SendFault.ANSWER_TRUNCATED
+
+
 async def test_late_answer_to_an_earlier_request_is_skipped(nursery):
     """Match answers to requests by attempt id."""
     late = make_answer(b"old", b"not yours")
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -39,7 +39,8 @@
         self._on_end = on_end
         self._unsent = bytearray()
         self._sent_bytes = 0
-        self._has_write_failed = False
+        # The kernel reports an error once: a read after it looks like an orderly end.
+        self._error: OSError | None = None
         # Data of a peer that has already closed its side need not be handled.
         self._should_discard_at_end = should_discard_at_end
         self._is_paused = False
@@ -73,12 +74,15 @@
         """Return whether bytes have arrived that were not read; not at the end."""
         try:
             return bool(self._socket.recv(1, sockets.MSG_PEEK))
-        except OSError:
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            self._error = self._error or error
             return False
 
     def send(self, data: bytes) -> None:
         """Send bytes in call order; the next read reports an error and closes."""
-        if self._is_closed or self._has_write_failed:
+        if self._is_closed or self._error is not None:
             return
         if self._unsent:
             self._unsent += data
@@ -162,6 +166,8 @@
             return
         if data:
             self._on_data(data)
+        elif self._error is not None:
+            self._end(str(self._error))
         else:
             self._end(CLOSED_BY_PEER)
 
@@ -170,9 +176,9 @@
             written = os.write(self._fd, data)
         except BlockingIOError:
             return 0
-        except OSError:
-            # Reading raises the same error and closes the connection.
-            self._has_write_failed = True
+        except OSError as error:
+            # What the peer sent before can still be read; the end follows it.
+            self._error = self._error or error
             return len(data)
         self._sent_bytes += written
         return written
