--- a/harness/membership_network.py
+++ b/harness/membership_network.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, replace
 
 from persimmonhall.address import Address, parse_address
-from persimmonhall.ids import NodeName, ServiceName, ZoneName
+from persimmonhall.ids import InstanceId, NodeName, ServiceName, ZoneName
 from persimmonhall.membership.core import MembershipCore
 from persimmonhall.membership.effects import Effect, HealthChanged, Send, Synchronise
 from persimmonhall.membership.messages import (
@@ -111,6 +111,15 @@
         node.core.update_local_member(replace(node.table.local_member, state=state))
         self._schedule_tick(name)
 
+    def record_departure(
+        self, name: NodeName, instance: InstanceId, members: Iterable[NodeName]
+    ) -> None:
+        """Announce a departure and ping some members with it, as before its ack."""
+        node = self.nodes[name]
+        node.core.record_departure(instance, 1000, 7)
+        targets = [self.nodes[member].member for member in members]
+        self._apply_effects(node, node.core.ping_members(targets))
+
     def cut(self, sender: str, receiver: str) -> None:
         """Drop all traffic from one zone to another."""
         self._cuts.add((sender, receiver))
--- a/persimmonhall/membership/core.py
+++ b/persimmonhall/membership/core.py
@@ -4,10 +4,11 @@
 from dataclasses import dataclass, replace
 
 from persimmonhall.address import Address
-from persimmonhall.ids import LogIndex, NodeName, ZoneName
+from persimmonhall.ids import InstanceId, LogIndex, NodeName, ZoneName
 from persimmonhall.membership.effects import (
     DocumentIndexReport,
     Effect,
+    PeerAnswered,
     Send,
     Synchronise,
     address_of,
@@ -20,6 +21,7 @@
 from persimmonhall.membership.messages import (
     Ack,
     Datagram,
+    Departure,
     Health,
     Member,
     News,
@@ -115,6 +117,19 @@
         version = self._view.local_member.version + 1
         self._view.set_local_member(replace(member, version=version))
 
+    def record_departure(
+        self, instance: InstanceId, born_ms: int, sequence: int
+    ) -> None:
+        """Add a departure to the local node's record and propagate it."""
+        member = self._view.local_member
+        version = member.version + 1
+        departure = Departure(
+            (member.incarnation, version), instance, born_ms, sequence
+        )
+        self._view.set_local_member(
+            replace(member, version=version, departure=departure)
+        )
+
     def set_seeds(self, seeds: tuple[Address, ...]) -> None:
         """Replace the seed nodes."""
         self._seeds = seeds
@@ -138,6 +153,10 @@
             for member in members
         ]
 
+    def sample(self, count: int) -> list[Member]:
+        """Return up to count random members."""
+        return self._view.peers.sample(count)
+
     def sample_own_zone_nodes(self, count: int) -> list[Member]:
         """Return up to count random nodes of the own zone."""
         return self._view.peers.sample_own_zone_nodes(count)
@@ -270,9 +289,7 @@
         effects = self._handle_sender(ping, now)
         if ping.target not in ("", self._view.local_member.node):
             return effects
-        news = self._select_news(
-            self._view.news_to_refute(ping.sender.node), ping.sender.zone
-        )
+        news = self._select_news(self._view.news_for(ping.sender), ping.sender.zone)
         ack = Ack(ping.sequence, self._view.local_member, self._document_index, news)
         return [*effects, Send(address_of(ping.sender.frames), ack)]
 
@@ -293,6 +310,7 @@
 
     def _handle_ack(self, ack: Ack, now: float) -> list[Effect]:
         effects = self._handle_sender(ack, now)
+        effects.append(PeerAnswered(ack.sequence))
         probe = self._probe
         if probe is not None and probe.sequence == ack.sequence:
             if probe.member.node == ack.sender.node:
--- a/persimmonhall/membership/effects.py
+++ b/persimmonhall/membership/effects.py
@@ -5,7 +5,7 @@
 
 from persimmonhall.address import Address, parse_address
 from persimmonhall.ids import LogIndex, NodeName
-from persimmonhall.membership.messages import Datagram, News
+from persimmonhall.membership.messages import Datagram, Departure, News
 
 MAX_CACHED_ADDRESSES = 4096
 
@@ -47,4 +47,25 @@
     document_index: LogIndex
 
 
-Effect = Send | Synchronise | HealthChanged | DocumentIndexReport
+@dataclass(frozen=True, slots=True)
+class PeerAnswered:
+    """Report the answer to a ping; its sender has the record that came with it."""
+
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class DepartureLearned:
+    """Report a departure that peers have kept for this node."""
+
+    departure: Departure
+
+
+Effect = (
+    Send
+    | Synchronise
+    | HealthChanged
+    | DocumentIndexReport
+    | PeerAnswered
+    | DepartureLearned
+)
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -15,24 +15,30 @@
 from returns.result import Success
 
 from persimmonhall.address import Address
-from persimmonhall.ids import LogIndex, NodeName, ServiceName
+from persimmonhall.ids import InstanceId, LogIndex, NodeName, ServiceName
 from persimmonhall.membership.core import MembershipCore
 from persimmonhall.membership.datagrams import (
     DatagramSocket,
     open_datagram_socket,
 )
+from persimmonhall.membership.departure_confirmer import DepartureConfirmer
 from persimmonhall.membership.effects import (
+    DepartureLearned,
     DocumentIndexReport,
     Effect,
     HealthChanged,
+    PeerAnswered,
     Send,
     Synchronise,
     address_of,
 )
 from persimmonhall.membership.messages import (
+    MAX_DEPARTURE_NUMBER,
+    MAX_TEXT_BYTES,
     SYNC_REQUESTS,
     CompareDigests,
     Datagram,
+    Departure,
     Differences,
     Health,
     Member,
@@ -63,6 +69,7 @@
 
 DocumentIndexListener = Callable[[DocumentIndexReport], None]
 ReportHandler = Callable[[NodeName, bytes], None]
+DepartureListener = Callable[[Departure], None]
 
 
 class Gossiper:
@@ -88,6 +95,21 @@
         self._nursery: trio.Nursery | None = None
         self._report_handlers: dict[int, ReportHandler] = {}
         self._document_index_listeners: list[DocumentIndexListener] = []
+        self._on_departure: DepartureListener = lambda departure: None
+        self._on_joined: Callable[[], None] = lambda: None
+        self._has_joined = False
+        self._has_unconfirmed_departure = False
+        self._confirmer = DepartureConfirmer(self._core, table, self._apply_effects)
+
+    @property
+    def has_joined(self) -> bool:
+        """Return whether a member has answered this node since its start."""
+        return self._has_joined
+
+    @property
+    def has_unconfirmed_departure(self) -> bool:
+        """Return whether a departure was announced that members may not know yet."""
+        return self._has_unconfirmed_departure
 
     @property
     def member_count(self) -> int:
@@ -114,6 +136,46 @@
             self._core.update_local_member(changed)
             self._wakeup.set()
 
+    def announce_departure(
+        self, instance: InstanceId, born_ms: int, sequence: int
+    ) -> None:
+        """Announce up to which report an instance leaves; peers keep it for this node.
+
+        A departure whose numbers or id no record can hold is not announced.
+        """
+        if len(instance.encode()) > MAX_TEXT_BYTES or not all(
+            abs(number) <= MAX_DEPARTURE_NUMBER for number in (born_ms, sequence)
+        ):
+            return
+        self._core.record_departure(instance, born_ms, sequence)
+        self._has_unconfirmed_departure = True
+        self._wakeup.set()
+
+    def set_departure_listener(
+        self, on_departure: DepartureListener, on_joined: Callable[[], None]
+    ) -> None:
+        """Set what to call for a departure kept by peers and for the first answer."""
+        self._on_departure = on_departure
+        self._on_joined = on_joined
+
+    def confirm_departure(self, on_done: Callable[[], None]) -> None:
+        """Call a function once members know the departure, or after all attempts."""
+        if self._nursery is None:
+            on_done()
+        else:
+            self._nursery.start_soon(self._confirm_departure, on_done)
+
+    async def _confirm_departure(self, on_done: Callable[[], None]) -> None:
+        await self._confirmer.confirm()
+        self._has_unconfirmed_departure = False
+        on_done()
+
+    def _handle_answer(self, sequence: int) -> None:
+        if not self._has_joined:
+            self._has_joined = True
+            self._on_joined()
+        self._confirmer.handle_answer(sequence)
+
     def set_frames_address(
         self, bind_address: Address, advertised_address: Address
     ) -> None:
@@ -269,6 +331,10 @@
                     member.service,
                     member.version_key,
                 )
+            case PeerAnswered(sequence):
+                self._handle_answer(sequence)
+            case DepartureLearned(departure):
+                self._on_departure(departure)
             case DocumentIndexReport():
                 for listener in tuple(self._document_index_listeners):
                     listener(effect)
--- a/persimmonhall/membership/instance_watch.py
+++ b/persimmonhall/membership/instance_watch.py
@@ -17,12 +17,22 @@
 from persimmonhall.events import Event, EventLog
 from persimmonhall.ids import InstanceId, ServiceName
 from persimmonhall.membership.gossip import Gossiper
-from persimmonhall.membership.messages import MemberState
+from persimmonhall.membership.messages import (
+    MAX_DEPARTURE_NUMBER,
+    Departure,
+    MemberState,
+)
 
 # Reports may arrive seconds late; a stopped server fails at the next connection.
 REPORT_TIMEOUT_S = 12.0
 # Only the last instances can still have a report under way.
-MAX_DEREGISTERED = 100
+MAX_DEPARTURES = 100
+# A node that has restarted applies no report before it has heard from a member, which
+# tells what left before, or for this long if none answers.
+MAX_HOLD_S = 1.0
+# Orders a leave after all reports of an incarnation.
+FINAL_SEQUENCE = MAX_DEPARTURE_NUMBER
+NO_DEPARTURE = (-1, -1)
 
 
 class InstanceWatch:
@@ -43,8 +53,11 @@
         self._log = log
         self._latest_report: InstanceReport | None = None
         self._last_report_at = 0.0
-        # Latest start times of deregistered instances: no late report restores one.
-        self._deregistered: dict[InstanceId, int] = {}
+        # Latest birth and sequence that count as departed: no late report restores one.
+        self._departures: dict[InstanceId, tuple[int, int]] = {}
+        self._held_report: InstanceReport | None = None
+        self._hold_until = trio.current_time() + MAX_HOLD_S
+        gossiper.set_departure_listener(self.restore_departure, self.apply_held_report)
 
     def handle_call(self, call: NodeCall) -> bool:
         """Handle a call of an instance; return whether it was valid."""
@@ -63,11 +76,32 @@
         self._gossiper.announce(self._local_service, 0, MemberState.EMPTY)
 
     def announce_leaving(self) -> None:
-        """Tell peers that the backend server leaves."""
+        """Tell peers that the backend server leaves, as it states in its answers."""
+        latest = self._latest_report
+        if latest is not None:
+            self._record_departure(latest.instance, latest.born_ms, FINAL_SEQUENCE)
         self._gossiper.announce(self._local_service, 0, MemberState.LEAVING)
 
+    def restore_departure(self, departure: Departure) -> None:
+        """Apply a departure that was acknowledged before this node restarted."""
+        key = (departure.born_ms, departure.sequence)
+        self._keep_departure(departure.instance, key)
+        latest = self._latest_report
+        if latest is None or latest.instance != departure.instance:
+            return
+        if _report_order(latest) <= key:
+            self._apply_departure(latest, "it left before this node restarted")
+
+    def apply_held_report(self) -> None:
+        """Apply the newest report that came before a member had answered."""
+        report, self._held_report = self._held_report, None
+        if report is not None:
+            self._accept_report(report)
+
     def step(self, now: float) -> None:
         """Remove the instance if its reports have stopped."""
+        if self._held_report is not None and now >= self._hold_until:
+            self.apply_held_report()
         latest = self._latest_report
         silent_s = now - self._last_report_at
         if latest is None or silent_s < REPORT_TIMEOUT_S:
@@ -88,11 +122,25 @@
                 Event.INSTANCE_REPORT_REFUSED, instance=report.instance, reason=reason
             )
             return False
-        latest = self._latest_report
-        if latest is not None and _report_order(report) <= _report_order(latest):
-            return True
-        if report.born_ms <= self._deregistered.get(report.instance, -1):
+        if report.state is InstanceState.READY and self._is_holding():
+            held = self._held_report
+            if held is None or _report_order(report) > _report_order(held):
+                self._held_report = report
             return True
+        self._accept_report(report)
+        return True
+
+    def _is_holding(self) -> bool:
+        return not self._gossiper.has_joined and trio.current_time() < self._hold_until
+
+    def _accept_report(self, report: InstanceReport) -> None:
+        """Apply a report unless a newer one or a departure precedes it."""
+        latest = self._latest_report
+        order = _report_order(report)
+        if latest is not None and order <= _report_order(latest):
+            return
+        if order <= self._departures.get(report.instance, NO_DEPARTURE):
+            return
         if latest is None or _logged_fields(report) != _logged_fields(latest):
             self._log.emit(
                 Event.INSTANCE_SEEN,
@@ -105,8 +153,9 @@
             )
         self._latest_report = report
         self._last_report_at = trio.current_time()
+        if report.state is InstanceState.DRAINING and not _is_draining(latest, report):
+            self._record_departure(report.instance, report.born_ms, report.sequence)
         self._apply_report(report)
-        return True
 
     def _handle_leave(self, instance: InstanceId, born_ms: int | None) -> None:
         latest = self._latest_report
@@ -115,18 +164,29 @@
             # This node may have restarted since the last report of the instance; all
             # its incarnations so far were born before now.
             born_ms = latest.born_ms if is_latest else int(time.time() * 1000)
-        self._deregistered[instance] = max(
-            born_ms, self._deregistered.pop(instance, born_ms)
-        )
-        if len(self._deregistered) > MAX_DEREGISTERED:
-            del self._deregistered[next(iter(self._deregistered))]
-        if not is_latest or latest.born_ms > born_ms:
-            return
-        self._log.emit(
-            Event.INSTANCE_GONE, instance=instance, reason="instance deregistered"
-        )
+        self._record_departure(instance, born_ms, FINAL_SEQUENCE)
+        if is_latest and latest.born_ms <= born_ms:
+            self._apply_departure(latest, "instance deregistered")
+
+    def _record_departure(
+        self, instance: InstanceId, born_ms: int, sequence: int
+    ) -> None:
+        """Remember a departure here and at the peers, unless it is known already."""
+        if self._keep_departure(instance, (born_ms, sequence)):
+            self._gossiper.announce_departure(instance, born_ms, sequence)
+
+    def _keep_departure(self, instance: InstanceId, key: tuple[int, int]) -> bool:
+        """Remember a departure here; return whether it is later than the known one."""
+        known = self._departures.pop(instance, NO_DEPARTURE)
+        self._departures[instance] = max(key, known)
+        if len(self._departures) > MAX_DEPARTURES:
+            del self._departures[next(iter(self._departures))]
+        return key > known
+
+    def _apply_departure(self, latest: InstanceReport, reason: str) -> None:
+        self._log.emit(Event.INSTANCE_GONE, instance=latest.instance, reason=reason)
         self._gate.set_instance(None)
-        self.announce_leaving()
+        self._gossiper.announce(self._local_service, 0, MemberState.LEAVING)
 
     def _rejection_reason(self, report: InstanceReport) -> str | None:
         if self._local_service and report.service != self._local_service:
@@ -149,5 +209,14 @@
     return (report.born_ms, report.sequence)
 
 
+def _is_draining(latest: InstanceReport | None, report: InstanceReport) -> bool:
+    """Return whether the latest report says that the same incarnation drains."""
+    return (
+        latest is not None
+        and (latest.instance, latest.born_ms) == (report.instance, report.born_ms)
+        and latest.state is InstanceState.DRAINING
+    )
+
+
 def _logged_fields(report: InstanceReport) -> tuple:
     return (report.instance, report.state, report.slots)
--- a/persimmonhall/membership/messages.py
+++ b/persimmonhall/membership/messages.py
@@ -9,7 +9,7 @@
 from returns.result import Failure
 
 from persimmonhall.address import parse_address
-from persimmonhall.ids import LogIndex, NodeName, ServiceName, ZoneName
+from persimmonhall.ids import InstanceId, LogIndex, NodeName, ServiceName, ZoneName
 from persimmonhall.wire.codec import (
     Packer,
     UnionCodec,
@@ -22,6 +22,9 @@
 SCHEMA = load_schema(Path(__file__).with_name("messages.capnp"))
 # Health, state, incarnation, version, slots and the lengths of the five texts.
 NEWS_HEADER = struct.Struct("<BBQQI5B")
+# The key of a departure, birth and sequence; the instance follows to the end.
+DEPARTURE_HEADER = struct.Struct("<QQqq")
+MAX_DEPARTURE_NUMBER = 2**63 - 1
 MAX_TEXT_BYTES = 255
 # The same news passes a node several times, in datagrams of different peers.
 MAX_CACHED_NEWS = 8192
@@ -49,6 +52,20 @@
         return self in (Health.DEAD, Health.LEFT)
 
 
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """Name the last report up to which an instance is known to leave its node.
+
+    It is kept by all members for the node, which forgets it when it restarts. The
+    departures of a node are ordered by the version of the record that announced them.
+    """
+
+    announced_by: tuple[int, int]
+    instance: InstanceId
+    born_ms: int
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """Describe one node; its records are ordered by incarnation, then version."""
@@ -62,12 +79,21 @@
     service: ServiceName
     slots: int
     state: MemberState
+    departure: Departure | None = None
 
     @property
     def version_key(self) -> tuple[int, int]:
         """Return the key by which records of one node are ordered."""
         return (self.incarnation, self.version)
 
+    def knows_later_departure(self, other: "Member") -> bool:
+        """Return whether another record of the node lacks the departure of this one."""
+        if self.departure is None:
+            return False
+        if other.departure is None:
+            return True
+        return self.departure.announced_by > other.departure.announced_by
+
 
 @dataclass(frozen=True, slots=True)
 class News:
@@ -194,7 +220,29 @@
         member.slots,
         *map(len, texts),
     )
-    return b"".join((header, *texts))
+    return b"".join((header, *texts, _pack_departure(member.departure)))
+
+
+def _pack_departure(departure: Departure | None) -> bytes:
+    if departure is None:
+        return b""
+    instance = departure.instance.encode()
+    header = DEPARTURE_HEADER.pack(
+        *departure.announced_by, departure.born_ms, departure.sequence
+    )
+    return header + instance
+
+
+def _unpack_departure(data: bytes) -> Departure | None:
+    if not data:
+        return None
+    *announced_by, born_ms, sequence = DEPARTURE_HEADER.unpack_from(data)
+    instance = data[DEPARTURE_HEADER.size :]
+    if not 0 < len(instance) <= MAX_TEXT_BYTES:
+        raise ValueError(f"an instance id of {len(instance)} bytes")
+    return Departure(
+        tuple(announced_by), InstanceId(instance.decode()), born_ms, sequence
+    )
 
 
 @lru_cache(MAX_CACHED_NEWS)
@@ -209,7 +257,7 @@
             texts.append(data[start : start + size].decode())
             start += size
         node, zone, region, frames, service = texts
-        if start != len(data):
+        if start > len(data):
             raise ValueError(f"{len(data)} bytes instead of {start}")
         member = Member(
             NodeName(node),
@@ -221,6 +269,7 @@
             ServiceName(service),
             slots,
             _STATES[state],
+            _unpack_departure(data[start:]),
         )
         news = News(member, Health(health))
     except (struct.error, IndexError, ValueError) as error:
--- a/persimmonhall/membership/tests/test_core.py
+++ b/persimmonhall/membership/tests/test_core.py
@@ -71,6 +71,29 @@
     assert states == {MemberState.READY}
 
 
+# What left before a restart was forgotten, and a late report brought it back.
+@pytest.mark.parametrize("incarnation", [2, 0], ids=["later clock", "earlier clock"])
+@pytest.mark.parametrize("down_s", [0.05, 0.5, 30.0])
+def test_restarted_node_learns_which_server_has_left(network, incarnation, down_s):
+    """Tell it within 2 s, though it was killed as soon as two members knew."""
+    for _ in range(3):
+        network.record_departure("suva-0", "i-1", ["nadi-4", "lautoka-8"])
+    network.run(0.01)
+    network.kill("suva-0")
+    network.run(down_s)
+    network.start(0, "suva", incarnation)
+    network.run(2.0)
+    departure = network.nodes["suva-0"].table.local_member.departure
+    assert departure is not None
+    assert departure.instance == "i-1"
+    network.kill("suva-0")
+    network.run(1.0)
+    network.start(0, "suva", incarnation + 1)
+    network.run(HEAL_TIMEOUT_S)
+    held = {node.table.get("suva-0").departure for node in network.nodes.values()}
+    assert held == {departure}
+
+
 @pytest.mark.parametrize("one_way", [False, True], ids=["both ways", "one way"])
 def test_partitioned_zone_keeps_its_members_and_rejoins(network, one_way):
     """Keep a partitioned zone's own members, remove the others, then rejoin unaided."""
--- a/persimmonhall/membership/tests/test_instance_watch.py
+++ b/persimmonhall/membership/tests/test_instance_watch.py
@@ -1,6 +1,7 @@
 """Check that outdated calls do not change the backend instance."""
 
 import pytest
+import trio
 
 from persimmonhall.address import Address
 from persimmonhall.dialect import (
@@ -10,8 +11,8 @@
     ReportCall,
 )
 from persimmonhall.events import EventLog
-from persimmonhall.membership.instance_watch import InstanceWatch
-from persimmonhall.membership.messages import MemberState
+from persimmonhall.membership.instance_watch import MAX_HOLD_S, InstanceWatch
+from persimmonhall.membership.messages import Departure, MemberState
 from persimmonhall.release.tests.builders import make_report
 
 
@@ -29,10 +30,20 @@
 
 
 class FakeGossiper:
-    """Record the announced state."""
+    """Record the announced state and departures."""
 
     def __init__(self):
         self.state = MemberState.EMPTY
+        self.departures = []
+        self.has_joined = True
+
+    def set_departure_listener(self, on_departure, on_joined):
+        """Store what to call for departures and for the first answer."""
+        self.on_departure, self.on_joined = on_departure, on_joined
+
+    def announce_departure(self, instance, born_ms, sequence):
+        """Record a departure."""
+        self.departures.append(Departure((1, 1), instance, born_ms, sequence))
 
     def announce(self, service, slots, state):
         """Record the state."""
@@ -44,6 +55,24 @@
 
     def __init__(self):
         self.gate, self.gossiper = FakeGate(), FakeGossiper()
+        self._start()
+
+    def restart(self):
+        """Start the node again; its peers tell it of departures, then of the join."""
+        departures = self.gossiper.departures
+        self.gate, self.gossiper = FakeGate(), FakeGossiper()
+        self.gossiper.has_joined = False
+        self._start()
+        return departures
+
+    def join(self, departures=()):
+        """Let the first member answer."""
+        for departure in departures:
+            self.gossiper.on_departure(departure)
+        self.gossiper.has_joined = True
+        self.gossiper.on_joined()
+
+    def _start(self):
         address = Address("127.0.0.1", 9)
         self.instance_watch = InstanceWatch(
             self.gate, self.gossiper, "maps", address, EventLog("n")
@@ -151,3 +180,73 @@
     fixture.instance_watch.announce_leaving()
     fixture.send_report(sequence=2)
     assert fixture.gossiper.state is MemberState.LEAVING
+
+
+# A restarted node took a late report of a server that had left, and got it orders.
+@pytest.mark.parametrize("is_late_before_join", [True, False])
+@pytest.mark.parametrize(
+    "last_call",
+    [
+        LeaveCall("i-1", 1000),
+        LeaveCall("i-1"),
+        ReportCall(make_report(sequence=6, state=InstanceState.DRAINING)),
+    ],
+    ids=["leave", "leave without birth", "draining"],
+)
+async def test_departure_outlasts_a_restart_of_the_node(
+    fixture, last_call, is_late_before_join
+):
+    """Ignore late reports, whether they come before or after what members tell."""
+    fixture.send_report(sequence=4)
+    fixture.instance_watch.handle_call(last_call)
+    departures = fixture.restart()
+    assert len(departures) == 1
+    if is_late_before_join:
+        assert fixture.send_report(sequence=5)
+    fixture.join(departures)
+    assert fixture.send_report(sequence=5)
+    assert fixture.gate.instance is None
+    assert fixture.gossiper.state is not MemberState.READY
+    fixture.send_report(instance="i-2", born_ms=9000)
+    assert fixture.gossiper.state is MemberState.READY
+
+
+async def test_departure_that_is_learned_late_is_applied(fixture):
+    """Take the server out of use if the first member to answer did not know."""
+    fixture.send_report(sequence=4)
+    fixture.instance_watch.handle_call(LeaveCall("i-1", 1000))
+    departures = fixture.restart()
+    fixture.join()
+    fixture.send_report(sequence=5)
+    assert fixture.gossiper.state is MemberState.READY
+    fixture.gossiper.on_departure(departures[0])
+    assert fixture.gate.instance is None
+    assert fixture.gossiper.state is MemberState.LEAVING
+
+
+async def test_report_is_held_until_a_member_answers_or_none_does(
+    fixture, autojump_clock
+):
+    """Serve on in a zone that is cut off, with the newest report."""
+    fixture.restart()
+    fixture.send_report(sequence=8)
+    fixture.send_report(sequence=7)
+    assert fixture.gate.instance is None
+    await trio.sleep(MAX_HOLD_S)
+    fixture.instance_watch.step(trio.current_time())
+    assert fixture.gate.instance.sequence == 8
+
+
+async def test_server_that_states_that_it_leaves_has_departed(fixture):
+    """Announce it like a leave: no report of this incarnation counts any more."""
+    fixture.send_report(sequence=1)
+    fixture.instance_watch.announce_leaving()
+    [departure] = fixture.gossiper.departures
+    assert (departure.instance, departure.born_ms) == ("i-1", 1000)
+
+
+async def test_draining_is_announced_as_a_departure_once(fixture):
+    """Spare the members a new record for each report of a draining server."""
+    for sequence in range(1, 5):
+        fixture.send_report(sequence=sequence, state=InstanceState.DRAINING)
+    assert len(fixture.gossiper.departures) == 1
--- a/persimmonhall/membership/view.py
+++ b/persimmonhall/membership/view.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from persimmonhall.ids import NodeName
-from persimmonhall.membership.effects import Effect, HealthChanged
+from persimmonhall.membership.effects import DepartureLearned, Effect, HealthChanged
 from persimmonhall.membership.gossip_queue import GossipQueue
 from persimmonhall.membership.messages import Health, Member, News
 from persimmonhall.membership.peers import Peers
@@ -52,6 +52,14 @@
         peer = self.peers.get(node)
         return peer.news if peer is not None else None
 
+    def news_for(self, sender: Member) -> tuple[News, ...]:
+        """Return what a node has to know about itself: an accusation, a departure."""
+        known = self.news_of(sender.node)
+        if known is None:
+            return ()
+        is_unknown = known.member.knows_later_departure(sender)
+        return (known,) if is_unknown or not _is_alive(known) else ()
+
     def news_to_refute(self, node: NodeName) -> tuple[News, ...]:
         """Return the latest update of a node unless it is alive."""
         known = self.news_of(node)
@@ -88,11 +96,18 @@
 
     def _merge(self, news: News, now: float, propagate: bool) -> list[Effect]:
         if news.member.node == self.local_member.node:
+            effects = self._adopt_departure(news.member)
             self._refute(news)
-            return []
+            return effects
         known = self.news_of(news.member.node)
         if known is None:
             return self._store(news, now, propagate)
+        if known.member.knows_later_departure(news.member):
+            news = _with_departure(news, known.member)
+        elif news.member.knows_later_departure(known.member):
+            known = _with_departure(known, news.member)
+            self.peers.put(known, now)
+            self.queue.add(known)
         if news.health is Health.DEAD and _is_alive(known):
             # Mark it suspect first, so that the member can still refute the update.
             news = replace(news, health=Health.SUSPECT)
@@ -114,6 +129,20 @@
         changed = known is None or known.health is not news.health
         return [HealthChanged(news)] if changed else []
 
+    def _adopt_departure(self, member: Member) -> list[Effect]:
+        """Take over what an earlier process of this node has announced."""
+        local_member = self.local_member
+        if self._has_left or not member.knows_later_departure(local_member):
+            return []
+        self.set_local_member(
+            replace(
+                local_member,
+                version=local_member.version + 1,
+                departure=member.departure,
+            )
+        )
+        return [DepartureLearned(member.departure)]
+
     def _refute(self, news: News) -> None:
         local_member = self.local_member
         is_newer = news.member.version_key > local_member.version_key
@@ -136,5 +165,10 @@
         )
 
 
+def _with_departure(news: News, member: Member) -> News:
+    """Return an update with the departure that another record of the node has."""
+    return replace(news, member=replace(news.member, departure=member.departure))
+
+
 def _is_alive(news: News) -> bool:
     return news.health is Health.ALIVE
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -101,6 +101,24 @@
         """Do nothing: every request is answered when it begins."""
 
 
+class _LocalApi(_SyncApi):
+    """Answer the local server; hold back what acknowledges an unknown departure."""
+
+    def __init__(
+        self, get_answer: Callable[[HttpRequest], HttpAnswer], gossiper: Gossiper
+    ):
+        super().__init__(get_answer)
+        self._gossiper = gossiper
+
+    def begin(self, message: Message, exchange: Exchange) -> None:
+        """Answer a request, once members know of the departure that it reports."""
+        answer = self._get_answer(to_http_request(message))
+        if self._gossiper.has_unconfirmed_departure:
+            self._gossiper.confirm_departure(lambda: exchange.send_answer(answer))
+        else:
+            exchange.send_answer(answer)
+
+
 class RoutedNode:
     """Assemble the components of a node and run them."""
 
@@ -228,7 +246,7 @@
             on_unread_refusal=self.entry.record_unread,
         )
         self.local = CallerServer(
-            _SyncApi(self._answer_local),
+            _LocalApi(self._answer_local, self.gossiper),
             node_settings.local,
             self.poller,
             self.timers,
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -297,6 +297,22 @@
     assert set(statuses) == {200}
 
 
+# A node killed right after it had acknowledged a leave was the only one to know of it.
+async def test_leave_is_acknowledged_once_members_know_of_it(routed_nodes):
+    """Let members keep the departure for the node, which forgets it at a restart."""
+    with trio.fail_after(8):
+        while await routed_nodes.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await routed_nodes.report()
+    await routed_nodes.get_until_status(200)
+    leave = encode_request("DELETE", "/-/instances/i-1")
+    gate = routed_nodes.nodes[1].settings.node
+    assert (await send_request(gate.local, leave))[0] == 200
+    record = routed_nodes.nodes[0]._table.get(gate.name)
+    assert record.departure.instance == "i-1"
+    assert not routed_nodes.nodes[0]._table.servers_of("maps")
+
+
 # Peers chose a server until its report said that it drains, which may never come.
 async def test_server_that_states_that_it_leaves_is_announced_as_leaving(routed_nodes):
     """Deliver the answer, tell the entry, and send no further request."""
