Bound the values of reports, records, seeds and releases where they are read

A birth or sequence of 30 digits made all true reports look outdated for 12 s; an instance id with a line end put a header of its writer's choice into every request to the server.

Cause: readers checked types, not whether a value can be stored, sent and computed with, and a member record was adopted before it was packed. Ruled out: deep nesting, infinity and ports out of range in reports, which were refused before.

--- a/persimmonhall/membership/backend_watch.py
+++ b/persimmonhall/membership/backend_watch.py
@@ -13,7 +13,7 @@
 from persimmonhall.errors import ErrorKind, Refusal, refuse
 from persimmonhall.ids import ServiceName
 from persimmonhall.membership.gossip import Gossiper
-from persimmonhall.membership.messages import MemberState
+from persimmonhall.membership.messages import MAX_SLOTS, MemberState
 from persimmonhall.process_pauses import ProcessPauses
 from persimmonhall.settings import NAME_PATTERN
 
@@ -40,7 +40,7 @@
         return Failure(
             refuse(ErrorKind.BAD_REQUEST, f"announcement: missing key {error}")
         )
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, RecursionError) as error:
         return Failure(refuse(ErrorKind.BAD_REQUEST, f"announcement: {error}"))
     return Success(backend)
 
@@ -77,8 +77,8 @@
 
 def _parse_count(fields: dict, key: str) -> int:
     value = fields[key]
-    if type(value) is not int or value < 1:
-        raise ValueError(f"{key} must be a positive integer")
+    if type(value) is not int or not 1 <= value <= MAX_SLOTS:
+        raise ValueError(f"{key} must be an integer between 1 and {MAX_SLOTS}")
     return value
 
 
--- a/persimmonhall/membership/instance_watch.py
+++ b/persimmonhall/membership/instance_watch.py
@@ -1,5 +1,6 @@
 """Track the current instance of the local backend server."""
 
+import re
 import time
 
 import trio
@@ -19,6 +20,7 @@
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.messages import (
     MAX_DEPARTURE_NUMBER,
+    MAX_SLOTS,
     Departure,
     MemberState,
 )
@@ -27,9 +29,15 @@
 REPORT_TIMEOUT_S = 12.0
 # Only the last instances can still have a report under way.
 MAX_DEPARTURES = 100
+MAX_LOGGED_CHARS = 40
 # A node that has restarted applies no report before it has heard from a member, which
 # tells what left before, or for this long if none answers.
 MAX_HOLD_S = 1.0
+# Clocks may step; a later birth would make all true reports look outdated.
+MAX_BIRTH_LEAD_MS = 24 * 3600 * 1000
+MAX_SEQUENCE = 1 << 53
+# It is sent to the server as the value of a header.
+INSTANCE_ID = re.compile(r"[\x21-\x7e]{1,255}")
 # Orders a leave after all reports of an incarnation.
 FINAL_SEQUENCE = MAX_DEPARTURE_NUMBER
 NO_DEPARTURE = (-1, -1)
@@ -64,9 +72,12 @@
         match call:
             case ReportCall(report):
                 return self._handle_report(report)
-            case LeaveCall(instance, born_ms):
+            case LeaveCall(instance, born_ms) if INSTANCE_ID.fullmatch(instance):
                 self._handle_leave(instance, born_ms)
                 return True
+            case LeaveCall(instance):
+                reason = f"{instance[:MAX_LOGGED_CHARS]!r} is no instance id"
+                self._log.emit(Event.INSTANCE_REPORT_REFUSED, reason=reason)
             case MalformedCall(reason):
                 self._log.emit(Event.INSTANCE_REPORT_REFUSED, reason=reason)
         return False
@@ -119,7 +130,9 @@
         reason = self._rejection_reason(report)
         if reason is not None:
             self._log.emit(
-                Event.INSTANCE_REPORT_REFUSED, instance=report.instance, reason=reason
+                Event.INSTANCE_REPORT_REFUSED,
+                instance=report.instance[:MAX_LOGGED_CHARS],
+                reason=reason,
             )
             return False
         if report.state is InstanceState.READY and self._is_holding():
@@ -193,9 +206,7 @@
             return f"service {report.service!r} is not the service of this node"
         if self._local_address is not None and report.address != self._local_address:
             return f"address {report.address} is not the backend address of this node"
-        if report.slots < 1:
-            return f"slots must be at least 1, not {report.slots}"
-        return None
+        return _odd_value(report)
 
     def _apply_report(self, report: InstanceReport) -> None:
         self._gate.set_instance(report)
@@ -205,6 +216,21 @@
         self._gossiper.announce(report.service, self._gate.limit, state)
 
 
+def _odd_value(report: InstanceReport) -> str | None:
+    """Return what is wrong with a value that no server reports, None if none is."""
+    if INSTANCE_ID.fullmatch(report.instance) is None:
+        return f"{report.instance[:MAX_LOGGED_CHARS]!r} is no instance id"
+    max_born_ms = int(time.time() * 1000) + MAX_BIRTH_LEAD_MS
+    for name, value, min_value, max_value in (
+        ("slots", report.slots, 1, MAX_SLOTS),
+        ("born_ms", report.born_ms, 0, max_born_ms),
+        ("sequence", report.sequence, 0, MAX_SEQUENCE),
+    ):
+        if not min_value <= value <= max_value:
+            return f"{name} must be between {min_value} and {max_value}"
+    return None
+
+
 def _report_order(report: InstanceReport) -> tuple[int, int]:
     return (report.born_ms, report.sequence)
 
--- a/persimmonhall/membership/messages.py
+++ b/persimmonhall/membership/messages.py
@@ -26,6 +26,8 @@
 DEPARTURE_HEADER = struct.Struct("<QQqq")
 MAX_DEPARTURE_NUMBER = 2**63 - 1
 MAX_TEXT_BYTES = 255
+# Well below what a record can hold; no server has as many.
+MAX_SLOTS = 1_000_000
 # The same news passes a node several times, in datagrams of different peers.
 MAX_CACHED_NEWS = 8192
 
--- a/persimmonhall/membership/view.py
+++ b/persimmonhall/membership/view.py
@@ -36,8 +36,9 @@
 
     def set_local_member(self, local_member: Member) -> None:
         """Replace this node's own record and queue it."""
-        self._table.set_local_member(local_member)
+        # Raises an error if no message can hold the record: it must not be adopted.
         self.queue.add(News(local_member))
+        self._table.set_local_member(local_member)
 
     def leave(self) -> None:
         """Queue the update that this node has left and stop refuting."""
--- a/persimmonhall/platform/settings.py
+++ b/persimmonhall/platform/settings.py
@@ -3,10 +3,12 @@
 import json
 from pathlib import Path
 
+from absl import logging
 from returns.result import Failure, Result, Success
 
 from persimmonhall.address import Address
 from persimmonhall.dialect import read_address
+from persimmonhall.platform.dialect import UNREADABLE_ERRORS
 from persimmonhall.settings import (
     ControlSection,
     ControlSettings,
@@ -39,7 +41,7 @@
         return Failure(f"{path}: cannot be read: {error}")
     except KeyError as error:
         return Failure(f"{path}: missing key {error}")
-    except (ValueError, TypeError) as error:
+    except UNREADABLE_ERRORS as error:
         return Failure(f"{path}: {error}")
 
 
@@ -56,7 +58,7 @@
             frames=_frames_address(fields),
         ),
         PeersSection(
-            control=tuple(map(read_address, fields["seedNodes"])),
+            control=_read_seeds(fields),
             frames_port=_frames_address(fields).port,
         ),
         releases=ReleasesSection(
@@ -102,12 +104,26 @@
         found=bool(fields.get("bootstrap")),
         # A control VM that is lost for good is replaced by one at another address.
         retire_replaced=True,
-        peers=tuple(map(read_address, fields["seedNodes"])),
+        peers=_read_seeds(fields),
         frames_port=_frames_address(fields).port,
     )
     return ControlSettings(with_frames_port(section))
 
 
+def _read_seeds(fields: dict) -> tuple[Address, ...]:
+    """Read the seeds; leave out those that can't be read unless none can."""
+    seeds, error = [], None
+    for text in fields["seedNodes"]:
+        try:
+            seeds.append(read_address(text))
+        except ValueError as invalid:
+            logging.warning("seed left out: %s", invalid)
+            error = invalid
+    if not seeds and error is not None:
+        raise error
+    return tuple(seeds)
+
+
 def _frames_address(fields: dict) -> Address:
     """Return the address for frames: the first port of the internal range."""
     return Address(fields["ipAddress"], int(fields["internalPortRange"][0]))
--- a/persimmonhall/release/schema.py
+++ b/persimmonhall/release/schema.py
@@ -13,7 +13,10 @@
 ORGANISATION_NAME = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
 # Longer timeouts are invalid by the platform's contract.
 MAX_TIMEOUT_MS = 10 * 60 * 1000
+MAX_OBJECTIVE_MS = 2**32 - 1  # the largest one that a call can carry
 MAX_VERSION = 2**64 - 1  # the largest one that the log can store
+# Larger integers are not exact as floating point, in which times are computed.
+MAX_INTEGER = 1 << 53
 
 
 class RouteKind(Enum):
@@ -134,8 +137,13 @@
             yield f"{name}: the path prefix must begin and end with a slash"
         if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
             yield f"{name}: timeout of {route.timeout_ms} ms is out of range"
+        if not 0 <= route.latency_objective_ms <= MAX_OBJECTIVE_MS:
+            objective_ms = route.latency_objective_ms
+            yield f"{name}: objective of {objective_ms} ms is out of range"
         if route.max_servers < 1:
             yield f"{name}: the maximum number of servers must be at least 1"
+        if max(abs(route.priority), route.max_servers) > MAX_INTEGER:
+            yield f"{name}: a number is over {MAX_INTEGER}"
         for target in route.targets:
             if target.service not in known_services:
                 yield f"{name}: unknown service {target.service!r}"
@@ -145,8 +153,11 @@
             yield f"{name}: no target has a positive weight"
     for limit in fields(release.limits):
         value = getattr(release.limits, limit.name)
-        if value < 1:
-            yield f"limit {limit.name}: {value} is less than 1"
+        if not 1 <= value <= MAX_INTEGER:
+            yield f"limit {limit.name}: {value} is not between 1 and {MAX_INTEGER}"
+    for service in release.services:
+        if abs(service.max_connections) > MAX_INTEGER:
+            yield f"service {service.name!r}: a number is over {MAX_INTEGER}"
     yield from _find_organisation_problems(release.organisations)
 
 
--- a/persimmonhall/release/tests/test_schema.py
+++ b/persimmonhall/release/tests/test_schema.py
@@ -1,6 +1,7 @@
 """Test the validation of releases."""
 
 import math
+from dataclasses import replace
 
 import pytest
 
@@ -29,6 +30,9 @@
         targets=(WeightedService("maps", 2), WeightedService("cue", math.nan))
     ),
     "begin and end with a slash": make_route(prefix="/charts"),
+    "objective of -1 ms is out of range": make_route(latency_objective_ms=-1),
+    f"objective of {10**30} ms": make_route(latency_objective_ms=10**30),
+    "a number is over": make_route(max_servers=10**400),
 }
 
 
@@ -44,6 +48,17 @@
     assert "same host and path prefix" in check(release).failure()
 
 
+def test_numbers_that_no_node_can_compute_with_are_refused():
+    """Refuse limits and priorities beyond exact floating point."""
+    release = make_release(make_route(priority=10**400))
+    assert "a number is over" in check(release).failure()
+    limits = replace(make_release().limits, idle_timeout_ms=10**400)
+    assert (
+        "limit idle_timeout_ms"
+        in check(replace(make_release(), limits=limits)).failure()
+    )
+
+
 def test_version_must_be_above_its_base():
     """Refuse a version that is not newer than the one it replaces."""
     assert "not greater" in check(make_release(version=3, base=3)).failure()
--- a/persimmonhall/wire/codec.py
+++ b/persimmonhall/wire/codec.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple, TypeVar, get_args, get_origin, get_type_hints
 
 import capnp
+from absl import logging
 
 capnp.remove_import_hook()
 
@@ -102,7 +103,10 @@
 
 
 def _make_packed_list_codec(packer: Packer) -> tuple[FieldWriter, ValueReader]:
-    """Write items one after the other, each behind its length."""
+    """Write items one after the other, each behind its length.
+
+    An item that can't be read is left out: the others hold.
+    """
 
     def write(builder: Any, wire_name: str, values: tuple) -> None:
         items = [packer.pack(value) for value in values]
@@ -117,7 +121,10 @@
             end = start + ITEM_SIZE.size + ITEM_SIZE.unpack_from(data, start)[0]
             if end > len(data):
                 raise ValueError("damaged message: a list ends inside an item")
-            values.append(packer.unpack(data[start + ITEM_SIZE.size : end]))
+            try:
+                values.append(packer.unpack(data[start + ITEM_SIZE.size : end]))
+            except ValueError as error:
+                logging.warning("item of a list left out: %s", error)
             start = end
         return tuple(values)
 
