Show that repeated refusals and cut heads reach no caller

Two reports of other operators, neither possible here. A server that writes an earlier refusal again: the pool matches answers by attempt id, skips others and closes a connection with surplus bytes. A server that ends within the head of its answer: a head counts only whole. Tests: a copy before the answer, in its place (close, reset) and early, with and without id, idempotent and not; heads of four kinds cut at each byte, closed and reset.

--- a/persimmonhall/http/tests/test_backend_pool.py
+++ b/persimmonhall/http/tests/test_backend_pool.py
@@ -124,6 +124,73 @@
     assert (await fixture.send_request()).body == b"mine"
 
 
+def make_refusal(attempt_line):
+    """Encode a refusal "not run"."""
+    head = b"HTTP/1.1 503 Full\r\n%sx-not-executed: 1\r\ncontent-length: 4\r\n\r\n"
+    return head % attempt_line + b"full"
+
+
+# Elsewhere, callers were told "not run" for what a server was running.
+@pytest.mark.parametrize("attempt_line", [b"x-id: a1\r\n", b""], ids=["id", "no id"])
+@pytest.mark.parametrize("is_idempotent", [True, False])
+@pytest.mark.parametrize(
+    ("steps", "fault"),
+    [
+        ([make_answer(b"a2", b"two")], None),
+        ([None], SendFault.CONNECTION_LOST),
+        (["reset"], SendFault.CONNECTION_LOST),
+    ],
+    ids=["answer", "close", "reset"],
+)
+async def test_refusal_that_is_repeated_does_not_refuse_the_next_request(
+    nursery, attempt_line, is_idempotent, steps, fault
+):
+    """Skip what a server wrote again on a kept connection, and what follows counts."""
+    refusal = make_refusal(attempt_line)
+    fixture = await start_fixture(
+        nursery, [make_refusal(b"x-id: a1\r\n")], [refusal, *steps]
+    )
+    assert (await fixture.send_request()).status == 503
+    result = await fixture.send_request(b"a2", is_idempotent=is_idempotent)
+    assert fixture.server.connections == 1
+    if fault is None:
+        assert (result.status, result.body) == (200, b"two")
+    else:
+        assert (result.fault, result.was_sent) == (fault, True)
+
+
+async def test_refusal_that_is_repeated_early_closes_the_connection(nursery):
+    """Send the next request on another connection, which the copy can't reach."""
+    refusal = make_refusal(b"x-id: a1\r\n")
+    fixture = await start_fixture(
+        nursery, [refusal, refusal], [make_answer(b"a2", b"two")]
+    )
+    assert (await fixture.send_request()).status == 503
+    await trio.sleep(0.02)
+    assert (await fixture.send_request(b"a2")).body == b"two"
+    assert fixture.server.connections == 2
+
+
+HEADS = {
+    "length": b"HTTP/1.1 200 OK\r\nx-id: a1\r\ncontent-length: 12\r\n\r\n",
+    "chunks": b"HTTP/1.1 200 OK\r\nx-id: a1\r\ntransfer-encoding: chunked\r\n\r\n",
+    "neither": b"HTTP/1.1 200 OK\r\nx-id: a1\r\nx-stamp: s.1\r\n\r\n",
+    "interim": b"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-id: a1\r\n\r\n",
+}
+
+
+# Elsewhere, callers got a whole 200 with an empty or short body.
+@pytest.mark.parametrize("end", [None, "reset"], ids=["close", "reset"])
+@pytest.mark.parametrize("head", HEADS.values(), ids=HEADS)
+async def test_answer_that_ends_within_its_head_is_no_answer(nursery, head, end):
+    """Cut the head at each byte."""
+    script = [[head[:size], end] for size in range(1, len(head))]
+    fixture = await start_fixture(nursery, *script)
+    for _ in script:
+        result = await fixture.send_request()
+        assert (result.fault, result.was_sent) == (SendFault.CONNECTION_LOST, True)
+
+
 async def test_connection_with_an_extra_answer_is_not_reused(nursery):
     """Don't reuse a connection after data that belongs to no request."""
     extra = make_answer(b"a1") + make_answer(b"a1", b"again")
