Let no false report spoil the order of the sound server's reports

Cause: the latest report by birth and sequence was believed alone, and nothing could refute it. Ruled out: bounds (a birth an hour ahead is possible).

Change: a 421 to a call for the instance refutes it and the instance before is in use again; calls for instances that were replaced meanwhile refute nothing. Outdated reports of the latest incarnation are signs of life, and its draining counts whatever the sequence. Draining of another instance takes nothing from the latest.

Evidence: the four tests of InstanceWatch fail on the code before.

--- a/persimmonhall/call/backend_session.py
+++ b/persimmonhall/call/backend_session.py
@@ -39,6 +39,7 @@
     on_unavailable: Callable[[], None] = lambda: None
     on_death: Callable[[list[RoutedCall]], None] = lambda calls: None
     on_leaving: Callable[[], None] = lambda: None
+    on_misdirected: Callable[[], None] = lambda: None
 
 
 class BackendSession:
@@ -162,6 +163,14 @@
         self._listeners.on_unavailable()
         self._on_closed()
 
+    def handle_misdirected(self, state: CallState) -> None:
+        """Send no calls to an instance that its server says it is not."""
+        if state.notices is not self.notices:
+            # The call was for an instance that has been replaced meanwhile.
+            return
+        self.mark_unavailable("another instance uses its address")
+        self._listeners.on_misdirected()
+
     def probe_for_death(self, call: RoutedCall) -> None:
         """Probe whether the server died, to report calls that may have caused it."""
         self._lost_calls.append((current_time(), call))
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -375,7 +375,7 @@
 
     def _handle_not_executed(self, state: CallState, answer: BackendAnswer) -> None:
         if answer.status == MISDIRECTED_STATUS:
-            self._session.mark_unavailable("another instance uses its address")
+            self._session.handle_misdirected(state)
         detail = f"the backend server did not run the call: status {answer.status}"
         self._replies.refuse(state, ErrorKind.NOT_EXECUTED, detail)
 
--- a/persimmonhall/call/tests/routed_fixtures.py
+++ b/persimmonhall/call/tests/routed_fixtures.py
@@ -79,6 +79,7 @@
         self.timers = Timers()
         self.unavailable_count = 0
         self.leaving_count = 0
+        self.misdirected_count = 0
         self.deaths = []
         self.replies = {}
         self.shutdown = ShutdownWindow()
@@ -89,7 +90,10 @@
             knowledge,
             EventLog("n"),
             BackendListeners(
-                self._count_unavailable, self.deaths.append, self._count_leaving
+                self._count_unavailable,
+                self.deaths.append,
+                self._count_leaving,
+                self._count_misdirected,
             ),
             FakePool,
             self.shutdown,
@@ -117,6 +121,9 @@
     def _count_leaving(self):
         self.leaving_count += 1
 
+    def _count_misdirected(self):
+        self.misdirected_count += 1
+
 
 class FakeLinks:
     """Hold calls until the test replies to them."""
--- a/persimmonhall/call/tests/test_routed_gate.py
+++ b/persimmonhall/call/tests/test_routed_gate.py
@@ -118,6 +118,21 @@
     assert fixture.unavailable_count == 1
 
 
+async def test_misdirected_answer_refutes_the_instance_that_it_was_meant_for(
+    autojump_clock,
+):
+    """Ignore it for an instance that has been replaced since the call began."""
+    fixture = GateFixture(make_report())
+    fixture.begin(make_call(1))
+    pool = fixture.pool
+    fixture.gate.set_instance(make_report(instance="i-2", born_ms=2000))
+    pool.answer(status=421)
+    assert (fixture.unavailable_count, fixture.misdirected_count) == (0, 0)
+    fixture.begin(make_call(2))
+    fixture.pool.answer(status=421)
+    assert (fixture.unavailable_count, fixture.misdirected_count) == (1, 1)
+
+
 async def test_lost_answer_may_have_run(autojump_clock):
     """Report an unknown run state for a call whose connection broke."""
     fixture = GateFixture(make_report())
--- a/persimmonhall/membership/instance_watch.py
+++ b/persimmonhall/membership/instance_watch.py
@@ -1,5 +1,6 @@
 """Track the current instance of the local backend server."""
 
+import math
 import re
 import time
 
@@ -61,6 +62,9 @@
         self._log = log
         self._latest_report: InstanceReport | None = None
         self._last_report_at = 0.0
+        # Replaced by an instance that may turn out not to be at the address.
+        self._replaced_report: InstanceReport | None = None
+        self._replaced_report_at = -math.inf
         # Latest birth and sequence that count as departed: no late report restores one.
         self._departures: dict[InstanceId, tuple[int, int]] = {}
         self._held_report: InstanceReport | None = None
@@ -93,6 +97,18 @@
             self._record_departure(latest.instance, latest.born_ms, FINAL_SEQUENCE)
         self._gossiper.announce(self._local_service, 0, MemberState.LEAVING)
 
+    def refute_instance(self) -> None:
+        """Return to the instance before: the server says that it is not the latest."""
+        refuted, self._latest_report = self._latest_report, None
+        if refuted is None:
+            return
+        # Only here: members need not know of a report that was not true.
+        self._keep_departure(refuted.instance, (refuted.born_ms, FINAL_SEQUENCE))
+        report, self._replaced_report = self._replaced_report, None
+        since_s = trio.current_time() - self._replaced_report_at
+        if report is not None and since_s < REPORT_TIMEOUT_S:
+            self._accept_report(report)
+
     def restore_departure(self, departure: Departure) -> None:
         """Apply a departure that was acknowledged before this node restarted."""
         key = (departure.born_ms, departure.sequence)
@@ -149,11 +165,21 @@
     def _accept_report(self, report: InstanceReport) -> None:
         """Apply a report unless a newer one or a departure precedes it."""
         latest = self._latest_report
-        order = _report_order(report)
-        if latest is not None and order <= _report_order(latest):
+        now = trio.current_time()
+        if latest is not None and not _supersedes(report, latest):
+            self._record_sign_of_life(report, latest, now)
             return
-        if order <= self._departures.get(report.instance, NO_DEPARTURE):
+        departure = self._departures.get(report.instance, NO_DEPARTURE)
+        if _report_order(report) <= departure:
             return
+        if latest is not None and not _is_same(report, latest):
+            if report.state is InstanceState.DRAINING:
+                # Takes no requests, so that there is nothing to take from the latest.
+                key = (report.born_ms, report.sequence)
+                self._keep_departure(report.instance, key)
+                return
+            self._replaced_report = latest
+            self._replaced_report_at = self._last_report_at
         if latest is None or _logged_fields(report) != _logged_fields(latest):
             self._log.emit(
                 Event.INSTANCE_SEEN,
@@ -165,11 +191,22 @@
                 warm_up_ms=report.warm_up_ms,
             )
         self._latest_report = report
-        self._last_report_at = trio.current_time()
+        self._last_report_at = now
         if report.state is InstanceState.DRAINING and not _is_draining(latest, report):
             self._record_departure(report.instance, report.born_ms, report.sequence)
         self._apply_report(report)
 
+    def _record_sign_of_life(
+        self, report: InstanceReport, latest: InstanceReport, now: float
+    ) -> None:
+        """Record that an instance still reports, though its report changes nothing."""
+        if _is_same(report, latest):
+            self._last_report_at = now
+        elif self._replaced_report is not None and (
+            _is_same(report, self._replaced_report)
+        ):
+            self._replaced_report_at = now
+
     def _handle_leave(self, instance: InstanceId, born_ms: int | None) -> None:
         latest = self._latest_report
         is_latest = latest is not None and latest.instance == instance
@@ -235,11 +272,28 @@
     return (report.born_ms, report.sequence)
 
 
+def _is_same(report: InstanceReport, other: InstanceReport) -> bool:
+    """Return whether two reports are of the same incarnation."""
+    return (report.instance, report.born_ms) == (other.instance, other.born_ms)
+
+
+def _supersedes(report: InstanceReport, latest: InstanceReport) -> bool:
+    """Return whether a report counts in place of the latest one.
+
+    An incarnation that drains stays so, whatever sequence another writer has reported.
+    """
+    if _is_same(report, latest) and report.state is not latest.state:
+        return report.state is InstanceState.DRAINING or (
+            report.sequence > latest.sequence
+        )
+    return _report_order(report) > _report_order(latest)
+
+
 def _is_draining(latest: InstanceReport | None, report: InstanceReport) -> bool:
     """Return whether the latest report says that the same incarnation drains."""
     return (
         latest is not None
-        and (latest.instance, latest.born_ms) == (report.instance, report.born_ms)
+        and _is_same(report, latest)
         and latest.state is InstanceState.DRAINING
     )
 
--- a/persimmonhall/membership/messages.py
+++ b/persimmonhall/membership/messages.py
@@ -261,6 +261,9 @@
         node, zone, region, frames, service = texts
         if start > len(data):
             raise ValueError(f"{len(data)} bytes instead of {start}")
+        if max(incarnation, version) > MAX_DEPARTURE_NUMBER:
+            # Its node could not raise the number to refute the record.
+            raise ValueError("an incarnation or version is out of range")
         member = Member(
             NodeName(node),
             ZoneName(zone),
--- a/persimmonhall/membership/tests/test_instance_watch.py
+++ b/persimmonhall/membership/tests/test_instance_watch.py
@@ -1,5 +1,7 @@
 """Check that outdated calls do not change the backend instance."""
 
+import time
+
 import pytest
 import trio
 
@@ -250,3 +252,50 @@
     for sequence in range(1, 5):
         fixture.send_report(sequence=sequence, state=InstanceState.DRAINING)
     assert len(fixture.gossiper.departures) == 1
+
+
+HOUR_MS = 3600 * 1000
+
+
+# One report of another writer kept a sound server out of use for 12 s.
+async def test_instance_that_is_not_at_the_address_gives_way(fixture):
+    """Return to the instance before at the first answer that refutes the other."""
+    now_ms = int(time.time() * 1000)
+    fixture.send_report(born_ms=now_ms, sequence=5)
+    assert fixture.send_report(instance="i-9", born_ms=now_ms + HOUR_MS)
+    fixture.send_report(born_ms=now_ms, sequence=6)
+    fixture.instance_watch.refute_instance()
+    assert fixture.gate.instance.instance == "i-1"
+    assert fixture.gossiper.state is MemberState.READY
+    fixture.send_report(instance="i-9", born_ms=now_ms + HOUR_MS, sequence=2)
+    assert fixture.gate.instance.instance == "i-1"
+
+
+async def test_refuted_instance_without_one_before_leaves_room_for_the_next(fixture):
+    """Accept the next report, also if its birth is earlier."""
+    fixture.send_report(instance="i-9", born_ms=9000)
+    fixture.instance_watch.refute_instance()
+    fixture.send_report(born_ms=1000)
+    assert fixture.gate.instance.instance == "i-1"
+
+
+async def test_large_sequence_of_another_writer_does_not_spoil_the_order(
+    fixture, autojump_clock
+):
+    """Keep the server in use while it reports, and believe that it drains."""
+    fixture.send_report(sequence=1 << 50)
+    for sequence in range(2, 15):
+        await trio.sleep(1.5)
+        fixture.send_report(sequence=sequence)
+        fixture.instance_watch.step(trio.current_time())
+        assert fixture.gossiper.state is MemberState.READY
+    fixture.send_report(sequence=15, state=InstanceState.DRAINING)
+    assert fixture.gossiper.state is MemberState.LEAVING
+
+
+async def test_draining_of_another_instance_takes_nothing_from_the_latest(fixture):
+    """Remember it for that instance alone."""
+    fixture.send_report()
+    fixture.send_report(instance="i-9", born_ms=9000, state=InstanceState.DRAINING)
+    assert fixture.gate.instance.instance == "i-1"
+    assert fixture.gossiper.state is MemberState.READY
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -174,6 +174,7 @@
                 on_unavailable=lambda: self.instances.announce_unavailable(),
                 on_death=suspects.report_death,
                 on_leaving=lambda: self.instances.announce_leaving(),
+                on_misdirected=lambda: self.instances.refute_instance(),
             ),
             shutdown=self._shutdown,
         )
