--- a/persimmonhall/http/backend_pool.py
+++ b/persimmonhall/http/backend_pool.py
@@ -151,15 +151,23 @@
             self._duplex.close()
         elif self._pending_connection is not None:
             self._pending_connection.cancel()
+        self._free()
+
+    def _free(self) -> None:
+        """Leave the pool and free what was read."""
         self._pool.remove(self)
+        self._message = None
+        self._reader.close()
 
     def _on_connect_error(self, error: OSError) -> None:
+        self._pending_connection = None
         self._pool.remove(self)
         is_refused = error.errno == errno.ECONNREFUSED
         fault = SendFault.NOT_LISTENING if is_refused else SendFault.NOT_CONNECTED
         self._fail(BackendFailure(fault, str(error)))
 
     def _on_connected(self, socket: sockets.socket) -> None:
+        self._pending_connection = None
         self._duplex = Duplex(socket, self._pool.poller, self._on_data, self._on_end)
         self._duplex.send(self._request.data)
 
@@ -179,11 +187,11 @@
             self.close()
 
     def _on_end(self, reason: str) -> None:
-        self._pool.remove(self)
         if reason == CLOSED_BY_PEER:
             self._finish_at_end_of_file()
         else:
             self._fail(self._connection_failure(reason))
+        self._free()
 
     def _process_answers(self) -> bool:
         """Finish the request once its answer is complete; return whether to read on."""
--- a/persimmonhall/http/caller_server.py
+++ b/persimmonhall/http/caller_server.py
@@ -155,6 +155,8 @@
                 exchange.release_body()
                 self._server.handler.abandon(exchange)
         self._incoming_body.release()
+        self._incoming_message = None
+        self._reader.close()
         self._server.remove(self)
 
     def _on_data(self, data: bytes) -> None:
--- a/persimmonhall/http/message_reader.py
+++ b/persimmonhall/http/message_reader.py
@@ -142,6 +142,20 @@
     def feed(self, data: bytes) -> None:
         """Add data; an error is raised only after all messages before it are taken."""
         self._buffer += data
+        self._read_buffer()
+        if self._current_message is None:
+            # Whoever takes the last message frees it with its body.
+            self._last_message = None
+
+    def close(self) -> None:
+        """Free what was read; no more data may be added."""
+        self._buffer.clear()
+        self._ready_messages.clear()
+        self._current_message = self._last_message = None
+        # The parser holds this reader.
+        self._parser = None
+
+    def _read_buffer(self) -> None:
         while self._buffer and self._error is None:
             if self._simple_body_remaining:
                 self._read_simple_body()
--- a/persimmonhall/wire/connection_setup.py
+++ b/persimmonhall/wire/connection_setup.py
@@ -57,17 +57,17 @@
             self._socket.close()
 
     def _on_ready(self, events: int) -> None:
-        self._finish()
         option = self._socket.getsockopt(sockets.SOL_SOCKET, sockets.SO_ERROR)
         error_number = self._connect_error_number or option
         if error_number:
             self._fail(error_number)
         else:
-            self._on_open(self._socket)
+            on_open = self._on_open
+            self._finish()
+            on_open(self._socket)
 
     def _time_out(self) -> None:
         if not self._is_finished:
-            self._finish()
             self._fail(errno.ETIMEDOUT)
 
     def _finish(self) -> None:
@@ -75,10 +75,14 @@
         self._poller.remove(self._socket.fileno())
         if self._timer is not None:
             self._timer.cancel()
+        # The owner of the callbacks may hold this object, too.
+        del self._on_open, self._on_error
 
     def _fail(self, error_number: int) -> None:
+        on_error = self._on_error
+        self._finish()
         self._socket.close()
-        self._on_error(
+        on_error(
             OSError(error_number, errno.errorcode.get(error_number, str(error_number)))
         )
 
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -117,9 +117,11 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._unsent.clear()
+        self._unsent = bytearray()
         self._poller.remove(self._fd)
         self._socket.close()
+        # The owner holds this object: without the callbacks, both are freed at once.
+        self._on_data, self._on_end = _ignore, _ignore
 
     def abort(self) -> None:
         """Close the connection, so that the kernel sends nothing more of it."""
@@ -184,5 +186,10 @@
         return written
 
     def _end(self, reason: str) -> None:
+        on_end = self._on_end
         self.close()
-        self._on_end(reason)
+        on_end(reason)
+
+
+def _ignore(value: bytes | str) -> None:
+    """Take the place of the callbacks of a closed connection."""
