Send answers for as long as their callers go on reading

Cause: a connection whose answer was not sent yet counted as idle, and the time of a slow reader ran from the answer, with half a second without progress as proof. Ruled out: the deadline (60 s).

--- a/persimmonhall/http/caller_server.py
+++ b/persimmonhall/http/caller_server.py
@@ -25,7 +25,7 @@
 MAX_PIPELINED_REQUESTS = 64
 MAX_UNSENT_BYTES = 1024 * 1024
 CHECK_INTERVAL_S = 0.5
-# The connection is closed if the caller reads nothing of its answer for this long.
+# The connection is closed if no more of its answers can be sent for this long.
 SLOW_READER_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 20.0
 # Closing at once with unread input would reset the connection and lose the answer.
@@ -53,16 +53,23 @@
         self._has_sent_last_answer = False
         self._accepts_requests = True
         self._last_activity_at = current_time()
-        self._previous_unsent_bytes = 0
+        self._previous_sent_bytes = 0
+        self._last_progress_at = self._last_activity_at
         self._duplex = Duplex(
             socket, poller, self._on_data, self._on_end, should_discard_at_end=True
         )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how many bytes of answers the caller has not made room for."""
+        return self._duplex.unsent_bytes
+
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress, arriving or unread."""
+        """Return whether no request is in progress, arriving or unread, all sent."""
         return (
-            not self._pending_exchanges
+            not self._duplex.unsent_bytes
+            and not self._pending_exchanges
             and not self._reader.is_mid_message
             and not self._has_unread_input
         )
@@ -89,6 +96,8 @@
             parts.append(exchange.encoded_answer)
         if parts:
             self._last_activity_at = current_time()
+            if not self._duplex.unsent_bytes:
+                self._last_progress_at = self._last_activity_at
             self._duplex.send(b"".join(parts) if len(parts) > 1 else parts[0])
         if self._has_sent_last_answer:
             self._server.start_linger(self)
@@ -103,25 +112,29 @@
             and self._incoming_message is None
         )
 
-    def linger(self, timers: Timers, give_up_at: float) -> None:
+    def linger(self, timers: Timers) -> None:
         """Send the last answer, shut down sending and close after LINGER_S."""
         if self._duplex.is_closed:
             return
         now = timers.now()
-        if self._duplex.unsent_bytes and now < give_up_at:
+        if self._duplex.unsent_bytes:
+            # The regular check closes the connection of a caller that does not read.
             when = now + LINGER_POLL_INTERVAL_S
-            timers.call_at(when, lambda: self.linger(timers, give_up_at))
+            timers.call_at(when, lambda: self.linger(timers))
             return
         self._duplex.shut_down_sending()
         timers.call_at(now + LINGER_S, self.close)
 
     def check(self, now: float) -> None:
         """Close the connection if it exceeds an idle, read or write timeout."""
-        idle_s = now - self._last_activity_at
+        if self._duplex.sent_bytes > self._previous_sent_bytes:
+            self._previous_sent_bytes = self._duplex.sent_bytes
+            self._last_progress_at = now
+        # A caller that reads slowly has its time to send more from the last byte on.
+        idle_s = now - max(self._last_activity_at, self._last_progress_at)
         limits = self._limits = self._server.get_limits()
         if self._duplex.unsent_bytes:
-            is_stuck = self._duplex.unsent_bytes == self._previous_unsent_bytes
-            if is_stuck and idle_s > SLOW_READER_TIMEOUT_S:
+            if now - self._last_progress_at > SLOW_READER_TIMEOUT_S:
                 self.close()
         elif self._incoming_message is not None:
             if idle_s > BODY_TIMEOUT_S:
@@ -131,7 +144,6 @@
                 self.close()
         elif not self._pending_exchanges and idle_s > limits.idle_timeout_ms / 1000:
             self.close()
-        self._previous_unsent_bytes = self._duplex.unsent_bytes
         if not self._is_at_limit():
             self._duplex.resume()
 
@@ -314,6 +326,11 @@
         """Return whether no request is in progress, arriving or unread."""
         return all(connection.is_idle for connection in self._connections)
 
+    @property
+    def has_unsent_answers(self) -> bool:
+        """Return whether callers have still to read what is ready for them."""
+        return any(connection.unsent_bytes for connection in self._connections)
+
     async def run(
         self, task_status: trio.TaskStatus[Address] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -344,7 +361,7 @@
         """Send the last answer of a connection and close it after LINGER_S."""
         if connection not in self._lingering_connections:
             self._lingering_connections.add(connection)
-            connection.linger(self._timers, self._timers.now() + SLOW_READER_TIMEOUT_S)
+            connection.linger(self._timers)
 
     def remove(self, connection: CallerConnection) -> None:
         """Remove a closed connection."""
--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -13,11 +13,13 @@
 # Fractions of the grace period. After the first, peers are told to send no more calls;
 # until then callers still send requests here too, so the backend server has work. The
 # gate refuses new calls of peers after the second, callers are served up to the third,
-# and open requests are awaited up to the fourth; those that remain are refused.
+# and open requests are awaited up to the fourth; those that remain are refused. Answers
+# that callers are still reading are sent up to the fifth.
 PEER_NOTICE_FRACTION = 0.4
 GATE_CLOSE_FRACTION = 0.45
 CALLER_CLOSE_FRACTION = 0.75
 REQUEST_END_FRACTION = 0.88
+ANSWER_END_FRACTION = 0.96
 # Callers leave after two failed readiness checks, which are one second apart.
 CALLER_NOTICE_S = 2.5
 # Callers know by now: what they send later has to end with the answer of its server.
@@ -60,3 +62,6 @@
     calls.stop()
     gossiper.announce_left()
     await trio.sleep(CHECK_INTERVAL_S)
+    answers_end_at = start + ANSWER_END_FRACTION * grace_s
+    while callers.has_unsent_answers and trio.current_time() < answers_end_at:
+        await trio.sleep(CHECK_INTERVAL_S)
