Send large messages in parts, once their receiver has room

Cause: nothing bounded what a node held between its connections, and a message was one frame. Ruled out: to stop reading a link (pings and all other replies wait), to refuse routes (the first sizes aren't known).

Change: messages over 512 KiB go in parts of 64 KiB, in turn; the rest is sent when the receiver grants it room. Budgets for bodies and answers of the gate and replies of the entry. A call whose last part is not sent has not run. A gate reads a large answer on when there is room, in place of cutting one.

--- a/persimmonhall/call/backend_session.py
+++ b/persimmonhall/call/backend_session.py
@@ -22,6 +22,7 @@
 from persimmonhall.timers import Timers
 from persimmonhall.wire.call_frames import RoutedCall
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import TransferBudget
 
 # Servers become slow when this fraction of their slots is in use.
 MAX_USED_SLOT_FRACTION = 0.95
@@ -55,6 +56,7 @@
         on_closed: Callable[[], None],
         read_load: Callable[[], dict[str, int]],
         make_pool: Callable[..., BackendPool] = BackendPool,
+        answer_budget: TransferBudget | None = None,
     ):
         self._headers = headers
         self._poller = poller
@@ -64,6 +66,7 @@
         self._on_closed = on_closed
         self._read_load = read_load
         self.make_pool = make_pool
+        self._answer_budget = answer_budget or TransferBudget()
         # Read several times a call, so without properties: the instance that runs the
         # calls, its connections, what it states, what paces it, why it takes no new
         # calls, and how many may run at once.
@@ -222,6 +225,7 @@
             self._timers,
             self._headers.attempt,
             report.slots + SPARE_CONNECTIONS,
+            self._answer_budget,
         )
 
     def _limit_by_connections(self, report: InstanceReport) -> None:
--- a/persimmonhall/call/routed_gate.py
+++ b/persimmonhall/call/routed_gate.py
@@ -29,6 +29,7 @@
 from persimmonhall.timers import Timer, Timers
 from persimmonhall.wire.call_frames import RoutedCall
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import TransferBudget
 
 MIN_START_DELAY_S = 0.001
 # Calls at once; a lower rate limit would make any load look like a large excess.
@@ -59,6 +60,7 @@
         listeners: BackendListeners | None = None,
         make_pool: Callable[..., BackendPool] = BackendPool,
         shutdown: ShutdownWindow | None = None,
+        answer_budget: TransferBudget | None = None,
     ):
         self._headers = headers
         self._timers = timers
@@ -78,6 +80,7 @@
             self._refuse_queued,
             self._read_load,
             make_pool,
+            answer_budget,
         )
         self.counts = CallCounters()
         self._replies = GateReplies(
--- a/persimmonhall/http/backend_pool.py
+++ b/persimmonhall/http/backend_pool.py
@@ -18,6 +18,11 @@
 )
 from persimmonhall.wire.duplex import CLOSED_BY_PEER, Duplex
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import (
+    LARGE_BYTES,
+    Reservation,
+    TransferBudget,
+)
 
 CONNECT_TIMEOUT_S = 0.5  # the backend server is on the same machine
 # When a process dies, all its connections are reset within this time.
@@ -111,6 +116,7 @@
         self._skipped_answers = 0
         self._skipped_body_bytes = 0
         self._received_bytes = 0
+        self._reservation: Reservation | None = None
         self.buffered_bytes = 0
         self.usable_until = 0.0
 
@@ -156,6 +162,7 @@
     def _free(self) -> None:
         """Leave the pool and free what was read."""
         self._pool.remove(self)
+        self._release()
         self._message = None
         self._reader.close()
 
@@ -215,12 +222,26 @@
                 self._check_overhead(message.body_size)
                 if self._is_own_message:
                     self._pool.set_buffered(self, message.body_size)
+                    self._reserve(max(message.body_size, message.content_length))
                 return True
             self._message = None
             if self._is_own_message:
                 return self._finish_request(message)
             self._skip_answer(message)
 
+    def _reserve(self, size: int) -> None:
+        """Read on with a large answer only while there is room for it."""
+        if size <= LARGE_BYTES or self._reservation is not None:
+            return
+        self._reservation = self._pool.budget.reserve(size, self._duplex.resume)
+        if not self._reservation.is_granted:
+            self._duplex.pause()
+
+    def _release(self) -> None:
+        if self._reservation is not None:
+            self._reservation.release()
+            self._reservation = None
+
     def _skip_answer(self, message: Message) -> None:
         """Skip an answer to an earlier request; raise an error if there are many."""
         self._skipped_answers += 1
@@ -258,6 +279,8 @@
         if is_reusable:
             self._pool.return_connection(self, _idle_timeout_s(message.headers))
         request.on_result(BackendAnswer(message.status, message.headers, message.body))
+        # Whoever has the answer now counts it.
+        self._release()
         return is_reusable
 
     def _finish_at_end_of_file(self) -> None:
@@ -305,12 +328,14 @@
         timers: Timers,
         attempt_header: bytes,
         max_connections: int,
+        budget: TransferBudget | None = None,
     ):
         self.address = address
         self.poller = poller
         self._timers = timers
         self.attempt_header = attempt_header
         self.max_connections = max_connections
+        self.budget = budget or TransferBudget()
         self._idle: list[_BackendConnection] = []
         self._connections: set[_BackendConnection] = set()
         self._buffered_bytes = 0
--- a/persimmonhall/http/caller_server.py
+++ b/persimmonhall/http/caller_server.py
@@ -64,6 +64,12 @@
         """Return how many bytes of answers the caller has not made room for."""
         return self._duplex.unsent_bytes
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """Return the bytes of answers that are ready and not sent."""
+        ready = (exchange.encoded_answer or b"" for exchange in self._pending_exchanges)
+        return self._duplex.unsent_bytes + sum(map(len, ready))
+
     @property
     def is_idle(self) -> bool:
         """Return whether no request is in progress, arriving or unread, all sent."""
@@ -326,6 +332,11 @@
         """Return whether no request is in progress, arriving or unread."""
         return all(connection.is_idle for connection in self._connections)
 
+    @property
+    def held_answer_bytes(self) -> int:
+        """Return the bytes of all answers that are ready and not sent."""
+        return sum(connection.held_answer_bytes for connection in self._connections)
+
     @property
     def has_unsent_answers(self) -> bool:
         """Return whether callers have still to read what is ready for them."""
--- a/persimmonhall/http/tests/test_backend_pool.py
+++ b/persimmonhall/http/tests/test_backend_pool.py
@@ -13,6 +13,7 @@
 )
 from persimmonhall.timers import Timers
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import TransferBudget
 
 ATTEMPT_HEADER = b"x-id"
 
@@ -117,6 +118,27 @@
     assert result.fault is SendFault.ANSWER_TRUNCATED
 
 
+# Answers in progress beyond the bound of the gate were cut, though they had run.
+async def test_large_answers_beyond_the_room_wait_at_their_servers(nursery):
+    """Read them one after the other; small ones pass."""
+    size = 3 * 1024 * 1024
+    large = [make_answer(b"a1", bytes(size))]
+    fixture = await start_fixture(nursery, large, large, large, [make_answer(b"a1")])
+    budget = fixture.pool.budget = TransferBudget(size)
+    blocker = budget.reserve(size, lambda: None)
+    tasks = [nursery.start_soon(fixture.send_request) for _ in range(3)]
+    await trio.sleep(0.2)
+    assert fixture.results == []
+    assert fixture.pool.buffered_bytes < size
+    assert (await fixture.send_request()).body == b"whole"
+    blocker.release()
+    with trio.fail_after(2):
+        while len(fixture.results) < len(tasks) + 1:
+            await trio.sleep(0.01)
+    assert {len(result.body) for result in fixture.results[1:]} == {size}
+    assert budget.held_bytes == budget.waiting_count == 0
+
+
 async def test_late_answer_to_an_earlier_request_is_skipped(nursery):
     """Match answers to requests by attempt id."""
     late = make_answer(b"old", b"not yours")
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -64,6 +64,7 @@
 from persimmonhall.wire.link import LinkPool
 from persimmonhall.wire.link_server import serve_links
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import TransferBudget
 
 # Equals the step interval of levels and the check interval of links.
 STEP_INTERVAL_S = 0.1
@@ -164,6 +165,17 @@
         self._origins = knowledge.origins
         self._applied_release_index = 0
         self._shutdown = ShutdownWindow()
+        # Of large messages: bodies of calls and answers at the gate, replies at the
+        # entry. Separate, as what one holds may wait for room in another.
+        self._call_budget = TransferBudget()
+        self._answer_budget = TransferBudget(
+            count_others=lambda: (
+                self.calls.queued_bytes + self.callers.held_answer_bytes
+            )
+        )
+        self._reply_budget = TransferBudget(
+            count_others=lambda: self.callers.held_answer_bytes
+        )
         self.gate = RoutedGate(
             dialect.headers,
             self.poller,
@@ -177,6 +189,7 @@
                 on_misdirected=lambda: self.instances.refute_instance(),
             ),
             shutdown=self._shutdown,
+            answer_budget=self._answer_budget,
         )
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
@@ -228,9 +241,14 @@
             )
         )
         self.links = CallLinkPool(
-            self.entry, self.poller, self.timers, self.log, self.entry.may_send
+            self.entry,
+            self.poller,
+            self.timers,
+            self.log,
+            self.entry.may_send,
+            self._reply_budget,
         )
-        self.calls = CallServer(self.poller, self.gate, self._pauses)
+        self.calls = CallServer(self.poller, self.gate, self._pauses, self._call_budget)
         self._exposition = Exposition(
             self.entry.counts,
             self.gate.counts,
@@ -277,6 +295,15 @@
             "log_lines_dropped": self.log.dropped,
             "ready": float(self.is_ready),
             "request_body_bytes": self.callers.bodies.held_bytes,
+            "answer_bytes": self.callers.held_answer_bytes + self.calls.queued_bytes,
+            "transfers_waiting": sum(
+                budget.waiting_count
+                for budget in (
+                    self._call_budget,
+                    self._answer_budget,
+                    self._reply_budget,
+                )
+            ),
             "collector": float(self.pooled_counts.is_collector),
             "release_proof_seconds": self._confirmer.remaining_s,
         }
@@ -369,6 +396,8 @@
         call_guarded(self.pooled_counts.step, now)
         call_guarded(self.gate.step, now, elapsed_s)
         call_guarded(self.links.step, now)
+        for budget in (self._call_budget, self._answer_budget, self._reply_budget):
+            call_guarded(budget.step)
         call_guarded(self._confirmer.step)
         call_guarded(self.log.step, now)
 
--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -55,7 +55,7 @@
     callers.stop_accepting()
     callers.close_idle()
     while trio.current_time() < start + REQUEST_END_FRACTION * grace_s:
-        if gate.is_idle and callers.is_idle:
+        if gate.is_idle and callers.is_idle and not calls.queued_bytes:
             break
         await trio.sleep(CHECK_INTERVAL_S)
     entry.refuse_waiting()
--- a/persimmonhall/wire/call_frames.py
+++ b/persimmonhall/wire/call_frames.py
@@ -13,7 +13,7 @@
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.ids import AttemptId, CallNumber, RouteName, ServiceName
 
-PREAMBLE = b"PSC4"
+PREAMBLE = b"PSC5"
 FRAME_HEADER = struct.Struct("<IB")
 CALL_HEADER = struct.Struct("<QBBIIHHHHII")
 REPLY_HEADER = struct.Struct("<QBBHIHHHHHHIIHII")
@@ -48,6 +48,9 @@
     PONG = 5
     # The gate reads no further: frames that end beyond the position were not handled.
     STOPPED = 6
+    # Of a large message, see wire/long_frames.py.
+    PART = 7
+    GRANT = 8
 
 
 class CallFrameError(Exception):
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -29,7 +29,13 @@
 )
 from persimmonhall.wire.connection_setup import PendingConnection
 from persimmonhall.wire.duplex import Duplex
+from persimmonhall.wire.long_frames import (
+    LongFrameReceiver,
+    LongFrameSender,
+    LongMessage,
+)
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import LARGE_BYTES, TransferBudget
 
 CONNECT_TIMEOUT_S = 0.5  # 25 times the maximum latency between zones of a region
 CHECK_INTERVAL_S = 0.1
@@ -70,19 +76,30 @@
         reply_handler: ReplyHandler,
         log: EventLog,
         may_send: Callable[[CallNumber], bool] = lambda number: True,
+        budget: TransferBudget | None = None,
     ):
         self.address = address
         self._reply_handler = reply_handler
         self._log = log
         self._may_send = may_send
-        # With the position in the stream at which the frame of a call ends.
-        self._pending_calls: dict[CallNumber, int] = {}
+        # With the position in the stream at which the frame of a call ends, infinite
+        # for a large one that is not sent in full.
+        self._pending_calls: dict[CallNumber, float] = {}
         self._stream_bytes = 0
         # Up to where a peer that stops has read.
         self._read_position = math.inf
         # Calls of which no byte was sent, with the time since when, oldest first.
         self._held_calls: dict[CallNumber, tuple[RoutedCall, float]] = {}
         self._duplex: Duplex | None = None
+        self._large_calls = LongFrameSender(
+            FrameType.CALL, self._write, lambda: self._duplex.unsent_bytes
+        )
+        self._large_replies = LongFrameReceiver(
+            FrameType.REPLY,
+            self._write,
+            budget or TransferBudget(),
+            self._pending_calls.__contains__,
+        )
         self._reader = CallFrameReader()
         self._last_received_at = 0.0
         self._connected_at = 0.0
@@ -140,9 +157,12 @@
         del self._pending_calls[number]
         if self._held_calls.pop(number, None) is not None:
             return True
+        # A peer handles whole messages only.
+        is_unsent = self._large_calls.cancel(number)
+        self._large_replies.cancel(number)
         if self._duplex is not None:
             self._write(pack_frame(FrameType.CANCEL, CALL_NUMBER.pack(number)))
-        return False
+        return is_unsent
 
     def check(self, now: float) -> None:
         """Ping a peer that sends nothing, and close the link if it stays silent."""
@@ -180,7 +200,13 @@
             socket.close()
             return
         socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
-        self._duplex = Duplex(socket, poller, self._handle_data, self.drop)
+        self._duplex = Duplex(
+            socket,
+            poller,
+            self._handle_data,
+            self.drop,
+            on_drained=self._large_calls.pump,
+        )
         self._last_received_at = self._connected_at = trio.current_time()
         self._write(PREAMBLE)
         self._send_held_calls(
@@ -222,8 +248,29 @@
             self._write(PING_FRAME)
 
     def _send_call(self, call: RoutedCall) -> None:
-        self._write(pack_frame(FrameType.CALL, encode_call(call)))
-        self._pending_calls[call.number] = self._stream_bytes
+        data = encode_call(call)
+        if len(data) > LARGE_BYTES:
+            self._pending_calls[call.number] = math.inf
+            self._large_calls.send(
+                call.number, data, lambda: self._record_sent(call.number)
+            )
+        else:
+            self._write(pack_frame(FrameType.CALL, data))
+            self._record_sent(call.number)
+
+    def _record_sent(self, number: CallNumber) -> None:
+        self._pending_calls[number] = self._stream_bytes
+
+    def _send_granted(self, number: CallNumber) -> None:
+        """Send the rest of a large call, unless it may no longer be sent."""
+        if number not in self._pending_calls:
+            return
+        if self._may_send(number):
+            self._large_calls.grant(number)
+            return
+        self.cancel(number)
+        detail = "the request may no longer be sent"
+        self._reply_handler.handle_link_failure(number, Ran.NO, detail)
 
     def _write(self, data: bytes) -> None:
         self._stream_bytes += len(data)
@@ -244,27 +291,43 @@
         try:
             for kind, payload in self._reader.feed(data):
                 if kind == FrameType.REPLY:
-                    reply = decode_reply(payload)
-                    if reply.number in self._pending_calls:
-                        del self._pending_calls[reply.number]
-                        self._reply_handler.handle_reply(reply)
+                    self._handle_reply(decode_reply(payload))
+                elif kind == FrameType.PART:
+                    message = self._large_replies.add(payload)
+                    if message is not None:
+                        self._handle_large_reply(message)
+                elif kind == FrameType.GRANT:
+                    self._send_granted(CALL_NUMBER.unpack(payload)[0])
                 elif kind == FrameType.STOPPED:
                     (self._read_position,) = STREAM_POSITION.unpack(payload)
                     self.drop("the peer stops")
         except CallFrameError as error:
             self.drop(str(error))
 
+    def _handle_reply(self, reply: RoutedReply) -> None:
+        if reply.number in self._pending_calls:
+            del self._pending_calls[reply.number]
+            self._large_calls.cancel(reply.number)
+            self._reply_handler.handle_reply(reply)
+
+    def _handle_large_reply(self, message: LongMessage) -> None:
+        self._handle_reply(decode_reply(message.data))
+        # The answer is counted with its caller's connection now.
+        message.reservation.release()
+
     def _close(self) -> None:
         if self.is_closed:
             return
         self.is_closed = True
+        self._large_replies.close()
         sent_bytes = 0
         if self._duplex is not None:
             self._duplex.close()
             sent_bytes = min(self._duplex.sent_bytes, self._read_position)
         not_sent = len(self._held_calls)
         self._return_held_calls(list(self._held_calls), self.close_reason)
-        calls, self._pending_calls = self._pending_calls, {}
+        calls = dict(self._pending_calls)
+        self._pending_calls.clear()
         # A peer handles whole frames only.
         unsent = sum(end > sent_bytes for end in calls.values())
         if calls or self._duplex is None:
--- a/persimmonhall/wire/call_link_pool.py
+++ b/persimmonhall/wire/call_link_pool.py
@@ -11,6 +11,7 @@
 from persimmonhall.wire.call_frames import RoutedCall
 from persimmonhall.wire.call_link import CHECK_INTERVAL_S, CallLink, ReplyHandler
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import TransferBudget
 
 RECONNECT_DELAY_S = 0.25
 
@@ -25,9 +26,11 @@
         timers: Timers,
         log: EventLog,
         may_send: Callable[[CallNumber], bool] = lambda number: True,
+        budget: TransferBudget | None = None,
     ):
         self._reply_handler = reply_handler
         self._may_send = may_send
+        self._budget = budget or TransferBudget()
         self._timers = timers
         self._poller = poller
         self._log = log
@@ -51,7 +54,7 @@
                 self._reply_handler.handle_link_failure(call.number, Ran.NO, detail)
                 return
             link = self._links[address] = CallLink(
-                address, self._reply_handler, self._log, self._may_send
+                address, self._reply_handler, self._log, self._may_send, self._budget
             )
             link.connect(
                 self._poller, self._timers, lambda: self._log_reconnected(address)
--- a/persimmonhall/wire/call_server.py
+++ b/persimmonhall/wire/call_server.py
@@ -21,7 +21,13 @@
     pack_frame,
 )
 from persimmonhall.wire.duplex import Duplex
+from persimmonhall.wire.long_frames import LongFrameReceiver, LongFrameSender
 from persimmonhall.wire.poller import Poller
+from persimmonhall.wire.transfer_budget import (
+    LARGE_BYTES,
+    Reservation,
+    TransferBudget,
+)
 
 PONG_FRAME = pack_frame(FrameType.PONG)
 
@@ -54,6 +60,7 @@
         handler: CallHandler,
         pauses: ProcessPauses,
         on_closed: Callable[["CallServerConnection"], None] = lambda connection: None,
+        budget: TransferBudget | None = None,
     ):
         self._handler = handler
         self._pauses = pauses
@@ -61,9 +68,27 @@
         self._is_stopped = False
         self._reader = CallFrameReader()
         # An entry that has closed its link has given up the calls that are unread.
-        self._duplex = Duplex(
-            socket, poller, self._on_data, self._on_end, should_discard_at_end=True
+        self._duplex = duplex = Duplex(
+            socket,
+            poller,
+            self._on_data,
+            self._on_end,
+            should_discard_at_end=True,
+            on_drained=self._on_drained,
+        )
+        self._large_replies = LongFrameSender(
+            FrameType.REPLY, duplex.send, lambda: duplex.unsent_bytes
         )
+        self._large_calls = LongFrameReceiver(
+            FrameType.CALL, duplex.send, budget or TransferBudget()
+        )
+        # Room of the calls that are not replied to.
+        self._reservations: dict[CallNumber, Reservation] = {}
+
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of large replies that are not sent in full."""
+        return self._large_replies.queued_bytes
 
     def stop(self) -> None:
         """Handle no more frames, and tell the entry which ones were handled."""
@@ -72,11 +97,12 @@
         self._duplex.send(pack_frame(FrameType.STOPPED, position))
 
     def _on_data(self, data: bytes) -> None:
-        if self._is_stopped:
-            # Read all the same: closing with unread data would discard what was sent.
-            return
         try:
             frames = self._reader.feed(data)
+            if self._is_stopped:
+                # Read all the same: closing with unread data would discard what was
+                # sent. Replies may still be granted.
+                frames = [frame for frame in frames if frame[0] == FrameType.GRANT]
             cancelled = {
                 payload[: CALL_NUMBER.size]
                 for kind, payload in frames
@@ -94,22 +120,56 @@
 
     def _on_end(self, reason: str) -> None:
         self._on_closed(self)
+        self._large_calls.close()
         self._handler.cancel_all(self)
+        for reservation in self._reservations.values():
+            reservation.release()
+        self._reservations.clear()
 
     def _handle_frame(self, kind: int, payload: bytes) -> None:
         if kind == FrameType.CALL:
-            call = decode_call(payload)
-            # The time that the caller had left ran on while this process was paused.
-            age_s = self._pauses.input_age_s(current_time())
-            call.remaining_ms = max(0, call.remaining_ms - int(age_s * 1000))
-            self._handler.begin(self, call, self._send_reply)
+            self._begin(decode_call(payload), 0.0)
         elif kind == FrameType.CANCEL:
-            self._handler.cancel(self, CALL_NUMBER.unpack(payload)[0])
+            (number,) = CALL_NUMBER.unpack(payload)
+            self._large_calls.cancel(number)
+            self._large_replies.cancel(number)
+            self._handler.cancel(self, number)
+            self._release(number)
         elif kind == FrameType.PING:
             self._duplex.send(PONG_FRAME)
+        elif kind == FrameType.PART:
+            message = self._large_calls.add(payload)
+            if message is not None:
+                call, age_s = decode_call(message.data), message.age_s
+                self._reservations[call.number] = message.reservation
+                # The call has a copy of the body.
+                del message, payload
+                self._begin(call, age_s)
+        elif kind == FrameType.GRANT:
+            self._large_replies.grant(CALL_NUMBER.unpack(payload)[0])
+
+    def _begin(self, call: RoutedCall, age_s: float) -> None:
+        # The time that the caller had left ran on while this process was paused.
+        age_s += self._pauses.input_age_s(current_time())
+        call.remaining_ms = max(0, call.remaining_ms - int(age_s * 1000))
+        self._handler.begin(self, call, self._send_reply)
 
     def _send_reply(self, reply: RoutedReply) -> None:
-        self._duplex.send(pack_frame(FrameType.REPLY, encode_reply(reply)))
+        self._release(reply.number)
+        data = encode_reply(reply)
+        if len(data) > LARGE_BYTES:
+            self._large_replies.send(reply.number, data)
+        else:
+            self._duplex.send(pack_frame(FrameType.REPLY, data))
+
+    def _release(self, number: CallNumber) -> None:
+        """Free the room of a call, whose body is no longer needed."""
+        reservation = self._reservations.pop(number, None)
+        if reservation is not None:
+            reservation.release()
+
+    def _on_drained(self) -> None:
+        self._large_replies.pump()
 
 
 class CallServer:
@@ -120,12 +180,19 @@
         poller: Poller,
         handler: CallHandler,
         pauses: ProcessPauses | None = None,
+        budget: TransferBudget | None = None,
     ):
         self._poller = poller
         self._handler = handler
         self._pauses = pauses or ProcessPauses()
+        self._budget = budget or TransferBudget()
         self._connections: set[CallServerConnection] = set()
 
+    @property
+    def queued_bytes(self) -> int:
+        """Return the bytes of large replies that are not sent in full."""
+        return sum(connection.queued_bytes for connection in self._connections)
+
     def serve_connection(self, socket: sockets.socket) -> None:
         """Serve a connection whose preamble has been read."""
         socket.setsockopt(sockets.IPPROTO_TCP, sockets.TCP_NODELAY, 1)
@@ -136,6 +203,7 @@
                 self._handler,
                 self._pauses,
                 self._connections.discard,
+                self._budget,
             )
         )
 
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -31,12 +31,14 @@
         on_end: EndCallback,
         *,
         should_discard_at_end: bool = False,
+        on_drained: Callable[[], None] | None = None,
     ):
         self._socket = socket
         self._fd = socket.fileno()
         self._poller = poller
         self._on_data = on_data
         self._on_end = on_end
+        self._on_drained = on_drained
         self._unsent = bytearray()
         self._sent_bytes = 0
         # The kernel reports an error once: a read after it looks like an orderly end.
@@ -122,6 +124,7 @@
         self._socket.close()
         # The owner holds this object: without the callbacks, both are freed at once.
         self._on_data, self._on_end = _ignore, _ignore
+        self._on_drained = None
 
     def abort(self) -> None:
         """Close the connection, so that the kernel sends nothing more of it."""
@@ -151,6 +154,8 @@
             del self._unsent[: self._write(self._unsent)]
             if not self._unsent:
                 self._update_events()
+                if self._on_drained is not None:
+                    self._on_drained()
         if self._is_closed or not events & ~WRITE_EVENTS:
             return
         if self._should_discard_at_end and events & select.EPOLLRDHUP:
--- a/persimmonhall/wire/tests/test_call_links.py
+++ b/persimmonhall/wire/tests/test_call_links.py
@@ -22,7 +22,7 @@
     silent: set[Address] = set()
     opened: list["FakeLink"] = []
 
-    def __init__(self, address, reply_handler, log, may_send):
+    def __init__(self, address, reply_handler, log, may_send, budget):
         self.address = address
         self._reply_handler = reply_handler
         self._pending_calls: list[CallNumber] = []
--- a/persimmonhall/wire/tests/test_held_calls.py
+++ b/persimmonhall/wire/tests/test_held_calls.py
@@ -8,6 +8,7 @@
 from persimmonhall.release.tests.builders import make_call
 from persimmonhall.wire import call_link
 from persimmonhall.wire.call_frames import (
+    CALL_NUMBER,
     STREAM_POSITION,
     CallFrameReader,
     FrameType,
@@ -27,6 +28,7 @@
     CallLink,
 )
 from persimmonhall.wire.call_server import PONG_FRAME
+from persimmonhall.wire.long_frames import PART_HEADER
 
 
 class FakeDuplex:
@@ -34,7 +36,7 @@
 
     unsent_bytes = 0
 
-    def __init__(self, socket, poller, on_data, on_end):
+    def __init__(self, socket, poller, on_data, on_end, on_drained=None):
         self.on_data = on_data
         self.data = b""
 
@@ -286,3 +288,42 @@
     fixture.link._handle_data(pack_frame(FrameType.STOPPED, payload))
     assert fixture.failures == {1: Ran.UNKNOWN, 2: Ran.NO}
     assert fixture.link.is_closed
+
+
+LARGE_BODY = bytes(1024 * 1024)
+
+
+def grant(fixture, number):
+    """Receive room for the rest of a large call."""
+    payload = CALL_NUMBER.pack(number)
+    fixture.link._handle_data(pack_frame(FrameType.GRANT, payload))
+
+
+def test_large_call_that_is_not_sent_in_full_has_not_run(fixture):
+    """Report it as unsent when it is cancelled and when its link is lost."""
+    fixture.connect()
+    for number in (1, 2, 3):
+        fixture.link.send(make_call(number, body=LARGE_BODY))
+    assert fixture.frames == [FrameType.PART] * 3
+    assert fixture.link.cancel(1)
+    grant(fixture, 3)
+    fixture.link.drop("lost")
+    assert fixture.failures == {2: Ran.NO, 3: Ran.UNKNOWN}
+
+
+def test_large_call_is_not_sent_on_once_it_may_no_longer_be_sent(fixture):
+    """Check it again when the peer has room, as that may take long."""
+    fixture.connect()
+    fixture.link.send(make_call(1, body=LARGE_BODY))
+    fixture.link._may_send = lambda number: False
+    grant(fixture, 1)
+    assert fixture.failures == {1: Ran.NO}
+    assert fixture.frames == [FrameType.PART, FrameType.CANCEL]
+
+
+def test_parts_of_a_reply_that_is_no_longer_awaited_are_ignored(fixture):
+    """Reserve no room for it."""
+    fixture.connect()
+    part = PART_HEADER.pack(FrameType.REPLY, 9, len(LARGE_BODY)) + b"part"
+    fixture.link._handle_data(pack_frame(FrameType.PART, part))
+    assert fixture.frames == []
