Start a store again whose creation was cut off

Cause: the disk id is written last, and any log without one counted as used. Ruled out: to write the id first, as an id without a log can't be told from a lost log.

Change: a log without an election, a vote or an entry beyond the first is created anew; a used one without a disk id is named as before.

--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -46,6 +46,8 @@
 STAGED_FILE = "snapshot.staged"
 DISK_ID_FILE = "disk-id"
 FIRST_BATCH = 1
+# Of the initial state of a cluster; the first election is in a later one.
+FIRST_TERM = Term(1)
 SYNC_MARKER = b""
 NO_SPACE_ERRNOS = frozenset({errno.ENOSPC, errno.EDQUOT, errno.EFBIG})
 
@@ -210,7 +212,7 @@
     try:
         folder.mkdir(parents=True, exist_ok=True)
         if not (folder / DISK_ID_FILE).exists():
-            if (folder / LOG_FILE).exists() or (folder / SNAPSHOT_FILE).exists():
+            if _is_used(folder):
                 return Failure(f"{folder / DISK_ID_FILE}: missing in a used folder")
             _create_data_folder(folder, new_id, initial_state)
         return _read_data_folder(folder, files or OsFileSystem())
@@ -229,12 +231,31 @@
     log = _encode_log(initial_state.hard_state, initial_state.entries)
     files = OsFileSystem()
     replace_file(files, folder / LOG_FILE, (log,))
-    # Written last, because a folder without a disk id counts as empty.
+    # Written last, because a folder without a disk id counts as empty: a crash before
+    # leaves a log that no replica has used.
     disk_id = frame_batch((new_id.encode(),), FIRST_BATCH)
     replace_file(files, folder / DISK_ID_FILE, (disk_id,))
     sync_folder(folder.parent)
 
 
+def _is_used(folder: Path) -> bool:
+    """Return whether a folder without a disk id holds more than an unfinished start.
+
+    A replica that has taken part in an election or has entries may have voted: it must
+    not start under another id.
+    """
+    if (folder / SNAPSHOT_FILE).exists():
+        return True
+    if not (folder / LOG_FILE).exists():
+        return False
+    match read_records((folder / LOG_FILE).read_bytes()):
+        case Success(found):
+            state, entries = _replay(found.payloads)
+            has_voted = state.vote != NO_VOTE or state.term > FIRST_TERM
+            return has_voted or any(entry.index > 1 for entry in entries)
+    return True
+
+
 def _read_data_folder(folder: Path, files: FileSystem) -> Result[OpenedStorage, str]:
     match _read_single_record(folder / DISK_ID_FILE):
         case Failure() as failure:
