Identify routes by host and prefix, not by name

Cause: the targets of routes were kept by name. Ruled out: to refuse it, as a valid manifest has to be acknowledged.

Change: a route's key is its host, in any case, and its prefix. Two routes that differ only in the case of their host are refused like others at the same place; one of them was never reached.

Evidence: both tests fail on the code before. What is learned of routes is still shared by their name (docs/PROMISES.md).

--- a/persimmonhall/ids.py
+++ b/persimmonhall/ids.py
@@ -17,6 +17,7 @@
 ReplicaId = NewType("ReplicaId", str)
 Term = NewType("Term", int)
 RouteName = NewType("RouteName", str)
+RouteKey = NewType("RouteKey", tuple[str, str])  # host and path prefix
 ReleaseVersion = NewType("ReleaseVersion", int)
 ReleaseDigest = NewType("ReleaseDigest", str)
 InstanceId = NewType("InstanceId", str)
--- a/persimmonhall/release/routes.py
+++ b/persimmonhall/release/routes.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from dataclasses import dataclass
 
-from persimmonhall.ids import RouteName, ServiceName
+from persimmonhall.ids import RouteKey, ServiceName
 from persimmonhall.release.schema import Organisation, Release, Route
 
 # Each node starts the weighted round robin at a random one of these positions: from
@@ -37,12 +37,14 @@
         self._rng = rng
         self._hosts: dict[str, dict[str, Route]] = defaultdict(dict)
         for route in release.routes:
-            self._hosts[route.host.lower()][route.path_prefix] = route
+            host, path_prefix = route.key
+            self._hosts[host][path_prefix] = route
         self._longest_prefix = max(
             (len(route.path_prefix) for route in release.routes), default=0
         )
-        self._targets_by_route: dict[RouteName, list[_WeightedTarget]] = {
-            route.name: self._make_targets(route, previous) for route in release.routes
+        # Names label routes; two routes may have the same.
+        self._targets_by_route: dict[RouteKey, list[_WeightedTarget]] = {
+            route.key: self._make_targets(route, previous) for route in release.routes
         }
         self._services = frozenset(
             target.service for route in release.routes for target in route.targets
@@ -96,7 +98,7 @@
 
     def choose_service(self, route: Route) -> ServiceName:
         """Return the service of the next request by smooth weighted round robin."""
-        targets = self._targets_by_route[route.name]
+        targets = self._targets_by_route[route.key]
         if len(targets) == 1:
             return targets[0].service
         return _choose_target(targets).service
@@ -107,7 +109,7 @@
         """Reuse the previous credits so that frequent releases preserve the weights."""
         targets = [_WeightedTarget(t.service, t.weight) for t in route.targets]
         previous_targets = (
-            previous._targets_by_route.get(route.name, [])
+            previous._targets_by_route.get(route.key, [])
             if previous is not None
             else []
         )
--- a/persimmonhall/release/schema.py
+++ b/persimmonhall/release/schema.py
@@ -4,10 +4,17 @@
 import re
 from dataclasses import dataclass, field, fields
 from enum import Enum
+from functools import cached_property
 
 from returns.result import Failure, Result, Success
 
-from persimmonhall.ids import OrganisationName, ReleaseVersion, RouteName, ServiceName
+from persimmonhall.ids import (
+    OrganisationName,
+    ReleaseVersion,
+    RouteKey,
+    RouteName,
+    ServiceName,
+)
 
 # It is sent to servers as the value of a header.
 ORGANISATION_NAME = re.compile(r"[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?")
@@ -61,6 +68,11 @@
     # A public route is open to requests without a key.
     is_public: bool = False
 
+    @cached_property
+    def key(self) -> RouteKey:
+        """Return what identifies the route: hosts are the same in any case."""
+        return RouteKey((self.host.lower(), self.path_prefix))
+
     @property
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
@@ -121,7 +133,7 @@
 
 def _find_problems(release: Release):
     known_services = {service.name for service in release.services}
-    host_prefixes = set()
+    keys = set()
     if not 0 <= release.base <= MAX_VERSION or release.version > MAX_VERSION:
         yield f"a version is not between 0 and {MAX_VERSION}"
         return
@@ -129,10 +141,9 @@
         yield f"version {release.version} is not greater than its base {release.base}"
     for route in release.routes:
         name = f"route {route.name!r}"
-        host_prefix = (route.host, route.path_prefix)
-        if host_prefix in host_prefixes:
+        if route.key in keys:
             yield f"{name}: another route has the same host and path prefix"
-        host_prefixes.add(host_prefix)
+        keys.add(route.key)
         if not route.path_prefix.startswith("/") or not route.path_prefix.endswith("/"):
             yield f"{name}: the path prefix must begin and end with a slash"
         if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
--- a/persimmonhall/release/tests/test_routes.py
+++ b/persimmonhall/release/tests/test_routes.py
@@ -52,6 +52,19 @@
     assert make_table(make_release()).find("cue.example", "/charts/1") is None
 
 
+# Requests of the first route of a name went to the service of the second.
+def test_routes_with_one_name_keep_their_own_services():
+    """Identify a route by host and prefix, also across releases."""
+    charts = make_route("same", prefix="/charts/")
+    reels = make_route("same", prefix="/reels/", targets=(WeightedService("cue", 1),))
+    first = make_table(make_release(charts, reels))
+    second = RouteTable(first.release, random.Random(1), first)
+    for table in (first, second):
+        for path, service in (("/charts/1", "maps"), ("/reels/1", "cue")):
+            route = table.find("maps.example", path)
+            assert table.choose_service(route) == service
+
+
 def test_weights_are_exact_within_every_hundred_requests():
     """Follow the weights in each run of 100 requests, not only on average."""
     targets = (WeightedService("maps", 90), WeightedService("cue", 10))
--- a/persimmonhall/release/tests/test_schema.py
+++ b/persimmonhall/release/tests/test_schema.py
@@ -46,6 +46,9 @@
     """Refuse a release with two routes for the same requests."""
     release = make_release(make_route("one"), make_route("two"))
     assert "same host and path prefix" in check(release).failure()
+    upper = replace(make_route("two"), host=make_route().host.upper())
+    release = make_release(make_route("one"), upper)
+    assert "same host and path prefix" in check(release).failure()
 
 
 def test_numbers_that_no_node_can_compute_with_are_refused():
