Bound by bytes what a compacted log keeps

Cause: 500 entries were kept for slow followers whatever their size.

An answer to a local server that is held back is sent under a guard, like others.

--- a/persimmonhall/control/applier.py
+++ b/persimmonhall/control/applier.py
@@ -17,7 +17,7 @@
 
 MAX_ENTRIES_PER_BATCH = 64
 SNAPSHOT_BLOCK_INTERVAL_S = 0.002
-MIN_LOG_BYTES_PER_SNAPSHOT = 16 * 1024 * 1024
+MIN_LOG_BYTES_PER_SNAPSHOT = 4 * 1024 * 1024
 # Limit the cost of snapshots: a larger state is written less often.
 SNAPSHOT_ROWS_PER_LOG_ENTRY = 4
 SNAPSHOT_BYTES_PER_LOG_BYTE = 2
--- a/persimmonhall/membership/gossip.py
+++ b/persimmonhall/membership/gossip.py
@@ -15,6 +15,7 @@
 from returns.result import Success
 
 from persimmonhall.address import Address
+from persimmonhall.guards import call_guarded
 from persimmonhall.ids import InstanceId, LogIndex, NodeName, ServiceName
 from persimmonhall.membership.core import MembershipCore
 from persimmonhall.membership.datagrams import (
@@ -168,7 +169,7 @@
     async def _confirm_departure(self, on_done: Callable[[], None]) -> None:
         await self._confirmer.confirm()
         self._has_unconfirmed_departure = False
-        on_done()
+        call_guarded(on_done)
 
     def _handle_answer(self, sequence: int) -> None:
         if not self._has_joined:
--- a/persimmonhall/raft/log.py
+++ b/persimmonhall/raft/log.py
@@ -5,6 +5,8 @@
 from persimmonhall.wire.codec import decode, encode
 
 TRAILING_ENTRIES = 500
+# Entries of releases have megabytes; a follower that lacks them gets the snapshot.
+TRAILING_BYTES = 4 * 1024 * 1024
 EMPTY_SNAPSHOT = Snapshot(LogIndex(0), Term(0), ReplicaSet(), ())
 
 
@@ -107,13 +109,23 @@
     def compact(self, snapshot: Snapshot) -> None:
         """Set a snapshot of local entries; drop all but some trailing entries."""
         self._snapshot = snapshot
-        start = LogIndex(max(self._base_index, snapshot.index - TRAILING_ENTRIES))
+        start = self._first_trailing_index(snapshot.index)
         term = self.term_at(start)
         del self._entries[: start - self._base_index]
         self._base_index, self._base_term = start, term
         later = [pair for pair in self._replica_sets if pair[0] > snapshot.index]
         self._replica_sets = [(snapshot.index, snapshot.replicas), *later]
 
+    def _first_trailing_index(self, end: LogIndex) -> LogIndex:
+        """Return the index after which the trailing entries begin, by both bounds."""
+        start = max(self._base_index, end - TRAILING_ENTRIES)
+        size = 0
+        for index in range(end, start, -1):
+            size += len(self._entries[index - self._base_index - 1].data)
+            if size > TRAILING_BYTES:
+                return LogIndex(index)
+        return LogIndex(start)
+
     def reset(self, snapshot: Snapshot) -> None:
         """Replace the entire log by a snapshot."""
         self.__init__(snapshot, ())
