Keep unsent bytes as views, and put parts together in place

A large message was copied for the rest that the kernel didn't take, and moved at each write; its parts were kept and joined. Duplex queues views now, joins small messages up to 64 KiB for one call and sends until the kernel takes no more; the receiver of parts appends to one buffer, and fields are copied out of it once.

The order of large and small messages has a test.

--- a/persimmonhall/wire/call_frames.py
+++ b/persimmonhall/wire/call_frames.py
@@ -156,7 +156,7 @@
     )
 
 
-def decode_call(data: bytes) -> RoutedCall:
+def decode_call(data: bytes | bytearray) -> RoutedCall:
     """Decode a call; raise CallFrameError on damaged bytes."""
     try:
         number, flags, rank, remaining_ms, objective_ms, *sizes = (
@@ -214,7 +214,7 @@
     return b"".join((header, reply.notice, head, body))
 
 
-def decode_reply(data: bytes) -> RoutedReply:
+def decode_reply(data: bytes | bytearray) -> RoutedReply:
     """Decode a reply; raise CallFrameError on damaged bytes."""
     try:
         fields = REPLY_HEADER.unpack_from(data)
@@ -255,11 +255,18 @@
     )
 
 
-def _split_fields(data: bytes, start: int, sizes) -> list[bytes]:
+def _split_fields(data: bytes | bytearray, start: int, sizes) -> list[bytes]:
     parts = []
-    for size in sizes:
-        parts.append(data[start : start + size])
-        start += size
+    if isinstance(data, bytearray):
+        # A slice would have to be copied once more.
+        with memoryview(data) as view:
+            for size in sizes:
+                parts.append(bytes(view[start : start + size]))
+                start += size
+    else:
+        for size in sizes:
+            parts.append(data[start : start + size])
+            start += size
     if start != len(data):
         raise CallFrameError(f"message has {len(data)} bytes, expected {start}")
     return parts
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -4,6 +4,7 @@
 import select
 import socket as sockets
 import struct
+from collections import deque
 from collections.abc import Callable
 
 from absl import logging
@@ -11,6 +12,7 @@
 from persimmonhall.wire.poller import Poller
 
 RECEIVE_BYTES = 64 * 1024
+MAX_JOINED_BYTES = 64 * 1024
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 WRITE_EVENTS = select.EPOLLOUT
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -39,7 +41,10 @@
         self._on_data = on_data
         self._on_end = on_end
         self._on_drained = on_drained
-        self._unsent = bytearray()
+        # Views of what was to be sent, as a copy of a large message would take as much
+        # memory again.
+        self._unsent: deque[memoryview] = deque()
+        self._unsent_bytes = 0
         self._sent_bytes = 0
         # The kernel reports an error once: a read after it looks like an orderly end.
         self._error: OSError | None = None
@@ -52,7 +57,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Return how many bytes are buffered until the peer reads."""
-        return len(self._unsent)
+        return self._unsent_bytes
 
     @property
     def sent_bytes(self) -> int:
@@ -86,13 +91,13 @@
         """Send bytes in call order; the next read reports an error and closes."""
         if self._is_closed or self._error is not None:
             return
-        if self._unsent:
-            self._unsent += data
-            return
-        written = self._write(data)
+        is_first = not self._unsent
+        written = self._write(data) if is_first else 0
         if written < len(data):
-            self._unsent += memoryview(data)[written:]
-            self._update_events()
+            self._unsent.append(memoryview(data)[written:])
+            self._unsent_bytes += len(data) - written
+            if is_first:
+                self._update_events()
 
     def pause(self) -> None:
         """Stop reading until resumed, so that TCP flow control stops the peer."""
@@ -119,7 +124,7 @@
         if self._is_closed:
             return
         self._is_closed = True
-        self._unsent = bytearray()
+        self._drop_unsent()
         self._poller.remove(self._fd)
         self._socket.close()
         # The owner holds this object: without the callbacks, both are freed at once.
@@ -151,7 +156,7 @@
 
     def _handle_events(self, events: int) -> None:
         if events & WRITE_EVENTS and self._unsent:
-            del self._unsent[: self._write(self._unsent)]
+            self._send_unsent()
             if not self._unsent:
                 self._update_events()
                 if self._on_drained is not None:
@@ -163,6 +168,34 @@
         else:
             self._read()
 
+    def _send_unsent(self) -> None:
+        """Send as much as the kernel takes."""
+        while self._unsent:
+            chunk = self._take_chunk()
+            written = self._write(chunk)
+            if self._error is not None:
+                self._drop_unsent()
+                return
+            self._unsent_bytes -= written
+            if written < len(chunk):
+                self._unsent.appendleft(chunk[written:])
+                return
+
+    def _take_chunk(self) -> memoryview:
+        """Take the first message, or several small ones that one call can send."""
+        chunk = self._unsent.popleft()
+        if len(chunk) >= MAX_JOINED_BYTES or not self._unsent:
+            return chunk
+        parts, size = [chunk], len(chunk)
+        while self._unsent and size + len(self._unsent[0]) <= MAX_JOINED_BYTES:
+            size += len(self._unsent[0])
+            parts.append(self._unsent.popleft())
+        return memoryview(b"".join(parts))
+
+    def _drop_unsent(self) -> None:
+        self._unsent.clear()
+        self._unsent_bytes = 0
+
     def _read(self) -> None:
         try:
             data = os.read(self._fd, RECEIVE_BYTES)
--- a/persimmonhall/wire/long_frames.py
+++ b/persimmonhall/wire/long_frames.py
@@ -103,13 +103,12 @@
 
 
 class _IncomingMessage:
-    __slots__ = ("size", "started_at", "parts", "received", "reservation")
+    __slots__ = ("size", "started_at", "data", "reservation")
 
     def __init__(self, size: int):
         self.size = size
         self.started_at = current_time()
-        self.parts: list[bytes] = []
-        self.received = 0
+        self.data = bytearray()
         self.reservation: Reservation | None = None
 
 
@@ -117,7 +116,7 @@
     """Hold a large message, its room and how long its parts took to arrive."""
 
     number: CallNumber
-    data: bytes
+    data: bytearray
     reservation: Reservation
     age_s: float
 
@@ -155,16 +154,15 @@
                 raise CallFrameError(f"a message of {size} bytes")
             message = self._messages[key] = _IncomingMessage(size)
             message.reservation = self._budget.reserve(size, lambda: self._grant(key))
-        part = payload[PART_HEADER.size :]
-        message.received += len(part)
-        if message.received > message.size or not part:
+        part = memoryview(payload)[PART_HEADER.size :]
+        if not part or len(message.data) + len(part) > message.size:
             raise CallFrameError("parts beyond the size of their message")
-        message.parts.append(part)
-        if message.received < message.size:
+        message.data += part
+        if len(message.data) < message.size:
             return None
         del self._messages[key]
         age_s = current_time() - message.started_at
-        return LongMessage(key, b"".join(message.parts), message.reservation, age_s)
+        return LongMessage(key, message.data, message.reservation, age_s)
 
     def cancel(self, number: CallNumber) -> None:
         """Drop a message that has not arrived in full."""
--- a/persimmonhall/wire/tests/test_duplex.py
+++ b/persimmonhall/wire/tests/test_duplex.py
@@ -59,10 +59,14 @@
         self.peer.setsockopt(sockets.SOL_SOCKET, sockets.SO_LINGER, RESET_ON_CLOSE)
         self.peer.close()
 
+    async def run(self):
+        """Handle events until cancelled."""
+        await self._poller.run()
+
     async def wait_for_end(self):
         """Handle events until the connection ends."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._poller.run)
+            nursery.start_soon(self.run)
             with trio.fail_after(2):
                 while not self.ends:
                     await trio.sleep(0.005)
@@ -100,3 +104,28 @@
     await connection.wait_for_end()
     assert connection.received == [b"answer"]
     assert connection.ends == [CLOSED_BY_PEER]
+
+
+async def test_large_and_small_messages_arrive_in_order_and_whole():
+    """Queue them while the peer does not read, in any mix of sizes."""
+    connection = TcpConnection()
+    messages = [bytes([n]) * (n * n * 997 if n % 3 else 5) for n in range(1, 120)]
+    for message in messages:
+        connection.duplex.send(message)
+    expected = b"".join(messages)
+    assert connection.duplex.sent_bytes + connection.duplex.unsent_bytes == len(
+        expected
+    )
+    received = bytearray()
+    connection.peer.setblocking(False)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(connection.run)
+        with trio.fail_after(5):
+            while len(received) < len(expected):
+                try:
+                    received += connection.peer.recv(1 << 20)
+                except BlockingIOError:
+                    await trio.sleep(0.001)
+        nursery.cancel_scope.cancel()
+    assert received == expected
+    assert connection.duplex.unsent_bytes == 0
