Free the room of damaged messages, and count answers as they grow

Found on reading the change again: a call that could not be decoded kept its room until its link ended under another number, and a reply kept it for good; an answer without a length was counted with the size that it had first. The shutdown check reads no estimate unless the process stops.

--- a/persimmonhall/call/request_checks.py
+++ b/persimmonhall/call/request_checks.py
@@ -73,6 +73,8 @@
 
     def refusal(self, request: InFlightRequest, now: float) -> CheckRefusal | None:
         """Return why a request is refused, None if it can finish."""
+        if not self._window.is_set:
+            return None
         expected_s = self._response_times.timeout_s(request.route.name)
         if self._window.may_finish(request.deadline, expected_s, now):
             return None
--- a/persimmonhall/call/shutdown_window.py
+++ b/persimmonhall/call/shutdown_window.py
@@ -13,6 +13,11 @@
         self._callers_left_at = math.inf
         self._end_at = math.inf
 
+    @property
+    def is_set(self) -> bool:
+        """Return whether the process is stopping."""
+        return self._end_at < math.inf
+
     def set(self, callers_left_at: float, end_at: float) -> None:
         """Set when callers have left, and when requests that still run are refused."""
         self._callers_left_at = callers_left_at
--- a/persimmonhall/http/backend_pool.py
+++ b/persimmonhall/http/backend_pool.py
@@ -231,7 +231,10 @@
 
     def _reserve(self, size: int) -> None:
         """Read on with a large answer only while there is room for it."""
-        if size <= LARGE_BYTES or self._reservation is not None:
+        if self._reservation is not None:
+            self._reservation.grow(size)
+            return
+        if size <= LARGE_BYTES:
             return
         self._reservation = self._pool.budget.reserve(size, self._duplex.resume)
         if not self._reservation.is_granted:
--- a/persimmonhall/http/tests/test_backend_pool.py
+++ b/persimmonhall/http/tests/test_backend_pool.py
@@ -39,6 +39,8 @@
         while await stream.receive_some(65536):
             self.requests += 1
             for step in self.script.pop(0):
+                if step == "stall":
+                    await trio.sleep_forever()
                 if step is None:
                     await stream.aclose()
                     return
@@ -139,6 +141,19 @@
     assert budget.held_bytes == budget.waiting_count == 0
 
 
+async def test_answer_without_length_is_counted_as_it_grows(nursery):
+    """Let others wait for it, though its size was not known."""
+    size = 3 * 1024 * 1024
+    head = b"HTTP/1.1 200 OK\r\nx-id: a1\r\n\r\n"
+    fixture = await start_fixture(nursery, [head, bytes(size), "stall"])
+    budget = fixture.pool.budget = TransferBudget(size)
+    nursery.start_soon(fixture.send_request)
+    with trio.fail_after(2):
+        while budget.held_bytes < size:
+            await trio.sleep(0.01)
+    assert not fixture.results
+
+
 async def test_late_answer_to_an_earlier_request_is_skipped(nursery):
     """Match answers to requests by attempt id."""
     late = make_answer(b"old", b"not yours")
--- a/persimmonhall/wire/call_link.py
+++ b/persimmonhall/wire/call_link.py
@@ -311,9 +311,11 @@
             self._reply_handler.handle_reply(reply)
 
     def _handle_large_reply(self, message: LongMessage) -> None:
-        self._handle_reply(decode_reply(message.data))
-        # The answer is counted with its caller's connection now.
-        message.reservation.release()
+        try:
+            self._handle_reply(decode_reply(message.data))
+        finally:
+            # The answer is counted with its caller's connection now.
+            message.reservation.release()
 
     def _close(self) -> None:
         if self.is_closed:
--- a/persimmonhall/wire/call_server.py
+++ b/persimmonhall/wire/call_server.py
@@ -140,8 +140,8 @@
         elif kind == FrameType.PART:
             message = self._large_calls.add(payload)
             if message is not None:
+                self._reservations[message.number] = message.reservation
                 call, age_s = decode_call(message.data), message.age_s
-                self._reservations[call.number] = message.reservation
                 # The call has a copy of the body.
                 del message, payload
                 self._begin(call, age_s)
--- a/persimmonhall/wire/transfer_budget.py
+++ b/persimmonhall/wire/transfer_budget.py
@@ -26,6 +26,12 @@
         self.is_granted = True
         self._on_granted()
 
+    def grow(self, size: int) -> None:
+        """Count a message that turns out to be larger; it has room at once."""
+        if self.is_granted and size > self.size:
+            self._budget.add(size - self.size)
+            self.size = size
+
     def release(self) -> None:
         """Give the room to others, or wait for it no longer."""
         budget, self._budget = self._budget, None
@@ -75,6 +81,10 @@
             self._held_bytes += reservation.size
             reservation.grant()
 
+    def add(self, size: int) -> None:
+        """Count more bytes of a message that has room."""
+        self._held_bytes += size
+
     def remove(self, reservation: Reservation) -> None:
         """Remove a reservation."""
         if reservation.is_granted:
