Use no name of the platform in a test of the pool

tests/test_platform_boundary.py failed in a whole run of the tests, since the test of repeated refusals had the platform's name of a header. Only that test changes.

--- a/persimmonhall/http/tests/test_backend_pool.py
+++ b/persimmonhall/http/tests/test_backend_pool.py
@@ -163,7 +163,7 @@
 
 def make_refusal(attempt_line):
     """Encode a refusal "not run"."""
-    head = b"HTTP/1.1 503 Full\r\n%sx-not-executed: 1\r\ncontent-length: 4\r\n\r\n"
+    head = b"HTTP/1.1 503 Full\r\n%sx-not-run: 1\r\ncontent-length: 4\r\n\r\n"
     return head % attempt_line + b"full"
 
 
