Send large and unframed messages, and late reports after restarts, in the soak

Some answers and orders have 700 kB, which pass in parts; callers read large answers in steps; servers end answers without a length in order, or reset them within; servers check that orders come whole. A server that has left sends its late reports also to a node that has restarted, which had been left out.

--- a/harness/soak/backends.py
+++ b/harness/soak/backends.py
@@ -15,7 +15,14 @@
 )
 from harness.soak.network import CONNECTION_ERRORS
 from harness.soak.organisations import KEY_PREFIX
-from harness.soak.record import DRAIN_ALLOWANCE_S, Record, expected_body
+from harness.soak.record import (
+    DRAIN_ALLOWANCE_S,
+    Record,
+    RequestKind,
+    expected_body,
+    expected_order,
+)
+from persimmonhall.wire.duplex import RESET_ON_CLOSE
 
 REPORT_INTERVAL_S = 0.5
 REPORT_TIMEOUT_S = 2.0
@@ -38,6 +45,9 @@
     REFUSE = "refuse"
     GARBAGE = "garbage"
     FAIL = "fail"
+    # The answer has no length: it ends with its connection, or is reset within.
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframedReset"
 
 
 class Backend:
@@ -86,23 +96,19 @@
     async def drain(self) -> None:
         """Drain, leave, and start a new instance."""
         self._state = "draining"
-        # The life of the node that knows of the drain or the leave.
-        life, told_life = self._node.lives, 0
         if await self._report():
             self._forbidden_since = trio.current_time()
-            told_life = life
         await trio.sleep(self._rng.uniform(0.5, 2.0))
         self._is_reporting = False
         request = encode_request("DELETE", f"/-/instances/{self.instance}")
-        life = self._node.lives
         reply = await exchange(self._local, request, REPORT_TIMEOUT_S)
         if reply is not None:
             self._forbidden_since = self._forbidden_since or trio.current_time()
-            told_life = life
         for _ in range(3):
             await trio.sleep(self._rng.uniform(0.1, 0.6))
-            if self._node.lives == told_life:
-                # A report that was sent before the leave arrives late.
+            if self._forbidden_since:
+                # A report that was sent before the leave arrives late, also at a node
+                # that has restarted meanwhile.
                 await self._report(sequence=1, state="ready")
         self.begin_instance()
 
@@ -143,8 +149,10 @@
                         return
                     received += part
                     continue
-                received = body[content_length(head) :]
+                size = content_length(head)
+                received = body[size:]
                 self._check_headers(head)
+                self._check_body(head, body[:size])
                 if not await self._answer(stream, head):
                     return
         except CONNECTION_ERRORS:
@@ -166,6 +174,15 @@
             text = f"{request_id} came as of {names} instead of {expected}"
             self._record.report_violation(text)
 
+    def _check_body(self, head: bytes, body: bytes) -> None:
+        """Check that an order has come whole."""
+        request_id = ATTEMPT.search(head)[1].decode()
+        request = self._record.requests.get(request_id)
+        is_order = request is not None and request.kind is RequestKind.WRITE
+        if is_order and body != expected_order(request_id):
+            text = f"{request_id} came with {len(body)} bytes: {body[:60]!r}"
+            self._record.report_violation(text)
+
     async def _answer(self, stream: trio.SocketStream, head: bytes) -> bool:
         """Answer one request; return whether the connection stays open."""
         request_id = ATTEMPT.search(head)[1].decode()
@@ -200,6 +217,16 @@
                 return False
             case Behaviour.RESET:
                 return False
+            case Behaviour.UNFRAMED:
+                await stream.send_all(_without_length(answer))
+                return False
+            case Behaviour.UNFRAMED_RESET:
+                answer = _without_length(answer)
+                await stream.send_all(answer[: max(len(answer) // 2, 200)])
+                stream.setsockopt(
+                    trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                return False
             case Behaviour.GARBAGE:
                 answer = self._rng.randbytes(300)
         await stream.send_all(answer)
@@ -209,6 +236,10 @@
         return True
 
 
+def _without_length(answer: bytes) -> bytes:
+    return re.sub(rb"content-length: \d+\r\n", b"", answer, count=1)
+
+
 def _encode_answer(
     status: int, request_id: str, body: bytes, extra: bytes = b""
 ) -> bytes:
--- a/harness/soak/callers.py
+++ b/harness/soak/callers.py
@@ -15,6 +15,7 @@
     SentRequest,
     describe,
     expected_body,
+    expected_order,
 )
 
 # Time beyond the deadline in which the answer must have come.
@@ -22,6 +23,9 @@
 # A request may cross the close of a kept connection that was idle.
 CROSSING_S = 0.2
 MAX_BURST = 4
+# Callers read large answers in steps.
+SLOW_READING_BYTES = 100_000
+SLOW_READING_PAUSE_S = 0.01
 FORGED_NAME = "persimmonhall-organisation: harbour"
 KINDS = (RequestKind.READ,) * 5 + (RequestKind.WRITE,) * 4 + (RequestKind.CUE,)
 DEADLINES_S = (0.5, 1.0, 2.5)
@@ -160,6 +164,8 @@
                 if not part:
                     raise trio.BrokenResourceError
                 self._received += part
+            if len(self._received) > SLOW_READING_BYTES:
+                await trio.sleep(SLOW_READING_PAUSE_S)
         length = content_length(head)
         self._received = body[length:]
         request.status = int(head.split()[1])
@@ -209,7 +215,7 @@
 def _encode(request: SentRequest) -> bytes:
     method, body = "GET", b""
     if request.kind is RequestKind.WRITE:
-        method, body = "POST", b"order " + request.id.encode()
+        method, body = "POST", expected_order(request.id)
     path, lines = request.kind.value, ""
     if request.credential is not None:
         path = f"keyed/{path}"
--- a/harness/soak/record.py
+++ b/harness/soak/record.py
@@ -15,6 +15,8 @@
 RESEND_SLACK = 10
 # Requests that had already left the gate when it heard that the server drains.
 DRAIN_ALLOWANCE_S = 0.3
+# Sent in parts between nodes.
+LARGE_BYTES = 700_000
 
 
 class RequestKind(Enum):
@@ -144,5 +146,15 @@
     """Return the only right body of the answer to a request."""
     digest = zlib.crc32(request_id.encode())
     size = 60_000 if digest % 20 == 0 else 20 + digest % 700
+    return _fill(request_id, LARGE_BYTES if digest % 61 == 0 else size)
+
+
+def expected_order(request_id: str) -> bytes:
+    """Return the body of a write, large for a few."""
+    is_large = zlib.crc32(request_id.encode()) % 53 == 0
+    return _fill(request_id, LARGE_BYTES if is_large else 30)
+
+
+def _fill(request_id: str, size: int) -> bytes:
     text = f"{request_id};".encode()
     return (text * (size // len(text) + 1))[:size]
