--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -22,7 +22,8 @@
 ANSWER_END_FRACTION = 0.96
 # Callers leave after two failed readiness checks, which are one second apart.
 CALLER_NOTICE_S = 2.5
-# Callers know by now: what they send later has to end with the answer of its server.
+# Callers know of the shutdown by now: a later request is passed on only if its deadline
+# comes before the end.
 LATE_REQUEST_S = 2.8
 # Callers that have sent no request for this long have left.
 CALLER_IDLE_S = 0.5
--- a/persimmonhall/wire/duplex.py
+++ b/persimmonhall/wire/duplex.py
@@ -12,6 +12,7 @@
 from persimmonhall.wire.poller import Poller
 
 RECEIVE_BYTES = 64 * 1024
+# Joining small messages saves system calls; large ones are not copied.
 MAX_JOINED_BYTES = 64 * 1024
 READ_EVENTS = select.EPOLLIN | select.EPOLLRDHUP
 WRITE_EVENTS = select.EPOLLOUT
--- a/persimmonhall/wire/transfer_budget.py
+++ b/persimmonhall/wire/transfer_budget.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 MAX_HELD_BYTES = 16 * 1024 * 1024
-# Smaller messages take no reservation: the number of requests bounds their memory.
+# Smaller messages are neither split nor counted: a grant costs a round trip.
 LARGE_BYTES = 512 * 1024
 
 
