Log changes of the replica set and why a learner is not promoted

A control VM now logs each set of its log, uncommitted and committed; the leader logs why a learner has waited for more than a second; a replica logs that it has left the set, or that it has known no leader for 3 s.

The reason comes from the same checks as the change itself (Leader._change_obstacle), so that the line can't contradict the rule.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -17,6 +17,7 @@
 from persimmonhall.control.peer_service import PeerService
 from persimmonhall.control.peers import Peers
 from persimmonhall.control.replica import Replica
+from persimmonhall.control.replica_set_log import ReplicaSetLog
 from persimmonhall.control.serve_releases import ReleaseComponents, serve_releases
 from persimmonhall.control.voter_replacement import ReplacedVoterRemover
 from persimmonhall.dialect import NativeDialect
@@ -125,6 +126,7 @@
         peer_handler.set_handler(PeerService(replica).handle)
         nursery.start_soon(replica.run)
         nursery.start_soon(service.run)
+        nursery.start_soon(ReplicaSetLog(core).run)
         nursery.start_soon(run_log_clock, replica.submit_locally)
         nursery.start_soon(
             Joiner(replica, control_settings.name, address, control_settings.peers).run
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -100,6 +100,11 @@
         """Return the log index of the latest replica set."""
         return self._state.log.replicas_index
 
+    @property
+    def is_set_committed(self) -> bool:
+        """Return whether the latest replica set is known to be committed."""
+        return self.replicas_index <= self.commit_index
+
     @property
     def match_indexes(self) -> dict[ReplicaId, LogIndex]:
         """Return the match index of each peer; empty unless this replica leads."""
@@ -109,6 +114,10 @@
         """Return the seconds since a peer's last reply; 0 unless this replica leads."""
         return self._leader.time_since_reply_s(peer, now) if self._leader else 0.0
 
+    def promotion_obstacle(self, learner: ReplicaId, now: float) -> str:
+        """Return why a learner gets no vote now; empty if nothing prevents it."""
+        return self._leader.promotion_obstacle(learner, now) if self._leader else ""
+
     @property
     def accepts_proposals(self) -> bool:
         """Return whether this replica leads and is not transferring leadership."""
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -80,6 +80,18 @@
         progress = self._progress.get(peer)
         return now - progress.last_reply_at if progress is not None else 0.0
 
+    def promotion_obstacle(self, learner: ReplicaId, now: float) -> str:
+        """Return why a learner gets no vote now; empty if nothing prevents it."""
+        state = self._state
+        if not self._has_replied_recently(learner, now):
+            return "it does not reply"
+        if not self._is_caught_up(learner, now):
+            return "it is not caught up"
+        replicas = next_change(state.replicas, {learner})
+        if replicas is None:
+            return "the set has as many voters as it may have"
+        return self._change_obstacle(replicas, now)
+
     def tick(self, now: float) -> None:
         """Send heartbeats, continue membership changes and time out a transfer."""
         if self._transfer_target is not None and now >= self._transfer_deadline:
@@ -187,16 +199,23 @@
         return index
 
     def _propose_replicas(self, replicas: ReplicaSet, now: float) -> bool:
-        state = self._state
-        is_committed = state.log.replicas_index <= state.commit_index
-        if not is_committed or state.commit_index < self._term_start_index:
-            return False
-        if not self._would_have_quorum(replicas, now):
+        if self._change_obstacle(replicas, now):
             return False
         self._append(EntryKind.REPLICAS, encode_replicas(replicas))
         self._update_peers(now)
         return True
 
+    def _change_obstacle(self, replicas: ReplicaSet, now: float) -> str:
+        """Return why the set can't change now; empty if it can."""
+        state = self._state
+        if state.log.replicas_index > state.commit_index:
+            return "another change is in progress"
+        if state.commit_index < self._term_start_index:
+            return "no entry of this term is committed"
+        if not self._would_have_quorum(replicas, now):
+            return "no majority of the new set answers"
+        return ""
+
     def _would_have_quorum(self, replicas: ReplicaSet, now: float) -> bool:
         answering = [v for v in replicas.voters if self._has_replied_recently(v, now)]
         return len(answering) >= replicas.quorum
@@ -220,15 +239,15 @@
 
     def _propose_next_change(self, now: float) -> None:
         state = self._state
-        caught_up = {
-            peer
-            for peer, progress in self._progress.items()
-            if progress.match_index >= state.commit_index and self._is_active(peer, now)
-        }
+        caught_up = {p for p in self._progress if self._is_caught_up(p, now)}
         replicas = next_change(state.replicas, caught_up)
         if replicas is not None:
             self._propose_replicas(replicas, now)
 
+    def _is_caught_up(self, peer: ReplicaId, now: float) -> bool:
+        match_index = self._progress[peer].match_index
+        return match_index >= self._state.commit_index and self._is_active(peer, now)
+
     def _send_heartbeats(self, now: float) -> None:
         self._heartbeat_due_at = now + HEARTBEAT_INTERVAL_S
         self._send_to_peers()
--- a/persimmonhall/raft/messages.py
+++ b/persimmonhall/raft/messages.py
@@ -55,6 +55,11 @@
         """Return the ids of the members that count towards a quorum."""
         return tuple(m.id for m in self.members if m.voter)
 
+    @property
+    def learners(self) -> tuple[ReplicaId, ...]:
+        """Return the ids of the members that are still to be caught up."""
+        return tuple(m.id for m in self.members if not m.voter)
+
     @property
     def quorum(self) -> int:
         """Return the number of voters in a majority."""
@@ -68,7 +73,7 @@
     @property
     def has_learners(self) -> bool:
         """Return whether a member is still to be caught up."""
-        return not all(member.voter for member in self.members)
+        return bool(self.learners)
 
     def get(self, replica: ReplicaId) -> Member | None:
         """Return a member by id, or None."""
