Let a replica without a vote forget a leader that is silent

A learner, or a replica that was removed, kept the last leader as its leader for good when that one stopped sending to it: its documents were marked as current, its status named a leader, and it never noticed that the set goes on without it. A voter forgets the leader when it starts a pre-vote; one without a vote did nothing when the election timeout passed.

test_replica_without_a_vote_forgets_a_silent_leader fails on the code before.

--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -138,6 +138,8 @@
             self._reset_election_timeout(now)
             if self._can_campaign():
                 self._start_pre_vote()
+            else:
+                self._leader_id = None
 
     def step(self, sender: ReplicaId, message: Message, now: float) -> None:
         """Process a message from another replica."""
--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -191,3 +191,12 @@
     core.step("a", Append(2, 1, 1, (), 1, 7), NOW)
     [reply] = [m.message for m in core.take_ready(NOW).messages][-1:]
     assert reply == AppendReply(3, False, 0, 0, 0)
+
+
+# A replica that was left out believed in its last leader for good, and so in its state.
+def test_replica_without_a_vote_forgets_a_silent_leader():
+    core = make_core("d", "a", "b", "c")
+    core.step("b", Append(2, 1, 1, (), 1, 0), NOW)
+    assert core.leader_id == "b"
+    core.tick(core.next_tick)
+    assert (core.leader_id, core.role) == (None, Role.FOLLOWER)
