Let a replica that the set has left out get back in

Cause: a replica decided from its own log whether it is in the set, and the log can't tell.

The leader ignores what changes nothing. It comes back under the same disk id with log and vote, as a learner first. The set in the log lists the replicas removed for good (by an operator, or replaced by a new disk of their VM): these are kept out, as before; that also closes a gap, as a removed replica with a new address was let in. Requests to join name the cluster.

The explorer now applies the joining rule of the product to all replicas, not only to empty ones.

--- a/harness/explorer/cluster.py
+++ b/harness/explorer/cluster.py
@@ -54,6 +54,7 @@
         self.faults = NetworkFaults()
         self.cuts: set[tuple[str, str]] = set()
         self.replicas: dict[str, SimulatedReplica] = {}
+        self.removed: set[ReplicaId] = set()
         self._variant = variant
         self._events: list[tuple[float, int, Callable, tuple]] = []
         self._numbers = itertools.count()
@@ -93,8 +94,7 @@
             name, replica_id, stored, self._variant, self.checker, rng, self.now
         )
         self._schedule_tick(self.replicas[name])
-        if not stored.entries and stored.snapshot is None:
-            self._ask_to_join(name, replica_id)
+        self._ask_to_join(self.replicas[name])
 
     def add_empty(self, name: str) -> None:
         """Start a replica with an empty disk; it asks to join as a learner."""
@@ -211,6 +211,16 @@
             if leader.core.replicas.get(replica.replica_id) is not None:
                 self.checker.check_complete(replica.replica_id, replica.machine.index)
 
+    def check_members(self) -> None:
+        """Check that all running replicas vote, except those that were removed."""
+        if self.leader is None:
+            raise ViolationError("no leader after all faults ended")
+        voters = self.leader.core.replicas.voters
+        for replica in self.replicas.values():
+            expected = replica.up and replica.replica_id not in self.removed
+            if expected and replica.replica_id not in voters:
+                raise ViolationError(f"{replica.replica_id} stayed out of the set")
+
     def _restart(self, replica: SimulatedReplica, stored: PersistedState) -> None:
         if self.replicas[replica.name] is not replica or replica.up:
             return
@@ -285,14 +295,18 @@
         replica.core.step(sender, message, self.now)
         self.handle_output(replica)
 
-    def _ask_to_join(self, name: str, replica_id: ReplicaId) -> None:
-        replica = self.replicas[name]
-        if replica.replica_id != replica_id or replica.core.replicas.members:
+    def _ask_to_join(self, replica: SimulatedReplica) -> None:
+        if self.replicas[replica.name] is not replica:
             return
-        member = Member(replica_id, NodeName(name), name, False)
+        if replica.up and not replica.frozen and replica.join_rule.must_ask(self.now):
+            self._send_join(replica)
+        self.call_at(self.now + JOIN_INTERVAL_S, self._ask_to_join, replica)
+
+    def _send_join(self, replica: SimulatedReplica) -> None:
+        name = replica.name
+        member = Member(replica.replica_id, NodeName(name), name, False)
         for other in self.replicas.values():
             cut = (name, other.name) in self.cuts
             if other.up and not other.frozen and not cut:
                 other.core.join(member, self.now)
                 self.handle_output(other)
-        self.call_at(self.now + JOIN_INTERVAL_S, self._ask_to_join, name, replica_id)
--- a/harness/explorer/replica.py
+++ b/harness/explorer/replica.py
@@ -6,6 +6,7 @@
 from harness.explorer.checker import Checker
 from harness.explorer.disk import Disk
 from harness.explorer.state_machine import RevisionMachine
+from persimmonhall.control.join_rule import JoinRule
 from persimmonhall.ids import LogIndex, ReplicaId, Term
 from persimmonhall.raft.core import RaftCore
 from persimmonhall.raft.leader import Leader
@@ -82,6 +83,7 @@
         self._snapshot_in_progress: tuple[LogIndex, tuple[bytes, ...]] | None = None
         self._snapshot_done_index = LogIndex(0)
         self.core = self.variant.core(self.replica_id, stored, self.rng, now)
+        self.join_rule = JoinRule(self.core, self.name)
 
     def crash(self) -> PersistedState:
         """Stop immediately and return the state that the disk retains."""
--- a/harness/explorer/schedule.py
+++ b/harness/explorer/schedule.py
@@ -39,6 +39,7 @@
         cluster.run_until(FAULT_PHASE_S + FAULT_FREE_S)
         cluster.check_end()
         check_progress(cluster)
+        cluster.check_members()
     except (ViolationError, AssertionError) as error:
         text = f"{type(error).__name__}: {error}"
         return SeedResult(
@@ -149,7 +150,8 @@
     if leader is None or leader.frozen or len(leader.core.replicas.voters) < 4:
         return
     voter = rng.choice(leader.core.replicas.voters)
-    leader.core.remove(voter, cluster.now)
+    if leader.core.remove(voter, cluster.now):
+        cluster.removed.add(voter)
     cluster.handle_output(leader)
 
 
--- a/persimmonhall/control/joining.py
+++ b/persimmonhall/control/joining.py
@@ -1,20 +1,23 @@
-"""Add a replica with an empty disk or a new address to the replica set."""
+"""Add a replica to the replica set that it is not in, or update its address."""
 
 import trio
 from absl import logging
 from returns.result import Success
 
 from persimmonhall.address import Address
+from persimmonhall.control.declined import Declined
+from persimmonhall.control.join_rule import JoinRule
 from persimmonhall.control.replica import Replica
 from persimmonhall.control.replica_messages import Join, Received
 from persimmonhall.ids import NodeName, ReplicaId
 
 JOIN_INTERVAL_S = 0.5
 REQUEST_TIMEOUT_S = 1.0
+LOG_INTERVAL_S = 5.0
 
 
 class Joiner:
-    """Send join requests to the configured peers until the leader adds this replica."""
+    """Ask the configured peers to add this replica while the set may lack it."""
 
     def __init__(
         self,
@@ -24,32 +27,36 @@
         peers: tuple[Address, ...],
     ):
         self._replica = replica
-        self._join = Join(replica.core.id, name, str(local_address))
+        self._name = name
+        self._local_address = str(local_address)
+        self._rule = JoinRule(replica.core, self._local_address)
         self._peers = peers
+        self._logged_at = -LOG_INTERVAL_S
 
     async def run(self) -> None:
-        """Send join requests while the set lacks this address, until cancelled."""
+        """Ask while the set lacks this replica or its address, until cancelled."""
         while True:
-            if self._should_join():
+            if self._rule.must_ask(trio.current_time()):
                 await self._send_join_to_peers()
             await trio.sleep(JOIN_INTERVAL_S)
 
-    def _should_join(self) -> bool:
-        replicas = self._replica.core.replicas
-        if not replicas.members:
-            return True
-        member = replicas.get(self._replica.core.id)
-        # A removed member does not rejoin until its data folder is emptied.
-        return member is not None and member.address != self._join.address
-
     async def _send_join_to_peers(self) -> None:
-        logging.info("asking to join id=%s peers=%d", self._join.id, len(self._peers))
+        core, now = self._replica.core, trio.current_time()
+        if now - self._logged_at >= LOG_INTERVAL_S:
+            self._logged_at = now
+            logging.info("asking to join id=%s peers=%d", core.id, len(self._peers))
+        cluster = core.replicas.cluster
+        join = Join(core.id, self._name, self._local_address, cluster=cluster)
         async with trio.open_nursery() as nursery:
             for address in self._peers:
-                nursery.start_soon(self._send_join, address)
+                nursery.start_soon(self._send_join, address, join)
 
-    async def _send_join(self, address: Address) -> None:
-        await self._replica.peers.send_request(address, self._join, REQUEST_TIMEOUT_S)
+    async def _send_join(self, address: Address, join: Join) -> None:
+        match await self._replica.peers.send_request(address, join, REQUEST_TIMEOUT_S):
+            case Success(Declined(_, detail)):
+                logging.log_every_n_seconds(
+                    logging.WARNING, "not let in id=%s: %s", 10, join.id, detail
+                )
 
 
 async def find_cluster(peers, addresses: tuple[Address, ...]) -> str:
--- a/persimmonhall/control/peer_service.py
+++ b/persimmonhall/control/peer_service.py
@@ -24,6 +24,8 @@
 from persimmonhall.raft.messages import MESSAGES, Member
 from persimmonhall.raft.role import Role
 
+REMOVED_DETAIL = "removed from the set for good; start it with an empty folder"
+
 
 class PeerService:
     """Handle Raft packets, membership changes, forwarded commands and reads."""
@@ -41,7 +43,7 @@
             case Packet():
                 self._on_packet(request)
             case Join():
-                await self._on_join(request)
+                return await self._on_join(request)
             case Forward(command):
                 return await self._on_forward(command)
             case ReadIndex():
@@ -51,23 +53,24 @@
         return Received(self._core.replicas.cluster)
 
     def _on_packet(self, packet: Packet) -> None:
-        local_cluster = self._core.replicas.cluster
         if packet.recipient != self._core.id:
             return
-        if local_cluster and packet.cluster and packet.cluster != local_cluster:
-            logging.log_every_n_seconds(
-                logging.ERROR, "packet of another cluster from %s", 10, packet.reply_to
-            )
+        if self._is_foreign(packet.cluster, packet.reply_to):
             return
         self._replica.peers.record_sender(packet)
         now = trio.current_time()
         self._core.step(packet.sender, MESSAGES.decode(packet.message), now)
         self._replica.driver.wake()
 
-    async def _on_join(self, join: Join) -> None:
-        if not join.id:
-            return
+    async def _on_join(self, join: Join) -> Received | Declined:
+        replicas = self._core.replicas
+        received = Received(replicas.cluster)
+        if not join.id or self._is_foreign(join.cluster, join.address):
+            return received
         if self._core.role is Role.LEADER:
+            if join.id in replicas.removed:
+                refusal = refuse(ErrorKind.FORBIDDEN, REMOVED_DETAIL)
+                return Declined(refusal.kind, refusal.detail, refusal.ran)
             member = Member(join.id, join.name, join.address, False)
             self._core.join(member, trio.current_time())
             self._replica.driver.wake()
@@ -75,9 +78,22 @@
             address = self._replica.peers.address_of(self._core, self._core.leader_id)
             if address is not None:
                 relayed = replace(join, relayed=True)
-                await self._replica.peers.send_request(
+                match await self._replica.peers.send_request(
                     address, relayed, FORWARD_TIMEOUT_S
-                )
+                ):
+                    case Success(Declined() as declined):
+                        return declined
+        return received
+
+    def _is_foreign(self, cluster: str, sender: str) -> bool:
+        """Return whether a sender belongs to another cluster."""
+        local_cluster = self._core.replicas.cluster
+        is_foreign = bool(local_cluster and cluster and cluster != local_cluster)
+        if is_foreign:
+            logging.log_every_n_seconds(
+                logging.ERROR, "packet of another cluster from %s", 10, sender
+            )
+        return is_foreign
 
     async def _on_forward(self, command: bytes) -> Forwarded | Declined:
         # Every replica would fail to apply an entry that cannot be decoded.
--- a/persimmonhall/control/replica.capnp
+++ b/persimmonhall/control/replica.capnp
@@ -13,6 +13,7 @@
   name @1 :Text;
   address @2 :Text;
   relayed @3 :Bool;
+  cluster @4 :Text;
 }
 
 struct Forward {
--- a/persimmonhall/control/replica_messages.py
+++ b/persimmonhall/control/replica_messages.py
@@ -23,12 +23,16 @@
 
 @dataclass(frozen=True)
 class Join:
-    """Request to join the replica set or to change the address in it."""
+    """Request to join the replica set or to change the address in it.
+
+    The cluster is empty if the replica belongs to none yet.
+    """
 
     id: ReplicaId
     name: NodeName
     address: str
     relayed: bool = False
+    cluster: str = ""
 
 
 @dataclass(frozen=True)
--- a/persimmonhall/control/tests/test_voter_replacement.py
+++ b/persimmonhall/control/tests/test_voter_replacement.py
@@ -43,8 +43,9 @@
         """Return the seconds since a peer's last reply."""
         return self.time_since_reply[peer]
 
-    def remove(self, replica, now):
-        """Record the removal of a voter."""
+    def remove(self, replica, now, *, may_rejoin):
+        """Record the removal of a voter, which may only be paused."""
+        assert may_rejoin
         self.removed.append(replica)
         return True
 
--- a/persimmonhall/control/voter_replacement.py
+++ b/persimmonhall/control/voter_replacement.py
@@ -88,7 +88,10 @@
         if len(unresponsive) > replicas.surplus_voters:
             return
         replaced = max(unresponsive, key=silent_s.__getitem__)
-        if silent_s[replaced] > REMOVE_AFTER_S and self._core.remove(replaced, now):
+        if silent_s[replaced] <= REMOVE_AFTER_S:
+            return
+        # It may only have been paused: if its process runs, it gets back in.
+        if self._core.remove(replaced, now, may_rejoin=True):
             logging.warning(
                 "replica retired id=%s silent_s=%.1f", replaced, silent_s[replaced]
             )
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -184,9 +184,13 @@
         if self._leader is not None:
             self._leader.join(member, now)
 
-    def remove(self, replica: ReplicaId, now: float) -> bool:
-        """Propose to remove a member; return False if that is not possible now."""
-        return self._leader is not None and self._leader.remove(replica, now)
+    def remove(
+        self, replica: ReplicaId, now: float, *, may_rejoin: bool = False
+    ) -> bool:
+        """Propose to remove a member, by default for good; False if not possible."""
+        return self._leader is not None and self._leader.remove(
+            replica, now, may_rejoin=may_rejoin
+        )
 
     def settle(self, now: float) -> bool:
         """Propose that the set has its intended voters; False if not possible now."""
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -114,11 +114,10 @@
         if replicas != self._state.replicas:
             self._propose_replicas(replicas, now)
 
-    def remove(self, replica: ReplicaId, now: float) -> bool:
+    def remove(self, replica: ReplicaId, now: float, *, may_rejoin: bool) -> bool:
         """Propose to remove a member; return False if that is not possible now."""
-        return self._propose_replicas(
-            without_member(self._state.replicas, replica), now
-        )
+        replicas = without_member(self._state.replicas, replica, may_rejoin=may_rejoin)
+        return self._propose_replicas(replicas, now)
 
     def settle(self, now: float) -> bool:
         """Propose to count the present voters as the settled ones."""
--- a/persimmonhall/raft/membership.py
+++ b/persimmonhall/raft/membership.py
@@ -7,23 +7,31 @@
 from persimmonhall.raft.messages import Member, ReplicaSet
 
 MAX_VOTERS = 7
+MAX_REMOVED = 50
 
 
 def with_joined_member(replicas: ReplicaSet, joined: Member) -> ReplicaSet:
-    """Add a learner, or update the address of an existing member."""
+    """Add a learner that was not removed, or update the address of a member."""
     known = replicas.get(joined.id)
     if known is not None:
         moved = replace(known, address=joined.address)
         return _with_replaced_member(replicas, moved)
+    if joined.id in replicas.removed:
+        return replicas
     kept = tuple(m for m in replicas.members if m.voter or m.name != joined.name)
     learner = replace(joined, voter=False)
     return replace(replicas, members=(*kept, learner))
 
 
-def without_member(replicas: ReplicaSet, replica: ReplicaId) -> ReplicaSet:
-    """Return the replica set without a member."""
+def without_member(
+    replicas: ReplicaSet, replica: ReplicaId, *, may_rejoin: bool = False
+) -> ReplicaSet:
+    """Return the replica set without a member, by default for good."""
     kept = tuple(m for m in replicas.members if m.id != replica)
-    return replace(replicas, members=kept)
+    removed = replicas.removed
+    if not may_rejoin and replica not in removed:
+        removed = (*removed, replica)[-MAX_REMOVED:]
+    return replace(replicas, members=kept, removed=removed)
 
 
 def as_settled(replicas: ReplicaSet) -> ReplicaSet:
--- a/persimmonhall/raft/messages.capnp
+++ b/persimmonhall/raft/messages.capnp
@@ -18,6 +18,7 @@
   cluster @0 :Text;
   members @1 :List(Member);
   settledVoters @2 :UInt16;
+  removed @3 :List(Text);
 }
 
 struct SnapshotHead {
--- a/persimmonhall/raft/messages.py
+++ b/persimmonhall/raft/messages.py
@@ -44,11 +44,13 @@
     """List the replicas of one cluster.
 
     The number of voters that the set had when it last settled is 0 until it has.
+    Replicas that were removed for good, the latest last, don't get back in.
     """
 
     cluster: str = ""
     members: tuple[Member, ...] = ()
     settled_voters: int = 0
+    removed: tuple[ReplicaId, ...] = ()
 
     @property
     def voters(self) -> tuple[ReplicaId, ...]:
--- a/persimmonhall/raft/tests/test_membership.py
+++ b/persimmonhall/raft/tests/test_membership.py
@@ -53,6 +53,18 @@
     assert moved.get("b#1").address == "moved"
 
 
+# A control VM that was only paused was left out for good while its process ran on.
+def test_replica_gets_back_in_unless_it_was_removed_for_good():
+    rest = without_member(make_set(*THREE_VOTERS), "c#1", may_rejoin=True)
+    returning = Member("c#1", "c", "c#1", True)
+    assert with_joined_member(rest, returning).learners == ("c#1",)
+    rest = without_member(make_set(*THREE_VOTERS), "c#1")
+    assert with_joined_member(rest, returning) == rest
+    replaced = next_change(make_set(*THREE_VOTERS, ("c#2", False)), {"c#2"})
+    assert with_joined_member(replaced, returning) == replaced
+    assert decode_replicas(encode_replicas(replaced)).removed == ("c#1",)
+
+
 def test_number_of_voters_is_limited():
     voters = tuple((f"r{n}#1", True) for n in range(MAX_VOTERS))
     assert next_change(make_set(*voters, ("new#1", False)), {"new#1"}) is None
--- a/tests/test_explorer.py
+++ b/tests/test_explorer.py
@@ -42,6 +42,7 @@
 SNAPSHOT_STORM_SEED = 1249
 LOST_MAJORITY_SEED = 20145
 REMOVED_LEADER_SEED = 20990
+LOST_ADDITION_SEEDS = (214, 269, 280, 446, 458)
 OUTAGE_S = 30.0
 SLOW_SYNC_S = 1.0
 
@@ -178,6 +179,34 @@
     assert run_seed(REMOVED_LEADER_SEED, Variant()).violation == ""
 
 
+@pytest.mark.parametrize("seed", LOST_ADDITION_SEEDS)
+def test_learner_whose_addition_was_lost_with_its_leader_gets_in(seed):
+    """Its own log names it as a learner, and it never asked again."""
+    assert run_seed(seed).violation == ""
+
+
+@pytest.mark.parametrize("for_good", [False, True])
+def test_paused_voter_that_was_left_out_gets_back_in(for_good):
+    """It stayed out though its process ran, until its folder was emptied."""
+    world = SimulatedCluster(1, FULL_VARIANT, voters=4)
+    world.run_until(5.0)
+    paused = next(r for r in world.replicas.values() if r is not world.leader)
+    voters = set(world.leader.core.replicas.voters)
+    world.freeze(paused.name, 4.0)
+    world.run_until(8.0)
+    leader = world.leader
+    assert leader.core.remove(paused.replica_id, world.now, may_rejoin=not for_good)
+    world.handle_output(leader)
+    for number in range(10):
+        world.send_change(number)
+    world.run_until(8.5)
+    left = voters - {paused.replica_id}
+    assert set(world.leader.core.replicas.voters) == left
+    world.run_until(25.0)
+    assert set(world.leader.core.replicas.voters) == (left if for_good else voters)
+    world.check_end()
+
+
 def test_failing_seed_is_printed_with_its_replay_command(capsys, monkeypatch):
     broken = Variant(disk=FalseSyncDisk)
     monkeypatch.setattr(
