--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -100,6 +100,11 @@
         """Return the log index of the latest replica set."""
         return self._state.log.replicas_index
 
+    @property
+    def is_set_committed(self) -> bool:
+        """Return whether the latest replica set is known to be committed."""
+        return self.replicas_index <= self.commit_index
+
     @property
     def match_indexes(self) -> dict[ReplicaId, LogIndex]:
         """Return the match index of each peer; empty unless this replica leads."""
@@ -109,6 +114,10 @@
         """Return the seconds since a peer's last reply; 0 unless this replica leads."""
         return self._leader.time_since_reply_s(peer, now) if self._leader else 0.0
 
+    def promotion_obstacle(self, learner: ReplicaId, now: float) -> str:
+        """Return why a learner gets no vote now; empty if nothing prevents it."""
+        return self._leader.promotion_obstacle(learner, now) if self._leader else ""
+
     @property
     def accepts_proposals(self) -> bool:
         """Return whether this replica leads and is not transferring leadership."""
@@ -129,6 +138,8 @@
             self._reset_election_timeout(now)
             if self._can_campaign():
                 self._start_pre_vote()
+            else:
+                self._leader_id = None
 
     def step(self, sender: ReplicaId, message: Message, now: float) -> None:
         """Process a message from another replica."""
@@ -173,9 +184,13 @@
         if self._leader is not None:
             self._leader.join(member, now)
 
-    def remove(self, replica: ReplicaId, now: float) -> bool:
-        """Propose to remove a member; return False if that is not possible now."""
-        return self._leader is not None and self._leader.remove(replica, now)
+    def remove(
+        self, replica: ReplicaId, now: float, *, may_rejoin: bool = False
+    ) -> bool:
+        """Propose to remove a member, by default for good; False if not possible."""
+        return self._leader is not None and self._leader.remove(
+            replica, now, may_rejoin=may_rejoin
+        )
 
     def settle(self, now: float) -> bool:
         """Propose that the set has its intended voters; False if not possible now."""
