--- a/tests/features/control.feature
+++ b/tests/features/control.feature
@@ -34,6 +34,14 @@
     Then control-3 votes with a new disk id
     And every control VM has exactly the accepted changes
 
+  Scenario: A control VM with a new disk votes again while reads are frequent
+    Given 3 control VMs and 6 accepted changes
+    And every control VM is read every 50 ms
+    When control-2 loses its data folder
+    Then control-2 votes with a new disk id
+    And 6 more changes are accepted
+    And every control VM has exactly the accepted changes
+
   Scenario: A control VM without a majority accepts no changes
     Given 3 control VMs and 6 accepted changes
     When both followers are killed
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 import resource
 import subprocess
 import sys
+from functools import partial
 
 import pytest
 import trio
@@ -157,6 +158,21 @@
     portal.run(cluster.restart_with_empty_disk, name)
 
 
+@given(parsers.parse("every control VM is read every {ms:d} ms"))
+def _(running_cluster, ms):
+    """Guard against reads that put off the promotion of a replica with a new disk."""
+    portal, cluster = running_cluster
+    for name in cluster.system.control:
+        read = partial(_read_forever, cluster, name, ms / 1000)
+        portal.run(cluster.system.start_task, read)
+
+
+async def _read_forever(cluster, name: str, interval_s: float) -> None:
+    while True:
+        await cluster.client(name).get("/documents")
+        await trio.sleep(interval_s)
+
+
 @then(parsers.re(r"(?P<name>control-\d) votes with a new disk id"))
 def _(running_cluster, context, name):
     portal, cluster = running_cluster
