Let levels count the ranks of a release from its first request on

What callers saw: for up to 0.1 s after a release that adds a priority, calm nodes refused 85 % of the requests of the least urgent rank with 503 "the services behind route ... are overloaded": of the added route itself if it is the least urgent, else of the others. The same holds after the first release of a node that starts.

Cause: the ranks of requests are those of the new release at once, the levels count ranks of the old one until the next step of the node, and 1.0 of 1 admits nothing of rank 1 but the minimum.

Change: levels take over the ranks where a release is applied, not in the step.

Evidence: the two cases of the test in test_routed_path.py fail before and pass now; they send requests between the release and the next step. It is no full explanation of that: a refusal lasts 0.1 s at most, and is a 503, not a 404.

--- a/persimmonhall/release/active.py
+++ b/persimmonhall/release/active.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from persimmonhall.events import Event, EventLog
+from persimmonhall.guards import call_guarded
 from persimmonhall.ids import LogIndex
 from persimmonhall.release.messages import HeldRelease
 from persimmonhall.release.routes import RouteTable
@@ -17,8 +18,15 @@
 class ActiveRelease:
     """Apply releases atomically and ignore any that is not newer."""
 
-    def __init__(self, decode: ReleaseDecoder, log: EventLog, rng: random.Random):
+    def __init__(
+        self,
+        decode: ReleaseDecoder,
+        log: EventLog,
+        rng: random.Random,
+        on_applied: Callable[[RouteTable], None] = lambda routes: None,
+    ):
         self._decode = decode
+        self._on_applied = on_applied
         self._rng = rng
         self._log = log
         self._routes: RouteTable | None = None
@@ -48,6 +56,7 @@
             case Success(release):
                 self._routes = RouteTable(release, self._rng, self._routes)
         self._index = held.index
+        call_guarded(self._on_applied, self._routes)
         self._log.emit(
             Event.RELEASE_IN_FORCE,
             index=held.index,
--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -42,6 +42,7 @@
 )
 from persimmonhall.process_pauses import ProcessPauses
 from persimmonhall.release.active import ActiveRelease
+from persimmonhall.release.routes import RouteTable
 from persimmonhall.release.schema import CallerLimits
 from persimmonhall.release.watcher import ReleaseWatcher
 from persimmonhall.reload import SettingsSource, watch_settings
@@ -194,7 +195,9 @@
         self.instances = InstanceWatch(
             self.gate, self.gossiper, releases.service, releases.backend, self.log
         )
-        self.releases = ActiveRelease(dialect.decode_release, self.log, rng)
+        self.releases = ActiveRelease(
+            dialect.decode_release, self.log, rng, self._set_ranks
+        )
         self.release_watcher = ReleaseWatcher(
             self.releases,
             self._control,
@@ -371,6 +374,11 @@
         self._control.set_seeds(control_addresses)
         self.gossiper.set_seeds(control_addresses)
 
+    def _set_ranks(self, routes: RouteTable) -> None:
+        """Let levels count the ranks of a release from its first request on."""
+        self._levels.set_ranks(routes.rank_count)
+        self.gate.set_ranks(routes.rank_count)
+
     def _run_step(self, number: int, last: float) -> None:
         """Run all periodic work that is due and schedule the next step."""
         now = trio.current_time()
@@ -387,9 +395,6 @@
 
     def _step(self, now: float, elapsed_s: float) -> None:
         if self.releases.routes is not None:
-            ranks = self.releases.routes.rank_count
-            self._levels.set_ranks(ranks)
-            self.gate.set_ranks(ranks)
             release = self.releases.routes.release
             self.pooled_counts.set_organisations(release.organisations)
             self.pooled_counts.is_rationing = self._levels.is_rationing(now)
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -8,10 +8,12 @@
 import trio
 
 from persimmonhall.address import Address
+from persimmonhall.call.tests.routed_fixtures import FakeExchange, make_message
 from persimmonhall.control.run import run_control
 from persimmonhall.control.serve_releases import ReleaseComponents
 from persimmonhall.dialect import HeaderNames, NativeDialect
 from persimmonhall.events import EventLog
+from persimmonhall.release.messages import HeldRelease
 from persimmonhall.release.tests.builders import (
     encode_release,
     make_release,
@@ -242,6 +244,33 @@
     assert (status, json.loads(body)["version"]) == (200, 2)
 
 
+# Up to the next step, a level of the old ranks was read by the new ones: calm nodes
+# refused 85 % of the least urgent requests.
+@pytest.mark.parametrize("priority,least_urgent", [(2, "/added/"), (0, "/charts/")])
+async def test_release_that_adds_a_priority_refuses_no_request(
+    routed_nodes, priority, least_urgent
+):
+    """Serve the added route and the others as soon as the release is in force."""
+    first = make_route(priority=1)
+    with trio.fail_after(8):
+        while await routed_nodes.put(make_release(first)) != 200:
+            await trio.sleep(0.1)
+    await routed_nodes.report()
+    await routed_nodes.get_until_status(200)
+    # Requests beside a server of the route are those of callers, not of other servers.
+    node = routed_nodes.nodes[1]
+    added = make_route("added", prefix="/added/", priority=priority)
+    text = encode_release(make_release(first, added, version=2, base=1))
+    with trio.fail_after(2):
+        while node.releases.routes is None:
+            await trio.sleep(0.02)
+    assert node.releases.apply(HeldRelease(node.releases.index + 1, 2, text))
+    exchanges = [FakeExchange() for _ in range(20)]
+    for number, exchange in enumerate(exchanges):
+        node.entry.begin(make_message(least_urgent, f"b{number}"), exchange)
+    assert [exchange.refusal for exchange in exchanges] == [None] * 20
+
+
 async def test_draining_node_answers_accepted_requests(routed_nodes):
     """Report not ready at once, keep serving, and stop within the grace period."""
     with trio.fail_after(8):
