Decline watches at a control VM that may have missed a release

A control VM that was cut off, left out of the set or still catching up answered each watch after a second with "nothing newer", which a node takes for an answer: it kept watching this VM of its zone for as long as it ran.

It now declines once it has had no leader, or lacked entries that its leader reported as committed, for half a second; running watches end at once. What is newer than the node's release is still sent, so that a node that starts while no majority answers gets the last known one. A replica in the midst of a transfer no longer marks its documents as current either: is_current asks for what the leader has reported.

--- a/persimmonhall/control/control_service.py
+++ b/persimmonhall/control/control_service.py
@@ -18,6 +18,7 @@
 )
 from persimmonhall.control.replica import Replica
 from persimmonhall.control.shared_barrier import SharedBarrier
+from persimmonhall.errors import ErrorKind, refuse
 from persimmonhall.release.messages import (
     WATCH_TIMEOUT_S,
     ConfirmRelease,
@@ -28,6 +29,9 @@
 from persimmonhall.release.table import NO_RELEASE
 
 DRAIN_TIMEOUT_S = 3.0
+CHECK_INTERVAL_S = 0.1
+# Most elections take less.
+STALE_AFTER_S = 0.5
 
 
 class ControlService:
@@ -38,6 +42,8 @@
         self._in_flight = 0
         self._idle = trio.Event()
         self._release_changed = trio.Event()
+        self._current_at = trio.current_time()
+        self._is_stale = False
         self._barrier = SharedBarrier(replica)
 
     async def run(self) -> None:
@@ -49,11 +55,22 @@
     async def _wake_watches(self) -> None:
         while True:
             index = self._replica.machine.releases.current.index
-            while self._replica.machine.releases.current.index == index:
-                await self._replica.driver.changed.wait()
+            was_stale = self._is_stale
+            while (
+                self._replica.machine.releases.current.index == index
+                and self._is_stale == was_stale
+            ):
+                with trio.move_on_after(CHECK_INTERVAL_S):
+                    await self._replica.driver.changed.wait()
+                self._update_staleness(trio.current_time())
             self._release_changed.set()
             self._release_changed = trio.Event()
 
+    def _update_staleness(self, now: float) -> None:
+        if self._replica.is_current:
+            self._current_at = now
+        self._is_stale = now - self._current_at > STALE_AFTER_S
+
     async def drain(self) -> None:
         """Wait for requests in flight, except watches, before a graceful shutdown."""
         with trio.move_on_after(DRAIN_TIMEOUT_S):
@@ -84,15 +101,21 @@
             case Submit(command):
                 return REPLIES.encode(await self._submit(command))
 
-    async def _watch_release(self, watch: WatchRelease) -> ReleaseSeen:
-        """Wait a limited time for a release after an index."""
+    async def _watch_release(self, watch: WatchRelease) -> ReleaseSeen | Declined:
+        """Wait a limited time for a release after an index.
+
+        A replica that may have missed a release declines, so that the node watches
+        another one at once.
+        """
         after = watch.after
         with trio.move_on_after(WATCH_TIMEOUT_S):
-            while self._replica.machine.releases.current.index <= after:
+            while not (
+                self._replica.machine.releases.current.index > after or self._is_stale
+            ):
                 await self._release_changed.wait()
         current = self._replica.machine.releases.current
         if current.index <= after:
-            return ReleaseSeen(NO_RELEASE)
+            return _stale() if self._is_stale else ReleaseSeen(NO_RELEASE)
         return ReleaseSeen(replace(current, text=b"") if watch.is_notice else current)
 
     async def _confirm_release(self) -> ReleaseConfirmed | Declined:
@@ -113,3 +136,9 @@
                 return Submitted(COMMAND_REPLIES.encode(reply))
             case Failure(refusal):
                 return Declined(refusal.kind, refusal.detail, refusal.ran)
+
+
+def _stale() -> Declined:
+    detail = "this replica has no leader or is not caught up"
+    refusal = refuse(ErrorKind.NO_QUORUM, detail)
+    return Declined(refusal.kind, refusal.detail, refusal.ran)
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -71,7 +71,9 @@
     @property
     def is_current(self) -> bool:
         """Return whether a leader is known and all committed entries are applied."""
-        return self._core.leader_id is not None and not self._applier.has_pending_items
+        core = self._core
+        is_caught_up = core.leader_id is not None and core.is_caught_up
+        return is_caught_up and not self._applier.has_pending_items
 
     @property
     def core(self) -> RaftCore:
--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -105,6 +105,11 @@
         """Return whether the latest replica set is known to be committed."""
         return self.replicas_index <= self.commit_index
 
+    @property
+    def is_caught_up(self) -> bool:
+        """Return whether it has all that its leader reported as committed."""
+        return self.commit_index >= self._follower.reported_commit
+
     @property
     def match_indexes(self) -> dict[ReplicaId, LogIndex]:
         """Return the match index of each peer; empty unless this replica leads."""
--- a/persimmonhall/raft/follower.py
+++ b/persimmonhall/raft/follower.py
@@ -18,10 +18,17 @@
         self._state = state
         self._snapshot_parts: list[bytes] = []
         self._snapshot_identity: tuple = ()
+        self._reported_commit = LogIndex(0)
+
+    @property
+    def reported_commit(self) -> LogIndex:
+        """Return the highest index that a leader has reported as committed."""
+        return self._reported_commit
 
     def on_append(self, leader: ReplicaId, append: Append) -> None:
         """Append the new entries if the log matches at the previous index."""
         state = self._state
+        self._reported_commit = max(self._reported_commit, append.commit)
         round_number = append.round
         if append.prev_index < state.commit_index:
             append = _without_committed(append, state.commit_index)
@@ -41,6 +48,7 @@
     def on_chunk(self, leader: ReplicaId, chunk: SnapshotChunk) -> None:
         """Store parts of a snapshot and install it when it is complete."""
         state = self._state
+        self._reported_commit = max(self._reported_commit, chunk.index)
         if chunk.index <= state.commit_index:
             self._acknowledge(leader, state.commit_index, chunk.round)
             return
--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -1,6 +1,7 @@
 """Test elections, commits and the order of syncs and replies in the Raft core."""
 
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -193,6 +194,21 @@
     assert reply == AppendReply(3, False, 0, 0, 0)
 
 
+def test_replica_that_lacks_committed_entries_is_not_caught_up():
+    core = make_core("a", "a", "b", "c")
+    core.step("b", Append(2, 1, 1, (), 1, 0), NOW)
+    assert core.is_caught_up
+    core.step("b", Append(2, 4, 2, (), 4, 0), NOW)
+    assert not core.is_caught_up
+    entries = tuple(Entry(n, 2, EntryKind.COMMAND, b"x") for n in (2, 3, 4))
+    core.step("b", Append(2, 1, 1, entries, 4, 0), NOW)
+    assert core.is_caught_up
+    core.step("b", replace(CHUNK, last=False), NOW)
+    assert not core.is_caught_up
+    core.step("b", replace(CHUNK, offset=1), NOW)
+    assert core.is_caught_up
+
+
 # A replica that was left out believed in its last leader for good, and so in its state.
 def test_replica_without_a_vote_forgets_a_silent_leader():
     core = make_core("d", "a", "b", "c")
