Ask the control VMs of the moment to join, not those of the start

A control VM that is to join asked the seeds of its settings as they were at its start. The settings that are read again reached the gossip only.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -129,7 +129,14 @@
         nursery.start_soon(ReplicaSetLog(core).run)
         nursery.start_soon(run_log_clock, replica.submit_locally)
         nursery.start_soon(
-            Joiner(replica, control_settings.name, address, control_settings.peers).run
+            Joiner(
+                replica,
+                control_settings.name,
+                address,
+                releases.find_control_vms
+                if releases is not None
+                else lambda: control_settings.peers,
+            ).run
         )
         if control_settings.retire_replaced:
             nursery.start_soon(ReplacedVoterRemover(core, replica.driver).run)
--- a/persimmonhall/control/serve_releases.py
+++ b/persimmonhall/control/serve_releases.py
@@ -15,7 +15,7 @@
 from persimmonhall.http.caller_server import CHECK_INTERVAL_S, CallerServer, Exchange
 from persimmonhall.http.message_reader import Message, to_http_request
 from persimmonhall.http.refusals import refusal_answer
-from persimmonhall.membership.control_members import CONTROL_SERVICE
+from persimmonhall.membership.control_members import CONTROL_SERVICE, ControlMembers
 from persimmonhall.membership.gossip import Gossiper
 from persimmonhall.membership.initial_member import make_initial_member
 from persimmonhall.membership.table import MemberTable
@@ -39,6 +39,11 @@
     log: EventLog
     gossiper: Gossiper | None = field(default=None)
     server: CallerServer | None = field(default=None)
+    members: ControlMembers | None = field(default=None)
+
+    def find_control_vms(self) -> list[Address]:
+        """Return the addresses of the members and of the settings, as of now."""
+        return self.members.addresses if self.members is not None else []
 
     def join_membership(self, control_settings: ControlSection, links: LinkPool):
         """Join the membership gossip and return the handler of its requests."""
@@ -51,9 +56,9 @@
             CONTROL_SERVICE,
         )
         rng = random.Random(control_settings.seed or None)
-        self.gossiper = Gossiper(
-            MemberTable(member), links, control_settings.peers, rng
-        )
+        table = MemberTable(member)
+        self.members = ControlMembers(table, control_settings.peers)
+        self.gossiper = Gossiper(table, links, control_settings.peers, rng)
         self.gossiper.set_frames_address(control_settings.frames, frames)
         return self.gossiper.handle
 
@@ -72,6 +77,8 @@
         """Update the gossip seeds with the configured control VMs."""
         if self.gossiper is not None:
             self.gossiper.set_seeds(peers)
+        if self.members is not None:
+            self.members.set_seeds(peers)
 
 
 class _TaskPerRequestHandler:
