--- a/tests/control_cluster.py
+++ b/tests/control_cluster.py
@@ -34,9 +34,10 @@
         self._relays: dict[str, Relay] = {}
         self._admin: AdminClient | None = None
 
-    async def start(self, count: int) -> None:
-        """Start control VMs and wait until all are voters."""
-        for number in range(1, count + 1):
+    async def start(self, count: int, **overrides) -> None:
+        """Start control VMs, beside those that run, and wait until all are voters."""
+        first = len(self._relays) + 1
+        for number in range(first, first + count):
             name = f"control-{number}"
             frames = free_address()
             relay = Relay(frames)
@@ -49,8 +50,9 @@
                 advertise=relay.address,
                 peers=peers,
                 snapshot_entries=SNAPSHOT_ENTRIES,
+                **overrides,
             )
-        await self.system.wait_for_voters(count)
+        await self.system.wait_for_voters(len(self._relays))
         self._admin = self.system.admin
         self.leader = await self.system.wait_for_leader()
 
