--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -15,13 +15,17 @@
 from harness.soak.faults import ALL_KINDS, Faults
 from harness.soak.operator import Operator
 from harness.soak.organisations import Organisations
+from harness.soak.probes import Probes
 from harness.soak.program import PLANTS
 from harness.soak.record import Record
+from harness.soak.release_checks import ReleaseChecks
 
 RESULTS = Path("results")
 START_S = 20.0
 FLEET_START_S = 1.0
 WARM_UP_S = 1.0
+# In a lull all that was harmed is well again, and checked for some seconds.
+LULL_S = 6.5
 # Time in which requests that wait somewhere would still run.
 SETTLE_S = 1.0
 
@@ -32,6 +36,7 @@
     plant: str = "",
     folder: Path = RESULTS,
     kinds: tuple[str, ...] = ALL_KINDS,
+    lull_s: float = LULL_S,
 ) -> Record:
     """Run one seed; its settings, logs and data are kept in a folder of its own."""
     folder = folder / f"soak-{seed}"
@@ -56,10 +61,10 @@
             record.note("begin")
             async with trio.open_nursery() as load:
                 load.start_soon(operator.run)
+                load.start_soon(Probes(cluster, record, seed).run)
                 load.start_soon(Callers(cluster, record, organisations, seed).run)
                 await trio.sleep(WARM_UP_S)
-                await Faults(cluster, backends, record, rng, kinds).run(seconds)
-                record.note("all faults have ended")
+                await Faults(cluster, backends, record, rng, kinds).run(seconds, lull_s)
                 await operator.stop()
                 await operator.check_recovery()
                 load.cancel_scope.cancel()
@@ -67,6 +72,7 @@
             record.check_runs()
             record.check_resends()
             organisations.check()
+            ReleaseChecks(record, [vm.name for vm in cluster.control]).run()
             cluster.check_processes()
             nursery.cancel_scope.cancel()
     finally:
--- a/harness/soak/backends.py
+++ b/harness/soak/backends.py
@@ -15,6 +15,7 @@
 )
 from harness.soak.network import CONNECTION_ERRORS
 from harness.soak.organisations import KEY_PREFIX
+from harness.soak.probes import SLOW_PREFIX
 from harness.soak.record import (
     DRAIN_ALLOWANCE_S,
     Record,
@@ -27,6 +28,7 @@
 REPORT_INTERVAL_S = 0.5
 REPORT_TIMEOUT_S = 2.0
 SLOTS = 8
+SLOW_S = 2.2
 FAULTY_FRACTION = 0.4
 ATTEMPT = re.compile(rb"persimmonhall-attempt: ([^\r]*)")
 ORGANISATION = re.compile(rb"(?i)\r\npersimmonhall-organisation: ([^\r]*)")
@@ -203,6 +205,8 @@
             late_s = trio.current_time() - since
             self._record.report_violation(f"{name} ran {late_s:.2f} s after its drain")
         self._record.add_run(request_id, self.instance)
+        if request_id.startswith(SLOW_PREFIX):
+            await trio.sleep(SLOW_S)
         await trio.sleep(self._rng.uniform(0.002, 0.03))
         match behaviour:
             case Behaviour.HANG:
--- a/harness/soak/callers.py
+++ b/harness/soak/callers.py
@@ -23,6 +23,7 @@
 # A request may cross the close of a kept connection that was idle.
 CROSSING_S = 0.2
 MAX_BURST = 4
+MANY_BURSTS = 1000
 # Callers read large answers in steps.
 SLOW_READING_BYTES = 100_000
 SLOW_READING_PAUSE_S = 0.01
@@ -85,7 +86,9 @@
                 continue
             async with stream:
                 connection = CallerConnection(node, stream, self._record)
-                for _ in range(rng.randrange(5, 40)):
+                # Some use their connection until the node closes it or is gone.
+                count = rng.choice((rng.randrange(5, 40), MANY_BURSTS))
+                for _ in range(count):
                     burst = [
                         self._make_request(group, rng, node)
                         for _ in range(rng.choice(group.bursts))
@@ -180,6 +183,9 @@
         return limit + paused_s - trio.current_time() + 0.02 * self._node.is_paused
 
     def _check_answer(self, request: SentRequest, head: bytes, body: bytes) -> None:
+        if request.status in (403, 404):
+            text = f"{describe(request)} got {request.status} on a route that is there"
+            self._record.report_violation(text)
         if request.status == 200:
             request.outcome = "ok"
             if body != expected_body(request.id):
--- a/harness/soak/cluster.py
+++ b/harness/soak/cluster.py
@@ -3,9 +3,11 @@
 import json
 import os
 import select
+import shutil
 import signal
 import subprocess
 import sys
+from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -29,7 +31,8 @@
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 4.0
 POLL_S = 0.05
-ZONES = ("suva", "levuka", "nadi")
+ZONES = ("suva", "levuka", "nadi", "lautoka")
+SEED_COUNT = 3
 NODE_SERVICES = ("maps", "maps", "maps", "cue", "cue")
 
 
@@ -165,6 +168,11 @@
         await self._wait_for_end()
         self.is_up = False
 
+    async def wipe(self) -> None:
+        """Kill a control VM and remove all that is on its disk."""
+        await self.kill()
+        shutil.rmtree(self.settings["control"]["data_folder"], ignore_errors=True)
+
     async def _wait_for_end(self) -> None:
         with trio.fail_after(STOP_TIMEOUT_S):
             while not self.has_ended:
@@ -207,7 +215,7 @@
                 "releases": free_address(),
                 "data_folder": str(folder / f"{name}.data"),
                 "found": True,
-                "peers": advertised,
+                "peers": advertised[:SEED_COUNT],
                 "snapshot_entries": 100,
             }
             process = Process(name, "control", {"control": settings}, folder, starter)
@@ -223,7 +231,7 @@
                     "frames": free_address(),
                     "advertise": free_address(),
                 },
-                "peers": {"control": advertised},
+                "peers": {"control": advertised[:SEED_COUNT]},
                 "releases": {
                     "ready": free_address(),
                     "metrics": free_address(),
@@ -258,6 +266,8 @@
         async with trio.open_nursery() as starting:
             for process in self.processes:
                 starting.start_soon(process.start)
+        for process in self.control:
+            process.settings["control"]["found"] = False
 
     def end(self) -> None:
         """Kill all processes."""
@@ -276,25 +286,82 @@
                 self.record.report_violation(f"{process.name} logged a key")
 
 
-async def exchange(address: Address, data: bytes, timeout_s: float):
-    """Send one HTTP request; return status and JSON or text body, or None."""
-    with trio.move_on_after(timeout_s):
+class KeptConnection:
+    """Keep a connection open and use it until the other end closes it."""
+
+    def __init__(self, address: Address):
+        self._address = address
+        self._stream: trio.SocketStream | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the next request goes over an open connection."""
+        return self._stream is not None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
+
+    async def exchange(self, data: bytes, timeout_s: float):
+        """Send one HTTP request; return status and body, or None."""
+        reply, closes = None, True
         try:
-            stream = await trio.open_tcp_stream(address.host, address.port)
-            async with stream:
-                await stream.send_all(data)
-                received = b""
-                while True:
-                    head, end, body = received.partition(b"\r\n\r\n")
-                    if end and len(body) >= content_length(head):
-                        return int(head.split()[1]), body
-                    part = await stream.receive_some(65536)
-                    if not part:
-                        return None
-                    received += part
+            with trio.move_on_after(timeout_s):
+                reply, closes = await self._exchange(data)
         except (OSError, trio.BrokenResourceError):
             pass
-    return None
+        finally:
+            if closes:
+                self.close()
+        return reply
+
+    async def _exchange(self, data: bytes):
+        if self._stream is None:
+            host, port = self._address.host, self._address.port
+            self._stream = await trio.open_tcp_stream(host, port)
+        await self._stream.send_all(data)
+        received = b""
+        while True:
+            head, end, body = received.partition(b"\r\n\r\n")
+            if end and len(body) >= content_length(head):
+                closes = b"\r\nconnection: close" in head.lower()
+                return (int(head.split()[1]), body), closes
+            part = await self._stream.receive_some(65536)
+            if not part:
+                return None, True
+            received += part
+
+
+class Connections:
+    """Keep connections to several addresses open."""
+
+    def __init__(self):
+        self._idle: dict[Address, list[KeptConnection]] = defaultdict(list)
+
+    async def exchange(self, address: Address, data: bytes, timeout_s: float):
+        """Send one HTTP request, once more if an open connection has just ended."""
+        started_at = trio.current_time()
+        idle = self._idle[address]
+        connection = idle.pop() if idle else KeptConnection(address)
+        was_open = connection.is_open
+        reply = await connection.exchange(data, timeout_s)
+        left_s = timeout_s - (trio.current_time() - started_at)
+        if reply is None and was_open and left_s > 0:
+            reply = await connection.exchange(data, left_s)
+        if connection.is_open:
+            idle.append(connection)
+        return reply
+
+
+async def exchange(address: Address, data: bytes, timeout_s: float):
+    """Send one HTTP request over a new connection; return status and body, or None."""
+    connection = KeptConnection(address)
+    try:
+        return await connection.exchange(data, timeout_s)
+    finally:
+        connection.close()
 
 
 def content_length(head: bytes) -> int:
--- a/harness/soak/faults.py
+++ b/harness/soak/faults.py
@@ -9,7 +9,7 @@
 from harness.soak.cluster import ZONES, Cluster, Process
 from harness.soak.network import NetworkFault
 from harness.soak.organisations import WITHDRAWAL_S
-from harness.soak.record import Record
+from harness.soak.record import Disturbance, Record
 from persimmonhall.pooling.node_limits import order_of
 
 MIN_LENGTH_S, MAX_LENGTH_S = 0.3, 3.0
@@ -17,6 +17,7 @@
 MAX_GAP_S = 0.9
 ALL_KINDS = ("kill", "kill", "pause", "pause", "stop", "network", "network", "disk")
 ALL_KINDS += ("collector", "collector", "isolation")
+ALL_KINDS += ("wipe", "wipe", "series", "series", "all nodes")
 ALL_KINDS += ("outage", "backend", "backend", "backend", "crash", "drain", "drain")
 Fault = Callable[[float], Awaitable[None]]
 
@@ -38,9 +39,20 @@
         self._record = record
         self._rng = rng
         self._busy: set[str] = set()
+        self._has_wiped = False
 
-    async def run(self, seconds: float) -> None:
+    async def run(self, seconds: float, lull_s: float) -> None:
+        """Start faults for some seconds, in one or two spells, each with a lull."""
+        spells = self._rng.choice((1, 2)) if lull_s else 1
+        for _ in range(spells):
+            await self._run_spell(seconds / spells)
+            self._record.note("all faults have ended")
+            await trio.sleep(lull_s)
+
+    async def _run_spell(self, seconds: float) -> None:
         """Start faults for some seconds and return when all have ended."""
+        # The next disk is lost after a lull, in which the last one was replaced.
+        self._has_wiped = False
         end = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
@@ -55,10 +67,24 @@
         self, name: str, target: str, fault: Fault, length_s: float
     ) -> None:
         self._record.note(f"{name} begins, {length_s:.2f} s")
+        now = trio.current_time()
+        disturbances = [Disturbance(harmed, now) for harmed in self._harmed(target)]
+        self._record.disturbances += disturbances
         await fault(length_s)
+        for disturbance in disturbances:
+            disturbance.end = trio.current_time()
         self._record.note(f"{name} has ended")
         self._busy.discard(target)
 
+    def _harmed(self, target: str) -> list[str]:
+        """Return the names of what a fault harms."""
+        if target == "outage":
+            return [vm.name for vm in self._cluster.control]
+        if target == "all nodes":
+            return [node.name for node in self._cluster.nodes]
+        kind, _, name = target.rpartition(" ")
+        return [f"server of {name}" if kind in ("at", "life of") else name]
+
     def _choose(self) -> tuple[str, str, Fault]:
         rng, cluster = self._rng, self._cluster
         kind = rng.choice(self._kinds)
@@ -87,6 +113,15 @@
                 )
             case "outage":
                 return "loss of power of all control VMs", "outage", self._outage
+            case "wipe" if self._has_wiped:
+                return self._choose()
+            case "wipe":
+                return (f"lost disk of {vm.name}", vm.name, bind(self._wipe, vm))
+            case "series":
+                run = bind(self._stop_in_series, vm)
+                return f"stops in series of {vm.name}", vm.name, run
+            case "all nodes":
+                return "kill of all nodes", "all nodes", self._kill_all_nodes
             case "isolation":
                 node = rng.choice(cluster.nodes)
                 run = bind(self._isolate, node)
@@ -146,6 +181,31 @@
         await trio.sleep(length_s / 3)
         await process.start()
 
+    async def _stop_in_series(self, vm: Process, length_s: float) -> None:
+        """Stop and start a control VM again and again."""
+        end = trio.current_time() + length_s
+        while True:
+            await vm.stop()
+            await vm.start()
+            if trio.current_time() >= end:
+                return
+            await trio.sleep(self._rng.uniform(0.0, 0.3))
+
+    async def _wipe(self, vm: Process, length_s: float) -> None:
+        """Kill a control VM that comes back with an empty disk."""
+        self._has_wiped = True
+        await vm.wipe()
+        await trio.sleep(length_s / 3)
+        await vm.start()
+
+    async def _kill_all_nodes(self, length_s: float) -> None:
+        free = [node for node in self._cluster.nodes if node.name not in self._busy]
+        self._busy.update(node.name for node in free)
+        async with trio.open_nursery() as nursery:
+            for node in free:
+                nursery.start_soon(self._kill, node, length_s)
+        self._busy.difference_update(node.name for node in free)
+
     async def _outage(self, length_s: float) -> None:
         """Kill all control VMs at once; their slow disks lose what was not synced."""
         free = [vm for vm in self._cluster.control if vm.name not in self._busy]
--- a/harness/soak/operator.py
+++ b/harness/soak/operator.py
@@ -6,11 +6,31 @@
 
 import trio
 
-from harness.soak.cluster import Cluster, Process, encode_request, exchange
+from harness.soak.cluster import (
+    Cluster,
+    Connections,
+    Process,
+    encode_request,
+    exchange,
+)
 from harness.soak.organisations import PROBE_KEY, Organisations
-from harness.soak.record import Record
+from harness.soak.record import Record, SentRelease
+from harness.soak.releases import (
+    HOST,
+    ONLY,
+    Flaw,
+    encode_flawed,
+    make_release,
+    number_of,
+)
 
-PUT_TIMEOUT_S = 5.0
+PUT_TIMEOUT_S, PUT_TRIES = 1.2, 4
+READ_INTERVAL_S = 0.15
+RETRY_PAUSE_S = 0.1
+# Some changes come within a second, others stay the newest for longer than 2 s.
+PAUSES_S = ((0.0, 0.1), (0.0, 0.1), (0.1, 0.6), (0.3, 0.9), (2.2, 2.9))
+VERSION_STEPS = (1, 1, 2, 3, 7, 19)
+FLAWED_CHANCE, SAME_VERSION_CHANCE, RESEND_CHANCE = 0.25, 0.4, 0.3
 POLL_S = 0.4
 IN_FORCE_S = 2.0
 RECOVERY_S = 6.0
@@ -32,7 +52,9 @@
         self._record = record
         self._organisations = organisations
         self._rng = rng
-        self._versions = itertools.count(1)
+        self._numbers = itertools.count(1)
+        self._flaws = itertools.cycle(rng.sample(tuple(Flaw), len(Flaw)))
+        self._connections = Connections()
         self._winners: dict[int, int] = {}
         self.is_done = False
         self._has_stopped = trio.Event()
@@ -42,63 +64,132 @@
         async with trio.open_nursery() as nursery:
             for node in self._cluster.nodes:
                 nursery.start_soon(self._watch_index, node)
+            nursery.start_soon(self._read_forever)
             # A newer release would hide the one that is checked.
             while not self.is_done:
                 base = await self.read(self._rng.choice(self._cluster.control))
                 if base is not None:
-                    racers = self._rng.choice((1, 1, 2, 3))
-                    async with trio.open_nursery() as race:
-                        for _ in range(racers):
-                            race.start_soon(self.put, base, next(self._versions))
-                await trio.sleep(self._rng.uniform(0.1, 0.6))
+                    await self._change(base)
+                await trio.sleep(self._rng.uniform(*self._rng.choice(PAUSES_S)))
             self._has_stopped.set()
 
+    async def _change(self, base: int) -> None:
+        """Put one release or several on one base, a flawed one, or one once more."""
+        if base and self._rng.random() < FLAWED_CHANCE:
+            await self._put_flawed(base, next(self._flaws))
+        racers = self._rng.choice((1, 1, 2, 3))
+        version = None
+        if self._rng.random() < SAME_VERSION_CHANCE:
+            version = self._next_version(base)
+        async with trio.open_nursery() as race:
+            for _ in range(racers):
+                race.start_soon(self.put, base, version)
+        newest = max(self._record.acked_releases, default=0)
+        if newest > base and self._rng.random() < RESEND_CHANCE:
+            await self._resend(newest)
+
     async def stop(self) -> None:
         """Put no more releases and wait for the answers to the last ones."""
         self.is_done = True
         await self._has_stopped.wait()
 
+    async def _read_forever(self) -> None:
+        while True:
+            await trio.sleep(READ_INTERVAL_S)
+            vm = self._rng.choice(self._cluster.control)
+            await self.read(vm)
+
     async def read(self, vm: Process) -> int | None:
-        """Read the newest version at a control VM; None without an answer."""
+        """Return the number of the release at a control VM; None without an answer."""
         newest = max(self._record.acked_releases, default=0)
-        request = encode_request("GET", "/release")
-        reply = await exchange(vm.address("releases"), request, PUT_TIMEOUT_S)
+        reply = await self._exchange(vm, encode_request("GET", "/release"))
         if reply is None or reply[0] != 200 and b"noRelease" not in reply[1]:
             return None
-        version = json.loads(reply[1]).get("version", 0)
-        if version < newest:
-            text = f"{vm.name} shows release {version} after {newest} was acknowledged"
+        body = json.loads(reply[1])
+        number = number_of(body)
+        release = self._record.releases.get(number)
+        if number < newest:
+            text = f"{vm.name} shows release {number} after {newest} was acknowledged"
             self._record.report_violation(text)
-        return version
-
-    async def put(self, base: int, version: int) -> bool:
-        """Put a release, again at other control VMs as long as none answers."""
-        self._record.release_bases[version] = base
-        organisations = self._organisations.make(version, base, trio.current_time())
-        release = make_release(version, base, organisations)
-        request = encode_request("PUT", "/release", release)
-        was_sent = False
-        for _ in range(3):
+        if release and body != release.body or not release and reply[0] == 200:
+            text = f"{vm.name} shows a release that was not sent so: {body}"
+            self._record.report_violation(text)
+        return number
+
+    async def put(self, base: int, version: int | None = None) -> int:
+        """Put a release, again elsewhere without an answer; return 0 or its number."""
+        release = self._make(base, version)
+        request = encode_request("PUT", "/release", release.body)
+        for _ in range(PUT_TRIES):
             vm = self._rng.choice(self._cluster.control)
-            reply = await exchange(vm.address("releases"), request, PUT_TIMEOUT_S)
+            reply = await self._exchange(vm, request)
             status = 0 if reply is None else reply[0]
             if status == 200:
-                self._record_ack(vm, base, version)
-                return True
-            if status in (400, 412):
-                if not was_sent and version in self._record.acked_releases:
-                    self._record.report_violation(f"release {version} got {status}")
-                return False
-            was_sent = True
-        return False
-
-    def _record_ack(self, vm: Process, base: int, version: int) -> None:
-        self._record.note(f"release {version} on {base} acknowledged by {vm.name}")
-        self._record.acked_releases.setdefault(version, trio.current_time())
-        self._organisations.release_acknowledged(version, trio.current_time())
-        if self._winners.setdefault(base, version) != version:
+                self._record_ack(vm, release)
+                return release.number
+            if 400 <= status < 500:
+                # Whether it was accepted all the same is checked at the end.
+                release.refused_with = status
+                return 0
+            await trio.sleep(RETRY_PAUSE_S)
+        return 0
+
+    async def _put_flawed(self, base: int, flaw: Flaw) -> None:
+        """Put a release that is invalid."""
+        release = self._make(base)
+        older = self._record.releases[base].body
+        data = encode_flawed(release.body, older, flaw, self._rng)
+        head = f"PUT /release HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {len(data)}"
+        vm = self._rng.choice(self._cluster.control)
+        reply = await self._exchange(vm, f"{head}\r\n\r\n".encode() + data)
+        self._record.note(
+            f"release {release.number}, {flaw.value}: {reply and reply[0]}"
+        )
+        release.refused_with = 400
+        if reply is not None and not 400 <= reply[0] < 600:
+            text = f"{vm.name} took release {release.number} though {flaw.value}"
+            self._record.report_violation(f"{text}: {reply[0]}")
+
+    async def _resend(self, number: int) -> None:
+        """Put the newest acknowledged release once more, at any control VM."""
+        release = self._record.releases[number]
+        vm = self._rng.choice(self._cluster.control)
+        request = encode_request("PUT", "/release", release.body)
+        reply = await self._exchange(vm, request)
+        if reply is not None and 400 <= reply[0] < 500:
+            text = f"{vm.name} refused release {number} when it was put once more"
+            self._record.report_violation(f"{text}: {reply}")
+
+    async def _exchange(self, vm: Process, request: bytes):
+        return await self._connections.exchange(
+            vm.address("releases"), request, PUT_TIMEOUT_S
+        )
+
+    def _make(self, base: int, version: int | None = None) -> SentRelease:
+        number, now = next(self._numbers), trio.current_time()
+        self._record.release_bases[number] = base
+        organisations = self._organisations.make(number, base, now)
+        older = self._record.releases[base].body if base else None
+        version = version or self._next_version(base)
+        body = make_release(number, version, older, organisations, self._rng)
+        release = SentRelease(number, version, base, body, now)
+        self._record.releases[number] = release
+        return release
+
+    def _next_version(self, base: int) -> int:
+        older = self._record.releases[base].version if base else 0
+        return older + self._rng.choice(VERSION_STEPS)
+
+    def _record_ack(self, vm: Process, release: SentRelease) -> None:
+        number, base, now = release.number, release.base, trio.current_time()
+        described = f"release {number} (version {release.version}) on {base}"
+        self._record.note(f"{described} acknowledged by {vm.name}")
+        release.acked_at = now
+        self._record.acked_releases.setdefault(number, now)
+        self._organisations.release_acknowledged(number, now)
+        if self._winners.setdefault(base, number) != number:
             other = self._winners[base]
-            text = f"releases {other} and {version} on {base} were both acknowledged"
+            text = f"releases {other} and {number} on {base} were both acknowledged"
             self._record.report_violation(text)
 
     async def _watch_index(self, node: Process) -> None:
@@ -126,21 +217,20 @@
     async def check_recovery(self, within_s: float = RECOVERY_S) -> None:
         """Check that releases and requests work again soon after the last fault."""
         started_at = trio.current_time()
-        version = 0
+        number = 0
         with trio.move_on_after(within_s):
-            while not version:
+            while not number:
                 base = await self.read(self._rng.choice(self._cluster.control))
-                candidate = next(self._versions)
-                if base is not None and await self.put(base, candidate):
-                    version = candidate
+                if base is not None:
+                    number = await self.put(base)
                 await trio.sleep(CHECK_INTERVAL_S)
-        if not version:
+        if not number:
             text = f"no release acknowledged {within_s} s after the last fault"
             self._record.report_violation(text)
             return
         async with trio.open_nursery() as nursery:
             for node in self._cluster.nodes:
-                nursery.start_soon(self._check_in_force, node, version)
+                nursery.start_soon(self._check_in_force, node, number)
                 nursery.start_soon(self._check_service, node, started_at, within_s)
         for vm in self._cluster.control:
             acked = tuple(self._record.acked_releases)
@@ -148,15 +238,16 @@
             if final is None:
                 self._record.report_violation(f"{vm.name} does not show the release")
             else:
+                self._record.final_release = final
                 self._record.check_final_release(final, acked)
 
-    async def _check_in_force(self, node: Process, version: int) -> None:
+    async def _check_in_force(self, node: Process, number: int) -> None:
         """Check that a node soon routes by an acknowledged release."""
         with trio.move_on_after(IN_FORCE_S):
-            while await self._probe(node, f"/r{version}/x") in (0, 404):
+            while await self._probe(node, f"{ONLY}{number}/x") in (0, 404):
                 await trio.sleep(CHECK_INTERVAL_S)
             return
-        text = f"release {version} not in force at {node.name} after {IN_FORCE_S} s"
+        text = f"release {number} not in force at {node.name} after {IN_FORCE_S} s"
         self._record.report_violation(text)
 
     async def _check_service(
@@ -181,41 +272,3 @@
         request = f"GET {path} HTTP/1.1\r\nhost: maps.example\r\n{lines}\r\n\r\n"
         reply = await exchange(node.address("callers"), request.encode(), 2.0)
         return 0 if reply is None else reply[0]
-
-
-def make_release(version: int, base: int, organisations: list[dict]) -> dict:
-    """Build a release whose newest route names its version."""
-    routes = [_make_route("version", f"/r{version}/", "idempotent", "maps")]
-    for name, kind, service in (
-        ("read", "idempotent", "maps"),
-        ("write", "non_idempotent", "maps"),
-        ("cue", "idempotent", "cue"),
-    ):
-        public = _make_route(name, f"/{name}/", kind, service) | {"is_public": True}
-        keyed = _make_route(f"keyed-{name}", f"/keyed/{name}/", kind, service)
-        routes += [public, keyed]
-    limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864}
-    limits |= {"header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-    services = [{"name": name, "max_connections": 100} for name in ("maps", "cue")]
-    return {
-        "version": version,
-        "base": base,
-        "routes": routes,
-        "services": services,
-        "limits": limits,
-        "organisations": organisations,
-    }
-
-
-def _make_route(name: str, prefix: str, kind: str, service: str) -> dict:
-    return {
-        "name": name,
-        "host": "maps.example",
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 3000,
-        "latency_objective_ms": 1000,
-        "priority": 0,
-        "targets": [{"service": service, "weight": 1}],
-        "max_servers": 2,
-    }
--- a/harness/soak/program.py
+++ b/harness/soak/program.py
@@ -18,6 +18,7 @@
 from persimmonhall.cli import control, node
 
 PR_SET_PDEATHSIG = 1
+LATE_RELEASE_S = 4.0
 PROGRAMS = {"control": control.main, "node": node.main}
 
 
@@ -111,7 +112,75 @@
     NodeLimits.try_admit = try_admit
 
 
+def _plant_late_release() -> None:
+    """Let each node ignore every third release for some seconds."""
+    from persimmonhall.release.active import ActiveRelease
+
+    original, seen = ActiveRelease.apply, {}
+
+    def apply(self, held) -> bool:
+        first_at = seen.setdefault(held.index, time.monotonic())
+        is_late = list(seen).index(held.index) % 3 == 2
+        if is_late and time.monotonic() - first_at < LATE_RELEASE_S:
+            return False
+        return original(self, held)
+
+    ActiveRelease.apply = apply
+
+
+def _plant_kept_routes() -> None:
+    """Let the entry go on serving routes that were removed."""
+    from persimmonhall.release.routes import RouteTable
+
+    original = RouteTable.__init__
+
+    def init(self, release, rng, previous=None) -> None:
+        original(self, release, rng, previous)
+        for host, routes in (previous._hosts if previous else {}).items():
+            self._hosts[host] = routes | self._hosts[host]
+        for key, targets in (previous._targets_by_route if previous else {}).items():
+            self._targets_by_route.setdefault(key, targets)
+
+    RouteTable.__init__ = init
+
+
+def _plant_unchecked_release() -> None:
+    """Let control VMs take releases that are invalid."""
+    from persimmonhall.release import schema
+
+    schema._find_problems = lambda release: ()
+
+
+def _plant_own_weights() -> None:
+    """Let the entry share requests as if all weights were the same."""
+    from persimmonhall.release import routes
+
+    def choose(targets):
+        targets.append(targets.pop(0))
+        return targets[0]
+
+    routes._choose_target = choose
+
+
+def _plant_own_timeout() -> None:
+    """Let the entry wait for as long as the caller would."""
+    from persimmonhall.release import schema
+
+    original = schema.Route.__init__
+
+    def init(self, *arguments, **fields) -> None:
+        original(self, *arguments, **fields)
+        object.__setattr__(self, "timeout_ms", schema.MAX_TIMEOUT_MS)
+
+    schema.Route.__init__ = init
+
+
 PLANTS = {
+    "late-release": _plant_late_release,
+    "kept-routes": _plant_kept_routes,
+    "unchecked-release": _plant_unchecked_release,
+    "own-weights": _plant_own_weights,
+    "own-timeout": _plant_own_timeout,
     "old-keys": _plant_old_keys,
     "own-proof": _plant_own_proof,
     "own-quota": _plant_own_quota,
--- a/harness/soak/record.py
+++ b/harness/soak/record.py
@@ -3,6 +3,7 @@
 import math
 import zlib
 from collections import Counter, defaultdict
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -11,6 +12,8 @@
 
 MAX_SERVERS = 2
 PROBE_ID = "probe"
+# What a process was until this long ago may still show at it.
+CALM_S = 3.0
 RESEND_RATIO = 0.2
 RESEND_SLACK = 10
 # Requests that had already left the gate when it heard that the server drains.
@@ -27,6 +30,13 @@
     CUE = "cue"
 
 
+SERVICES = {
+    RequestKind.READ: "maps",
+    RequestKind.WRITE: "maps",
+    RequestKind.CUE: "cue",
+}
+
+
 class Credential(NamedTuple):
     """Name the key that a request carries, and whose it is; empty for nobody's."""
 
@@ -59,6 +69,50 @@
     server: str
 
 
+@dataclass
+class SentRelease:
+    """Represent one release that was put; each has a number of its own.
+
+    Two may have the same version. `base` is the number of the release it was built on.
+    """
+
+    number: int
+    version: int
+    base: int
+    body: dict
+    put_at: float
+    acked_at: float = math.inf
+    refused_with: int = 0
+
+    def find(self, path: str) -> dict | None:
+        """Return the route of a path, None if there is none."""
+        found = [r for r in self.body["routes"] if path.startswith(r["path_prefix"])]
+        return max(found, key=lambda route: len(route["path_prefix"]), default=None)
+
+
+@dataclass
+class Probe:
+    """Represent one request that shows which release is in force at a node."""
+
+    id: str
+    node: str
+    life: int
+    path: str
+    sent_at: float
+    status: int = 0
+    answered_at: float = math.inf
+    has_ended: bool = False
+
+
+@dataclass
+class Disturbance:
+    """Tell from when until when a process or a server was harmed."""
+
+    name: str
+    begin: float
+    end: float = math.inf
+
+
 @dataclass
 class Record:
     """Hold the observations of one seed."""
@@ -70,6 +124,10 @@
     violations: list[str] = field(default_factory=list)
     acked_releases: dict[int, float] = field(default_factory=dict)
     release_bases: dict[int, int] = field(default_factory=dict)
+    releases: dict[int, SentRelease] = field(default_factory=dict)
+    final_release: int = 0
+    probes: dict[str, Probe] = field(default_factory=dict)
+    disturbances: list[Disturbance] = field(default_factory=list)
 
     def note(self, text: str) -> None:
         """Add a line to the timeline."""
@@ -80,6 +138,22 @@
         self.note(f"VIOLATION {text}")
         self.violations.append(text)
 
+    def is_calm(self, names: Collection[str], since: float, until: float) -> bool:
+        """Return whether none of the processes was harmed then or just before."""
+        return not any(
+            item.name in names and item.begin <= until and item.end >= since - CALM_S
+            for item in self.disturbances
+        )
+
+    def chain(self) -> list[int]:
+        """Return the numbers of all releases that were ever accepted, oldest first."""
+        numbers = []
+        number = self.final_release
+        while number:
+            numbers.insert(0, number)
+            number = self.release_bases.get(number, 0)
+        return numbers
+
     def add_run(self, request_id: str, server: str) -> None:
         """Record that a server has received a request and runs it."""
         self.runs[request_id].append(Run(trio.current_time(), server))
@@ -89,6 +163,10 @@
         for request_id, runs in self.runs.items():
             if request_id == PROBE_ID:
                 continue
+            if request_id in self.probes:
+                if len(runs) > MAX_SERVERS:
+                    self.report_violation(f"run by too many servers: {request_id}")
+                continue
             request = self.requests.get(request_id)
             if request is None:
                 self.report_violation(f"{request_id} was run but never sent")
@@ -101,6 +179,8 @@
                 self.report_violation(f"run more than once: {described}")
             if len(runs) > MAX_SERVERS:
                 self.report_violation(f"run by too many servers: {described}")
+            if any(service_of(run.server) != SERVICES[request.kind] for run in runs):
+                self.report_violation(f"run by another service: {described}")
             if request.must_not_run:
                 self.report_violation(f"{request.must_not_run}, but ran: {described}")
 
@@ -112,6 +192,12 @@
                 if request.kind in kinds:
                     events.append((request.sent_at, -RESEND_RATIO))
                     events += [(r.at, 1.0) for r in self.runs.get(request.id, ())[1:]]
+            services = {SERVICES[kind] for kind in kinds}
+            for probe in self.probes.values():
+                runs = self.runs.get(probe.id, ())
+                if runs and service_of(runs[0].server) in services:
+                    events.append((probe.sent_at, -RESEND_RATIO))
+                    events += [(run.at, 1.0) for run in runs[1:]]
             excess = worst = 0.0
             for _, change in sorted(events):
                 excess = max(0.0, excess + change)
@@ -134,7 +220,13 @@
         outcomes = Counter(request.outcome for request in self.requests.values())
         runs = sum(map(len, self.runs.values()))
         counts = " ".join(f"{k}={v}" for k, v in sorted(outcomes.items()))
-        return f"{counts} runs={runs} releases={len(self.acked_releases)}"
+        others = f"releases={len(self.acked_releases)} probes={len(self.probes)}"
+        return f"{counts} runs={runs} {others}"
+
+
+def service_of(server: str) -> str:
+    """Return the service of a server by its name."""
+    return server.partition("-")[0]
 
 
 def describe(request: SentRequest) -> str:
