--- a/harness/soak/release_checks.py
+++ b/harness/soak/release_checks.py
@@ -149,7 +149,7 @@
         return [release.find(handled.probe.path) for release in releases]
 
     def _check_timeouts(self, calm: list[_Handled]) -> None:
-        late, slow = [], 0
+        late, over, slow = [], [], 0
         for handled in calm:
             probe = handled.probe
             if not probe.id.startswith(SLOW_PREFIX):
@@ -161,11 +161,13 @@
             if not self._record.is_calm((probe.node,), probe.sent_at, until):
                 continue
             slow += 1
+            over.append(round(took_s - timeout_s, 2))
             if took_s > bound_s:
                 at = probe.sent_at - self._record.started_at
                 late.append(f"{probe.id} at {probe.node} at {at:.3f}: {took_s:.2f} s")
                 late[-1] += f" instead of {timeout_s}, got {probe.status}"
         self._record.note(f"{len(late)} of {slow} answers on {TIMED} late: {late}")
+        self._record.note(f"seconds beyond the timeout: {sorted(over)}")
         if len(late) >= MIN_LATE and len(late) > LATE_RATIO * slow:
             text = f"{len(late)} of {slow} answered later than the timeout: {late[:5]}"
             self._record.report_violation(text)
