--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -5,6 +5,7 @@
 import shutil
 import sys
 import time
+import traceback
 from pathlib import Path
 
 import trio
@@ -96,7 +97,13 @@
     failed = []
     for seed in seeds:
         started = time.monotonic()
-        record = trio.run(run_seed, seed, options.seconds, options.plant)
+        try:
+            record = trio.run(run_seed, seed, options.seconds, options.plant)
+        except Exception:
+            print(f"seed {seed}: ended early")
+            traceback.print_exc(file=sys.stdout)
+            failed.append(seed)
+            continue
         verdict = f"{len(record.violations)} violations" if record.violations else "ok"
         took_s = time.monotonic() - started
         print(f"seed {seed}: {verdict} in {took_s:.1f} s, {record.summary()}")
--- a/harness/soak/network.py
+++ b/harness/soak/network.py
@@ -94,7 +94,13 @@
             _reset(stream)
             await trio.aclose_forcefully(stream)
             return
-        sender = self.names_by_host.get(stream.socket.getpeername()[0], "")
+        try:
+            host, _ = stream.socket.getpeername()
+        except OSError:
+            # The sender has reset the connection.
+            await trio.aclose_forcefully(stream)
+            return
+        sender = self.names_by_host.get(host, "")
         if self.is_blocked(sender, name) or self.is_blocked(name, sender):
             # No connection is set up through a cut, so nothing sent on it arrives.
             while self.is_blocked(sender, name) or self.is_blocked(name, sender):
