Refuse an unknown service in a list beside a service

A configuration whose route has a service and a list of weighted services was accepted although the list named a service that the configuration doesn't have: the list wasn't read. Found by reading. The new case of test_invalid_configuration_is_refused failed on the code before and passes now. The service still takes all requests; the list is read and its services are checked.

--- a/persimmonhall/platform/dialect.py
+++ b/persimmonhall/platform/dialect.py
@@ -1,6 +1,7 @@
 """Convert the platform's calls and bodies to the product's types."""
 
 import json
+from dataclasses import replace
 from urllib.parse import parse_qs, urlsplit
 
 from returns.result import Failure, Result
@@ -212,12 +213,15 @@
 
 
 def _read_targets(fields: dict) -> tuple[WeightedService, ...]:
-    if "service" in fields:
-        return (WeightedService(_require_text(fields["service"]), 1),)
-    return tuple(
+    parts = tuple(
         WeightedService(_require_text(part["service"]), _require_number(part["weight"]))
-        for part in _require_list(fields["weightedServices"])
+        for part in _require_list(fields.get("weightedServices") or [])
     )
+    if "service" not in fields:
+        return parts
+    # A service takes all requests; those of a list beside it must still be known.
+    service = WeightedService(_require_text(fields["service"]), 1)
+    return (service, *(replace(part, weight=0) for part in parts))
 
 
 def _require_object(value: object) -> dict:
--- a/persimmonhall/platform/tests/test_dialect.py
+++ b/persimmonhall/platform/tests/test_dialect.py
@@ -1,6 +1,7 @@
 """Test the conversion of the platform's calls and bodies to the product's types."""
 
 import json
+import random
 
 import pytest
 
@@ -16,6 +17,7 @@
 from persimmonhall.http.messages import HttpRequest
 from persimmonhall.platform.dialect import PlatformDialect
 from persimmonhall.platform.names import HEADER_NAMES
+from persimmonhall.release.routes import RouteTable
 from persimmonhall.release.schema import RouteKind
 
 DIALECT = PlatformDialect()
@@ -144,6 +146,13 @@
         {"timeoutMs": None},
         {"weightedServices": [{"service": "nowhere", "weight": 1}]},
         {"weightedServices": []},
+        {"weightedServices": None},
+        {"service": "nowhere"},
+        # The list beside a service was not read: an unknown service in it was accepted.
+        {
+            "service": "cue",
+            "weightedServices": [{"service": "nowhere", "weight": 1}],
+        },
     ],
 )
 def test_invalid_configuration_is_refused(changes):
@@ -151,6 +160,14 @@
     assert DIALECT.decode_release(make_configuration(**changes)).failure()
 
 
+def test_service_goes_before_a_list_of_services():
+    """Send all requests to the service of a route that also has a list."""
+    release = DIALECT.decode_release(make_configuration(service="maps")).unwrap()
+    table = RouteTable(release, random.Random(1))
+    [route] = release.routes
+    assert {table.choose_service(route) for _ in range(20)} == {"maps"}
+
+
 def test_truncated_configuration_is_refused():
     """Reject a truncated body."""
     assert DIALECT.decode_release(make_configuration()[:-9]).failure()
