--- a/harness/soak/__main__.py
+++ b/harness/soak/__main__.py
@@ -50,6 +50,7 @@
     try:
         async with trio.open_nursery() as nursery:
             await cluster.start(nursery)
+            nursery.start_soon(cluster.watch_processors)
             record.note("all processes are ready")
             backends = [Backend(n, record, random.Random(seed)) for n in cluster.nodes]
             for backend in backends:
--- a/harness/soak/cluster.py
+++ b/harness/soak/cluster.py
@@ -31,6 +31,7 @@
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 4.0
 POLL_S = 0.05
+WAIT_SAMPLE_S, NOTED_WAIT_S = 0.25, 0.15
 ZONES = ("suva", "levuka", "nadi", "lautoka")
 SEED_COUNT = 3
 NODE_SERVICES = ("maps", "maps", "maps", "cue", "cue")
@@ -50,14 +51,14 @@
         self._lock = trio.Lock()
 
     async def start(self, job: dict) -> int:
-        """Start a program and return a descriptor of its process."""
+        """Start a program and return the id of its process."""
         line = json.dumps(job | {"plant": self._plant}).encode() + b"\n"
         async with self._lock:
             await self._process.stdin.send_all(line)
             pid = b""
             while not pid.endswith(b"\n"):
                 pid += await self._process.stdout.receive_some(100)
-        return os.pidfd_open(int(pid))
+        return int(pid)
 
 
 async def open_starter(plant: str) -> Starter:
@@ -79,6 +80,7 @@
     settings: dict
     folder: Path
     starter: "Starter"
+    _pid: int = 0
     _pidfd: int = -1
     is_up: bool = False
     is_stopping: bool = False
@@ -108,6 +110,15 @@
         """Return whether the process has ended."""
         return bool(select.select([self._pidfd], [], [], 0)[0])
 
+    @property
+    def waited_s(self) -> float:
+        """Return how long the process was ready to run and had no processor."""
+        try:
+            fields = Path(f"/proc/{self._pid}/schedstat").read_text().split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / 1e9
+
     def end(self) -> None:
         """Kill the process if it runs."""
         if self._pidfd >= 0 and not self.has_ended:
@@ -130,7 +141,8 @@
         offset = log.stat().st_size
         job = {"program": self.program, "settings": str(path), "log": str(log)}
         disk = str(self.disk) if self.program == "control" else ""
-        self._pidfd = await self.starter.start(job | {"disk": disk})
+        self._pid = await self.starter.start(job | {"disk": disk})
+        self._pidfd = os.pidfd_open(self._pid)
         self.lives += 1
         self.is_stopping = False
         with trio.fail_after(READY_TIMEOUT_S):
@@ -269,6 +281,23 @@
         for process in self.control:
             process.settings["control"]["found"] = False
 
+    async def watch_processors(self) -> None:
+        """Note which processes wait long for a processor, until cancelled."""
+        waited: dict[tuple[str, int], float] = {}
+        sampled_at = trio.current_time()
+        while True:
+            await trio.sleep(WAIT_SAMPLE_S)
+            now = trio.current_time()
+            long_waits = {"the soak itself": now - sampled_at - WAIT_SAMPLE_S}
+            sampled_at = now
+            for process in self.processes:
+                key, total_s = (process.name, process.lives), process.waited_s
+                long_waits[process.name] = total_s - waited.get(key, total_s)
+                waited[key] = total_s
+            for name, wait_s in long_waits.items():
+                if wait_s > NOTED_WAIT_S:
+                    self.record.note(f"{name} waited {wait_s:.2f} s for a processor")
+
     def end(self) -> None:
         """Kill all processes."""
         for process in self.processes:
