--- a/persimmonhall/release/tests/test_watcher.py
+++ b/persimmonhall/release/tests/test_watcher.py
@@ -52,11 +52,11 @@
 class ControlVms:
     """Answer watches as the control VMs of a site do; some of them never answer."""
 
-    def __init__(self):
+    def __init__(self, zones=ZONES, vms_per_zone=VMS_PER_ZONE):
         self.members = [
             make_control_vm(zone, number)
-            for zone in ZONES
-            for number in range(VMS_PER_ZONE)
+            for zone in zones
+            for number in range(vms_per_zone)
         ]
         self.zones = {address_of(m.frames): m.zone for m in self.members}
         self.unresponsive = set()
@@ -64,6 +64,11 @@
         self.index = 0
         self.changed = trio.Event()
         self.sent_bytes = Counter()
+        self.requests = 0
+
+    def address_in(self, zone):
+        """Return the address of the first control VM of a zone."""
+        return next(a for a, other in self.zones.items() if other == zone)
 
     def put(self):
         """Accept one more release."""
@@ -74,6 +79,7 @@
     async def request(self, address, channel, payload):
         """Answer a watch after at most a second."""
         watch = REQUESTS.decode(payload)
+        self.requests += 1
         if address in self.unresponsive:
             await trio.sleep_forever()
         held = HeldRelease(0, 0, b"")
@@ -90,27 +96,30 @@
         """Do nothing."""
 
 
-@pytest.fixture
-async def site(nursery, autojump_clock):
-    """Run the watcher of one node in the first zone of a site with twelve VMs."""
-    site = ControlVms()
+def start_watcher(nursery, site, seed=1):
+    """Run the watcher of one node in the first zone of a site."""
     table = MemberTable(make_member(1))
     for member in site.members:
         table.put(member)
     site.releases = FakeReleases()
     control = ControlMembers(table, ())
-    watcher = ReleaseWatcher(
-        site.releases, control, "suva", site, random.Random(1), EventLog("n")
-    )
+    rng = random.Random(seed)
+    watcher = ReleaseWatcher(site.releases, control, "suva", site, rng, EventLog("n"))
     nursery.start_soon(watcher.run)
     return site
 
 
-async def put_releases(site):
+@pytest.fixture
+async def site(nursery, autojump_clock):
+    """Run the watcher of one node of a site with twelve VMs in six zones."""
+    return start_watcher(nursery, ControlVms())
+
+
+async def put_releases(site, interval_s=RELEASE_INTERVAL_S):
     """Put releases in quick succession; return the longest time until one applied."""
     longest_s = 0.0
     for _ in range(RELEASES):
-        await trio.sleep(RELEASE_INTERVAL_S)
+        await trio.sleep(interval_s)
         site.put()
         put_at, index = trio.current_time(), site.index
         while site.releases.index < index:
@@ -147,6 +156,32 @@
     assert await put_releases(site) < APPLY_TIMEOUT_S
 
 
+@pytest.mark.parametrize("seed", range(8))
+async def test_control_vm_behind_and_a_silent_one_delay_no_release(
+    nursery, autojump_clock, seed
+):
+    """Guard against a node that asked the same two VMs again and missed 2 s."""
+    site = start_watcher(nursery, ControlVms(ZONES[:4], 1), seed)
+    site.behind = {site.address_in("suva")}
+    site.unresponsive = {site.address_in("nadi")}
+    await put_releases(site)
+    assert await put_releases(site, interval_s=1.3) < 0.5
+
+
+async def test_control_vm_that_is_back_is_watched_again(nursery, autojump_clock):
+    """Take releases from the own zone again once its VM has them again."""
+    site = start_watcher(nursery, ControlVms(ZONES[:4], 1))
+    for harmed in (site.behind, site.unresponsive):
+        harmed.add(site.address_in("suva"))
+        assert await put_releases(site) is not None
+        harmed.clear()
+        site.put()
+        await trio.sleep(5)
+        site.sent_bytes.clear()
+        assert await put_releases(site) < 0.1
+        assert site.sent_bytes["suva"] >= RELEASES * len(TEXT)
+
+
 async def test_failed_watch_is_made_again_elsewhere(nursery, autojump_clock):
     """Keep watching while every request fails, without a storm of requests."""
     requests = 0
