Pause before a release that cannot be read is fetched again

A node that can't decode or apply a release that the control VMs hold asked for it again at once, without a pause: as fast as the link goes, the whole text each time. Found by reading; the new test did not end within 30 s on the code before, since no time passes between the requests. The release is now passed over for one watch, which lasts a second unless a newer one comes, and is tried again after it. Not passed over for good: the cause may be one that passes.

--- a/persimmonhall/release/tests/test_watcher.py
+++ b/persimmonhall/release/tests/test_watcher.py
@@ -182,6 +182,21 @@
         assert site.sent_bytes["suva"] >= RELEASES * len(TEXT)
 
 
+async def test_release_that_cannot_be_read_is_not_fetched_without_a_pause(
+    site, autojump_clock
+):
+    """Guard against a node that asked for it thousands of times a second."""
+    site.releases.apply = lambda held: False
+    site.put()
+    site.requests = 0
+    await trio.sleep(10)
+    assert site.requests < 100
+    del site.releases.apply
+    site.put()
+    await trio.sleep(0.5)
+    assert site.releases.index == site.index
+
+
 async def test_failed_watch_is_made_again_elsewhere(nursery, autojump_clock):
     """Keep watching while every request fails, without a storm of requests."""
     requests = 0
--- a/persimmonhall/release/watcher.py
+++ b/persimmonhall/release/watcher.py
@@ -68,6 +68,8 @@
         self._watched: set[Address] = set()
         self._impaired: dict[Address, ControlVmState] = {}
         self._changed_at = -math.inf
+        # Passed over for one watch, so that it isn't fetched again without a pause.
+        self._unreadable_index = LogIndex(0)
 
     async def run(self) -> None:
         """Watch control VMs until cancelled."""
@@ -127,7 +129,7 @@
         return self._rng.choice(choice) if choice else None
 
     async def _watch_once(self, address: Address, is_notice: bool) -> ControlVmState:
-        after = self._releases.index
+        after = max(self._releases.index, self._unreadable_index)
         match await self._request(address, after, is_notice):
             case ReleaseSeen(release) if release.text:
                 self._apply(release)
@@ -136,6 +138,7 @@
                 if release.index > self._releases.index:
                     return await self._watch_once(address, is_notice=False)
             case ReleaseSeen():
+                self._unreadable_index = LogIndex(0)
                 had_s = trio.current_time() - self._changed_at
                 is_late = self._releases.index > after and had_s > FETCH_DELAY_S
                 # That there is nothing newer doesn't show that it has caught up.
@@ -150,6 +153,8 @@
         call_guarded(self._releases.apply, release)
         if self._releases.index > before:
             self._changed_at = trio.current_time()
+        elif release.index > before:
+            self._unreadable_index = release.index
 
     async def _request(
         self, address: Address, after: LogIndex, is_notice: bool
