--- a/harness/soak/faults.py
+++ b/harness/soak/faults.py
@@ -9,12 +9,13 @@
 from harness.soak.cluster import ZONES, Cluster, Process
 from harness.soak.network import NetworkFault
 from harness.soak.organisations import WITHDRAWAL_S
-from harness.soak.record import Disturbance, Record
+from harness.soak.record import CALM_S, Disturbance, Record
 from persimmonhall.pooling.node_limits import order_of
 
 MIN_LENGTH_S, MAX_LENGTH_S = 0.3, 3.0
 MAX_SYNC_DELAY_S = 0.3
 MAX_GAP_S = 0.9
+ABSENCE_CHANCE = 0.6
 ALL_KINDS = ("kill", "kill", "pause", "pause", "stop", "network", "network", "disk")
 ALL_KINDS += ("collector", "collector", "isolation")
 ALL_KINDS += ("wipe", "wipe", "series", "series", "all nodes")
@@ -47,7 +48,38 @@
         for _ in range(spells):
             await self._run_spell(seconds / spells)
             self._record.note("all faults have ended")
-            await trio.sleep(lull_s)
+            if lull_s and self._rng.random() < ABSENCE_CHANCE:
+                await self._remove(self._rng.choice(self._cluster.control), lull_s)
+                await trio.sleep(CALM_S)
+            else:
+                await trio.sleep(lull_s)
+
+    async def _remove(self, vm: Process, length_s: float) -> None:
+        """Take one control VM away for long: the others are calm and a majority."""
+        kind = self._rng.choice(("kill", "pause", "cut"))
+        self._record.note(f"absence of {vm.name} begins: {kind}")
+        absence = Disturbance(vm.name, trio.current_time(), is_absence=True)
+        self._record.disturbances.append(absence)
+        match kind:
+            case "kill":
+                await vm.kill()
+            case "pause":
+                vm.pause()
+            case "cut":
+                self._cluster.network.set_fault(vm.name, NetworkFault.SILENCE)
+        await trio.sleep(length_s)
+        absence.end = trio.current_time()
+        match kind:
+            case "kill":
+                start = Disturbance(vm.name, absence.end)
+                self._record.disturbances.append(start)
+                await vm.start()
+                start.end = trio.current_time()
+            case "pause":
+                vm.resume()
+            case "cut":
+                self._cluster.network.set_fault(vm.name, None)
+        self._record.note(f"absence of {vm.name} has ended")
 
     async def _run_spell(self, seconds: float) -> None:
         """Start faults for some seconds and return when all have ended."""
--- a/harness/soak/record.py
+++ b/harness/soak/record.py
@@ -12,6 +12,7 @@
 
 MAX_SERVERS = 2
 PROBE_ID = "probe"
+SOAK_NAME = "the soak itself"
 # What a process was until this long ago may still show at it.
 CALM_S = 3.0
 RESEND_RATIO = 0.2
@@ -111,6 +112,8 @@
     name: str
     begin: float
     end: float = math.inf
+    # It was away all the time, and nothing was done to it but at the begin and end.
+    is_absence: bool = False
 
 
 @dataclass
@@ -128,6 +131,8 @@
     final_release: int = 0
     probes: dict[str, Probe] = field(default_factory=dict)
     disturbances: list[Disturbance] = field(default_factory=list)
+    calm_probes: int = 0
+    starved: int = 0
 
     def note(self, text: str) -> None:
         """Add a line to the timeline."""
@@ -145,6 +150,18 @@
             for item in self.disturbances
         )
 
+    def is_core_stable(self, control: Collection[str], at: float) -> bool:
+        """Return whether more than half of the control VMs were well, and are still."""
+        absent = 0
+        for item in self.disturbances:
+            if item.name not in control or item.begin > at:
+                continue
+            if item.is_absence and item.begin < at - CALM_S and item.end > at:
+                absent += 1
+            elif item.end >= at - CALM_S:
+                return False
+        return 2 * absent < len(control)
+
     def chain(self) -> list[int]:
         """Return the numbers of all releases that were ever accepted, oldest first."""
         numbers = []
@@ -221,6 +238,7 @@
         runs = sum(map(len, self.runs.values()))
         counts = " ".join(f"{k}={v}" for k, v in sorted(outcomes.items()))
         others = f"releases={len(self.acked_releases)} probes={len(self.probes)}"
+        others += f" calm={self.calm_probes} starved={self.starved}"
         return f"{counts} runs={runs} {others}"
 
 
