--- a/harness/soak/cluster.py
+++ b/harness/soak/cluster.py
@@ -3,9 +3,11 @@
 import json
 import os
 import select
+import shutil
 import signal
 import subprocess
 import sys
+from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -20,7 +22,13 @@
     WINDOW_S,
     WITHDRAWAL_S,
 )
-from harness.soak.record import RESEND_RATIO, RESEND_SLACK, Record
+from harness.soak.record import (
+    RESEND_RATIO,
+    RESEND_SLACK,
+    SOAK_NAME,
+    Disturbance,
+    Record,
+)
 from harness.system import free_address
 from persimmonhall.address import Address, parse_address
 from persimmonhall.raft.storage import LOG_FILE
@@ -29,7 +37,9 @@
 STOP_TIMEOUT_S = 15.0
 GRACE_S = 4.0
 POLL_S = 0.05
-ZONES = ("suva", "levuka", "nadi")
+WAIT_SAMPLE_S, NOTED_WAIT_S, STARVED_S = 0.25, 0.25, 0.5
+ZONES = ("suva", "levuka", "nadi", "lautoka")
+SEED_COUNT = 3
 NODE_SERVICES = ("maps", "maps", "maps", "cue", "cue")
 
 
@@ -47,14 +57,14 @@
         self._lock = trio.Lock()
 
     async def start(self, job: dict) -> int:
-        """Start a program and return a descriptor of its process."""
+        """Start a program and return the id of its process."""
         line = json.dumps(job | {"plant": self._plant}).encode() + b"\n"
         async with self._lock:
             await self._process.stdin.send_all(line)
             pid = b""
             while not pid.endswith(b"\n"):
                 pid += await self._process.stdout.receive_some(100)
-        return os.pidfd_open(int(pid))
+        return int(pid)
 
 
 async def open_starter(plant: str) -> Starter:
@@ -76,6 +86,7 @@
     settings: dict
     folder: Path
     starter: "Starter"
+    _pid: int = 0
     _pidfd: int = -1
     is_up: bool = False
     is_stopping: bool = False
@@ -105,6 +116,15 @@
         """Return whether the process has ended."""
         return bool(select.select([self._pidfd], [], [], 0)[0])
 
+    @property
+    def waited_s(self) -> float:
+        """Return how long the process was ready to run and had no processor."""
+        try:
+            fields = Path(f"/proc/{self._pid}/schedstat").read_text().split()
+        except OSError:
+            return 0.0
+        return int(fields[1]) / 1e9
+
     def end(self) -> None:
         """Kill the process if it runs."""
         if self._pidfd >= 0 and not self.has_ended:
@@ -127,7 +147,8 @@
         offset = log.stat().st_size
         job = {"program": self.program, "settings": str(path), "log": str(log)}
         disk = str(self.disk) if self.program == "control" else ""
-        self._pidfd = await self.starter.start(job | {"disk": disk})
+        self._pid = await self.starter.start(job | {"disk": disk})
+        self._pidfd = os.pidfd_open(self._pid)
         self.lives += 1
         self.is_stopping = False
         with trio.fail_after(READY_TIMEOUT_S):
@@ -165,6 +186,11 @@
         await self._wait_for_end()
         self.is_up = False
 
+    async def wipe(self) -> None:
+        """Kill a control VM and remove all that is on its disk."""
+        await self.kill()
+        shutil.rmtree(self.settings["control"]["data_folder"], ignore_errors=True)
+
     async def _wait_for_end(self) -> None:
         with trio.fail_after(STOP_TIMEOUT_S):
             while not self.has_ended:
@@ -207,7 +233,7 @@
                 "releases": free_address(),
                 "data_folder": str(folder / f"{name}.data"),
                 "found": True,
-                "peers": advertised,
+                "peers": advertised[:SEED_COUNT],
                 "snapshot_entries": 100,
             }
             process = Process(name, "control", {"control": settings}, folder, starter)
@@ -223,7 +249,7 @@
                     "frames": free_address(),
                     "advertise": free_address(),
                 },
-                "peers": {"control": advertised},
+                "peers": {"control": advertised[:SEED_COUNT]},
                 "releases": {
                     "ready": free_address(),
                     "metrics": free_address(),
@@ -258,6 +284,31 @@
         async with trio.open_nursery() as starting:
             for process in self.processes:
                 starting.start_soon(process.start)
+        for process in self.control:
+            process.settings["control"]["found"] = False
+
+    async def watch_processors(self) -> None:
+        """Note which processes wait long for a processor, until cancelled.
+
+        One that waited for long counts as slowed, by what the system has measured.
+        """
+        waited: dict[tuple[str, int], float] = {}
+        sampled_at = trio.current_time()
+        while True:
+            await trio.sleep(WAIT_SAMPLE_S)
+            now = trio.current_time()
+            long_waits = {SOAK_NAME: now - sampled_at - WAIT_SAMPLE_S}
+            since, sampled_at = sampled_at, now
+            for process in self.processes:
+                key, total_s = (process.name, process.lives), process.waited_s
+                long_waits[process.name] = total_s - waited.get(key, total_s)
+                waited[key] = total_s
+            for name, wait_s in long_waits.items():
+                if wait_s > NOTED_WAIT_S:
+                    self.record.note(f"{name} waited {wait_s:.2f} s for a processor")
+                if wait_s > STARVED_S:
+                    self.record.starved += 1
+                    self.record.disturbances.append(Disturbance(name, since, now))
 
     def end(self) -> None:
         """Kill all processes."""
@@ -276,25 +327,82 @@
                 self.record.report_violation(f"{process.name} logged a key")
 
 
-async def exchange(address: Address, data: bytes, timeout_s: float):
-    """Send one HTTP request; return status and JSON or text body, or None."""
-    with trio.move_on_after(timeout_s):
+class KeptConnection:
+    """Keep a connection open and use it until the other end closes it."""
+
+    def __init__(self, address: Address):
+        self._address = address
+        self._stream: trio.SocketStream | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the next request goes over an open connection."""
+        return self._stream is not None
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
+
+    async def exchange(self, data: bytes, timeout_s: float):
+        """Send one HTTP request; return status and body, or None."""
+        reply, closes = None, True
         try:
-            stream = await trio.open_tcp_stream(address.host, address.port)
-            async with stream:
-                await stream.send_all(data)
-                received = b""
-                while True:
-                    head, end, body = received.partition(b"\r\n\r\n")
-                    if end and len(body) >= content_length(head):
-                        return int(head.split()[1]), body
-                    part = await stream.receive_some(65536)
-                    if not part:
-                        return None
-                    received += part
+            with trio.move_on_after(timeout_s):
+                reply, closes = await self._exchange(data)
         except (OSError, trio.BrokenResourceError):
             pass
-    return None
+        finally:
+            if closes:
+                self.close()
+        return reply
+
+    async def _exchange(self, data: bytes):
+        if self._stream is None:
+            host, port = self._address.host, self._address.port
+            self._stream = await trio.open_tcp_stream(host, port)
+        await self._stream.send_all(data)
+        received = b""
+        while True:
+            head, end, body = received.partition(b"\r\n\r\n")
+            if end and len(body) >= content_length(head):
+                closes = b"\r\nconnection: close" in head.lower()
+                return (int(head.split()[1]), body), closes
+            part = await self._stream.receive_some(65536)
+            if not part:
+                return None, True
+            received += part
+
+
+class Connections:
+    """Keep connections to several addresses open."""
+
+    def __init__(self):
+        self._idle: dict[Address, list[KeptConnection]] = defaultdict(list)
+
+    async def exchange(self, address: Address, data: bytes, timeout_s: float):
+        """Send one HTTP request, once more if an open connection has just ended."""
+        started_at = trio.current_time()
+        idle = self._idle[address]
+        connection = idle.pop() if idle else KeptConnection(address)
+        was_open = connection.is_open
+        reply = await connection.exchange(data, timeout_s)
+        left_s = timeout_s - (trio.current_time() - started_at)
+        if reply is None and was_open and left_s > 0:
+            reply = await connection.exchange(data, left_s)
+        if connection.is_open:
+            idle.append(connection)
+        return reply
+
+
+async def exchange(address: Address, data: bytes, timeout_s: float):
+    """Send one HTTP request over a new connection; return status and body, or None."""
+    connection = KeptConnection(address)
+    try:
+        return await connection.exchange(data, timeout_s)
+    finally:
+        connection.close()
 
 
 def content_length(head: bytes) -> int:
