Go on after a full disk refused any operation of a store

Callers saw: a control VM whose disk was full ended by itself, again at each restart until the disk had room, or never started again ("damaged record at offset 1900").

Cause: only a refused write of the log could be tried again.

Change: what a failed write or sync leaves behind the last synced batch is invalid and is cut off before the next append, which writes the batch again (a second sync alone would prove nothing). The steps of a compaction can each be repeated. The next staged file overwrites the old one. The start waits for room and then writes the log anew. The sync marker of a batch that lacks one is written with the batch.

Ruled out: to sync again without writing, as the kernel may have dropped the pages.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -22,11 +22,14 @@
 from persimmonhall.dialect import NativeDialect
 from persimmonhall.events import EventLog
 from persimmonhall.http.asgi import serve_asgi
+from persimmonhall.ids import ReplicaId
 from persimmonhall.once.log_clock import run_log_clock
 from persimmonhall.raft.core import RaftCore
+from persimmonhall.raft.driver import DISK_FULL_RETRY_S
 from persimmonhall.raft.state import PersistedState
 from persimmonhall.raft.storage import (
     DiskFailedError,
+    NoSpaceError,
     OpenedStorage,
     is_data_folder_empty,
     open_storage,
@@ -195,16 +198,31 @@
         if not await find_cluster(peers, others):
             logging.info("cluster founded by=%s disk=%s", address, disk_id)
             initial_state = make_initial_state(disk_id, control_settings.name, address)
-            return open_storage(folder, disk_id, initial_state)
+            return await _open_storage(folder, disk_id, initial_state)
     if not bootstrap:
         if is_data_folder_empty(folder) and not control_settings.peers:
             return Failure(f"{folder}: empty; use --bootstrap or set control.peers")
-        return open_storage(folder, disk_id, PersistedState())
+        return await _open_storage(folder, disk_id, PersistedState())
     if not is_data_folder_empty(folder):
         return Failure(f"{folder}: --bootstrap needs an empty data folder")
     cluster = await find_cluster(peers, control_settings.peers)
     if cluster:
         return Failure(f"--bootstrap: a peer belongs to cluster {cluster} already")
-    return open_storage(
+    return await _open_storage(
         folder, disk_id, make_initial_state(disk_id, control_settings.name, address)
     )
+
+
+async def _open_storage(
+    folder: Path, disk_id: ReplicaId, initial_state: PersistedState
+) -> Result[OpenedStorage, str]:
+    """Open a data folder; wait while its disk is full."""
+    was_full = False
+    while True:
+        try:
+            return open_storage(folder, disk_id, initial_state, rewrites_log=was_full)
+        except NoSpaceError as error:
+            if not was_full:
+                logging.error("storage full, the start waits: %s", error)
+            was_full = True
+        await trio.sleep(DISK_FULL_RETRY_S)
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -77,9 +77,13 @@
     ):
         self._folder = folder
         self._files = files
-        self._end_offset = end_offset
+        self._synced_offset = self._end_offset = end_offset
         self._last_batch = last_batch
         self._written_sequence = 0
+        # The sequence of the write whose snapshot is in place, but not yet its log.
+        self._installed_sequence = 0
+        # Whether a write or its sync failed; what follows the synced offset is invalid.
+        self._has_invalid_tail = False
         # Whether the sync marker that begins the next batch is already written.
         self._has_sync_marker = False
         self._sync_us = new_histogram()
@@ -98,7 +102,10 @@
         return self._sync_us
 
     def write(self, writes: tuple[WriteRequest, ...]) -> None:
-        """Write and sync; raise NoSpaceError on a full disk, or DiskFailedError."""
+        """Write and sync; raise NoSpaceError on a full disk, or DiskFailedError.
+
+        After a NoSpaceError the next call must begin with the same writes.
+        """
         with self._translate_os_errors():
             for group in _group_for_sync(writes):
                 self._write_group(group)
@@ -107,7 +114,6 @@
         """Write and sync a snapshot to a separate file while log writes continue."""
         with self._staging_lock:
             self._staged_snapshot = None
-            (self._folder / STAGED_FILE).unlink(missing_ok=True)
         pieces = frame_records(_snapshot_records(snapshot), FIRST_BATCH)
         with self._translate_os_errors():
             write_file(self._files, self._folder / STAGED_FILE, pieces)
@@ -118,7 +124,7 @@
         try:
             yield
         except OSError as error:
-            if error.errno in NO_SPACE_ERRNOS:
+            if _is_no_space(error):
                 raise NoSpaceError(f"{self._folder}: {error}") from error
             raise DiskFailedError(f"{self._folder}: {error}") from error
 
@@ -136,69 +142,90 @@
         self._written_sequence = group[-1].sequence
 
     def _append(self, writes: tuple[WriteRequest, ...]) -> None:
-        payloads = [RECORDS.encode(writes[-1].hard_state)]
+        if self._has_invalid_tail:
+            self._discard_invalid_tail()
+        payloads = [] if self._has_sync_marker else [SYNC_MARKER]
+        payloads.append(RECORDS.encode(writes[-1].hard_state))
         for write in writes:
             payloads += [RECORDS.encode(entry) for entry in write.entries]
         data = frame_batch(
             tuple(payloads), self._last_batch + 1, int(self._has_sync_marker)
         )
-        try:
-            write_all(self._files, self._descriptor, data)
-        except OSError:
-            self._discard_partial_write()
-            raise
+        self._has_invalid_tail = True
+        write_all(self._files, self._descriptor, data)
         self._sync()
+        self._has_invalid_tail = False
         self._end_offset += len(data)
+        self._synced_offset = self._end_offset
         self._last_batch += 1
-        self._has_sync_marker = self._append_sync_marker()
+        self._append_sync_marker()
 
-    def _append_sync_marker(self) -> bool:
+    def _append_sync_marker(self) -> None:
         """Begin the next batch with a marker that shows that this batch was synced.
 
         It distinguishes later damage to this batch from a torn write. The marker itself
         is synced with the next batch, so a power loss may lose it alone.
         """
+        self._has_sync_marker = False
         marker = frame_batch((SYNC_MARKER,), self._last_batch + 1)
         try:
             write_all(self._files, self._descriptor, marker)
         except OSError:
-            self._discard_partial_write()
-            return False
+            self._has_invalid_tail = True
+            return
         self._end_offset += len(marker)
-        return True
+        self._has_sync_marker = True
+
+    def _discard_invalid_tail(self) -> None:
+        """Return to the end of the last synced batch.
 
-    def _discard_partial_write(self) -> None:
-        os.ftruncate(self._descriptor, self._end_offset)
-        os.lseek(self._descriptor, self._end_offset, os.SEEK_SET)
+        Done before the next append, as a full disk may refuse to truncate a file too.
+        """
+        os.ftruncate(self._descriptor, self._synced_offset)
+        os.lseek(self._descriptor, self._synced_offset, os.SEEK_SET)
+        self._end_offset = self._synced_offset
+        self._has_sync_marker = False
+        self._has_invalid_tail = False
 
     def _sync(self) -> None:
         started = time.perf_counter()
         try:
             self._files.sync(self._descriptor)
         except OSError as error:
-            # The kernel may have dropped the dirty pages: a retry proves nothing.
+            # The kernel may have dropped the dirty pages: a retry proves nothing. With
+            # a full disk, the caller writes the batch again.
+            if _is_no_space(error):
+                raise
             raise DiskFailedError(f"{self._folder}: sync failed: {error}") from error
         record_seconds(self._sync_us, time.perf_counter() - started)
 
     def _write_snapshot(self, write: WriteRequest) -> None:
-        if not self._install_staged_snapshot(write.snapshot):
-            pieces = frame_records(_snapshot_records(write.snapshot), FIRST_BATCH)
-            replace_file(self._files, self._folder / SNAPSHOT_FILE, pieces)
+        if self._installed_sequence != write.sequence:
+            self._install_snapshot(write.snapshot)
+            self._installed_sequence = write.sequence
         log = _encode_log(write.hard_state, write.entries)
         replace_file(self._files, self._folder / LOG_FILE, (log,))
+        descriptor = _open_log(self._folder)
         os.close(self._descriptor)
-        self._descriptor = _open_log(self._folder)
-        self._end_offset = len(log)
+        self._descriptor = descriptor
+        self._synced_offset = self._end_offset = len(log)
         self._last_batch = FIRST_BATCH + 1
         self._has_sync_marker = False
+        self._has_invalid_tail = False
+
+    def _install_snapshot(self, snapshot: Snapshot) -> None:
+        if not self._install_staged_snapshot(snapshot):
+            pieces = frame_records(_snapshot_records(snapshot), FIRST_BATCH)
+            replace_file(self._files, self._folder / SNAPSHOT_FILE, pieces)
 
     def _install_staged_snapshot(self, snapshot: Snapshot) -> bool:
         # The lock prevents `stage_snapshot` from overwriting the staged file meanwhile.
         with self._staging_lock:
             if self._staged_snapshot != snapshot:
                 return False
-            rename_and_sync(self._folder / STAGED_FILE, self._folder / SNAPSHOT_FILE)
+            # If the sync of the folder fails, the staged file is gone.
             self._staged_snapshot = None
+            rename_and_sync(self._folder / STAGED_FILE, self._folder / SNAPSHOT_FILE)
             return True
 
 
@@ -207,16 +234,24 @@
     new_id: ReplicaId,
     initial_state: PersistedState,
     files: FileSystem | None = None,
+    *,
+    rewrites_log: bool = False,
 ) -> Result[OpenedStorage, str]:
-    """Open a data folder; initialize an empty one with a disk id and a state."""
+    """Open a data folder; initialize an empty one with a disk id and a state.
+
+    Raise NoSpaceError on a full disk. The next call must then rewrite the log: its sync
+    may succeed although the kernel has dropped what the failed one should have written.
+    """
     try:
         folder.mkdir(parents=True, exist_ok=True)
         if not (folder / DISK_ID_FILE).exists():
             if _is_used(folder):
                 return Failure(f"{folder / DISK_ID_FILE}: missing in a used folder")
             _create_data_folder(folder, new_id, initial_state)
-        return _read_data_folder(folder, files or OsFileSystem())
+        return _read_data_folder(folder, files or OsFileSystem(), rewrites_log)
     except OSError as error:
+        if _is_no_space(error):
+            raise NoSpaceError(f"{folder}: {error}") from error
         return Failure(f"{folder}: storage cannot be opened: {error}")
 
 
@@ -256,7 +291,9 @@
     return True
 
 
-def _read_data_folder(folder: Path, files: FileSystem) -> Result[OpenedStorage, str]:
+def _read_data_folder(
+    folder: Path, files: FileSystem, rewrites_log: bool
+) -> Result[OpenedStorage, str]:
     match _read_single_record(folder / DISK_ID_FILE):
         case Failure() as failure:
             return failure
@@ -270,7 +307,8 @@
             case Success(snapshot):
                 pass
     path = folder / LOG_FILE
-    match read_records(path.read_bytes()):
+    log = path.read_bytes()
+    match read_records(log):
         case Failure(offset):
             return Failure(f"{path}: damaged record at offset {offset}")
         case Success(found):
@@ -279,8 +317,11 @@
     snapshot_index = snapshot.index if snapshot is not None else 0
     if entries and entries[0].index > snapshot_index + 1:
         return Failure(f"{folder / SNAPSHOT_FILE}: missing or older than the log")
-    _truncate_log(path, found.end_offset)
-    (folder / STAGED_FILE).unlink(missing_ok=True)
+    if rewrites_log:
+        replace_file(files, path, (log[: found.end_offset],))
+    else:
+        _sync_log(files, path, len(log), found.end_offset)
+    _remove_staged_file(folder)
     storage = Storage(folder, files, found.end_offset, found.last_batch)
     stored = PersistedState(state, snapshot, _entries_after_snapshot(snapshot, entries))
     return Success(OpenedStorage(storage, disk_id, stored))
@@ -372,10 +413,28 @@
     return descriptor
 
 
-def _truncate_log(path: Path, end_offset: int) -> None:
-    with path.open("r+b") as file:
-        file.truncate(end_offset)
-        os.fsync(file.fileno())
+def _sync_log(files: FileSystem, path: Path, size: int, end_offset: int) -> None:
+    """Make the log durable up to an offset and cut off what follows."""
+    descriptor = os.open(path, os.O_RDWR)
+    try:
+        if size > end_offset:
+            os.ftruncate(descriptor, end_offset)
+        files.sync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _remove_staged_file(folder: Path) -> None:
+    try:
+        (folder / STAGED_FILE).unlink(missing_ok=True)
+    except OSError as error:
+        # The next staged snapshot overwrites it.
+        if not _is_no_space(error):
+            raise
+
+
+def _is_no_space(error: OSError) -> bool:
+    return error.errno in NO_SPACE_ERRNOS
 
 
 def _group_for_sync(writes: tuple[WriteRequest, ...]) -> list[tuple[WriteRequest, ...]]:
--- a/persimmonhall/raft/tests/crash_points.py
+++ b/persimmonhall/raft/tests/crash_points.py
@@ -35,7 +35,7 @@
 
     def _wrap(self, name, original):
         def run(target, *arguments, **options):
-            path = _path_of(target)
+            path = path_of(target)
             if path != self.folder and path.parent != self.folder:
                 return original(target, *arguments, **options)
             self.count += 1
@@ -66,7 +66,8 @@
             (folder / name).write_bytes(self.synced_content.get(inode, b""))
 
 
-def _path_of(target) -> Path:
+def path_of(target) -> Path:
+    """Return the path of a file that is given by its path or by a descriptor."""
     if isinstance(target, int):
         target = os.readlink(f"/proc/self/fd/{target}")
     return Path(target)
--- a/persimmonhall/raft/tests/test_crash_points.py
+++ b/persimmonhall/raft/tests/test_crash_points.py
@@ -44,7 +44,7 @@
 
     def run(self, folder):
         """Open a store, append, and compact it several times."""
-        storage = open_storage(folder, "disk#1", INITIAL).unwrap().storage
+        storage = self.open(folder)
         self.state, self.last_index = INITIAL.hard_state, 1
         for round_number in range(1, ROUNDS + 1):
             for _ in range(3):
@@ -53,14 +53,26 @@
                 self.last_index - 1, 2, ReplicaSet("c"), (b"state" * 50,)
             )
             if round_number % 2:
-                storage.stage_snapshot(snapshot)
+                self.stage(storage, snapshot)
             self._write(storage, round_number, (make_entry(self.last_index),), snapshot)
         storage.close()
 
+    def open(self, folder):
+        """Open the store."""
+        return open_storage(folder, "disk#1", INITIAL).unwrap().storage
+
+    def stage(self, storage, snapshot):
+        """Stage a snapshot."""
+        storage.stage_snapshot(snapshot)
+
+    def write(self, storage, request):
+        """Write a request."""
+        storage.write((request,))
+
     def _write(self, storage, round_number, entries, snapshot=None):
         self.sequence += 1
         state = HardState(round_number + 1, "a")
-        storage.write((WriteRequest(self.sequence, state, entries, snapshot),))
+        self.write(storage, WriteRequest(self.sequence, state, entries, snapshot))
         self.state, self.last_index = state, entries[-1].index
 
 
