Sync the data folder when a store is opened

A control VM that was killed between the rename of its new log and the sync of the folder, started again and then lost power would have come back with the old log, without the vote and the entries that it had synced and acknowledged since the restart.

Found by combining the crash points: kill at any operation, start and write, lose power. The test fails before at operations 28, 46 and 64 (the three compactions: the term of the last write is lost) and 8 (the disk id is lost: the store doesn't start). A sync of the folder before the first write makes the names durable that the start has relied on.

--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -321,6 +321,8 @@
         replace_file(files, path, (log[: found.end_offset],))
     else:
         _sync_log(files, path, len(log), found.end_offset)
+    # A kill may have come between a rename and its sync.
+    sync_folder(folder)
     _remove_staged_file(folder)
     storage = Storage(folder, files, found.end_offset, found.last_batch)
     stored = PersistedState(state, snapshot, _entries_after_snapshot(snapshot, entries))
--- a/persimmonhall/raft/tests/test_crash_points.py
+++ b/persimmonhall/raft/tests/test_crash_points.py
@@ -137,6 +137,24 @@
         shutil.rmtree(folder)
 
 
+# A kill between the rename of a new log and the sync of the folder let a later loss of
+# power bring the old log back, without what was acknowledged after the restart.
+def test_write_after_a_kill_survives_a_loss_of_power(tmp_path):
+    """Kill at any operation, start and write again, and lose power."""
+    for crash_at in range(1, count_operations(tmp_path / "whole") + 1):
+        folder = tmp_path / "store"
+        disk, writer = crash(folder, crash_at, is_torn=False)
+        with pytest.MonkeyPatch.context() as patch:
+            disk.crash_at = 0
+            disk.install(patch)
+            check_start(folder, writer)
+        disk.lose_power(tmp_path / "after")
+        stored = open_storage(tmp_path / "after", "disk#4", INITIAL).unwrap().stored
+        assert stored.hard_state.term == 9
+        shutil.rmtree(folder)
+        shutil.rmtree(tmp_path / "after")
+
+
 @pytest.mark.parametrize("has_snapshot", [True, False])
 def test_lost_disk_id_of_a_used_store_is_named(tmp_path, has_snapshot):
     """Start no store under a new id that may have voted under the old one."""
