Let a follower answer while its term is not synced

Seen by a test: a follower whose disk is full when the leader changes sends nothing until the disk has room. The leader takes it for failed: it doesn't count for the leader's majority, and of a set that has grown it is removed for good after 4 s.

Cause: a reply waits for the sync of the term, and the early reply of a slow disk, too. Now the follower sends a message without promise: no index, and no round, so that it confirms neither entries nor reads.

Ruled out: the early reply without a synced term, which would rest on a term that may be forgotten.

--- a/persimmonhall/raft/follower.py
+++ b/persimmonhall/raft/follower.py
@@ -64,6 +64,7 @@
         self._state.install_snapshot(
             Snapshot(chunk.index, chunk.snapshot_term, chunk.replicas, parts)
         )
+        self._report_pending_sync(leader)
         reply = AppendReply(
             self._state.term, True, chunk.index, LogIndex(0), chunk.round
         )
@@ -88,9 +89,21 @@
             state.outbox.send(leader, early_reply)
             if synced == matched:
                 return
+        self._report_pending_sync(leader)
         reply = AppendReply(state.term, True, matched, LogIndex(0), round_number)
         state.outbox.send_after_sync(leader, reply)
 
+    def _report_pending_sync(self, leader: ReplicaId) -> None:
+        """Show the leader that this replica runs while its reply waits for a sync.
+
+        A replica with a full disk must not look like one that failed. The message
+        promises nothing: it has no term that could be forgotten, index or round.
+        """
+        state = self._state
+        if state.outbox.synced_sequence < state.outbox.sequence:
+            nothing = ChunkReply(state.term, LogIndex(0), 0, 0)
+            state.outbox.send(leader, nothing)
+
     def _reject(self, leader: ReplicaId, append: Append) -> None:
         state = self._state
         hint = min(state.log.last_index, LogIndex(append.prev_index - 1))
@@ -99,6 +112,7 @@
             if state.log.term_at(hint) != conflict:
                 break
             hint -= 1
+        self._report_pending_sync(leader)
         reply = AppendReply(state.term, False, hint, append.prev_index, append.round)
         state.outbox.send_after_sync(leader, reply)
 
--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -67,6 +67,30 @@
     assert len(acknowledgements(core.take_ready(NOW).messages)) == 1
 
 
+# A voter with a full disk was taken for one that had failed, and was retired for good.
+@pytest.mark.parametrize(
+    "message",
+    [Append(2, 1, 1, (ENTRY,), 2, 0), Append(2, 9, 2, (), 9, 0), CHUNK],
+    ids=["append", "mismatch", "snapshot"],
+)
+def test_follower_answers_while_its_term_is_not_synced(message):
+    """Show the leader that it runs, and confirm neither entries nor reads."""
+    leader, follower = make_core("b", "a", "b", "c"), make_core("a", "a", "b", "c")
+    leader.tick(NOW)
+    leader.step("c", VoteReply(2, True, True), NOW)
+    leader.mark_synced(leader.take_ready(NOW).writes[-1].sequence, NOW)
+    leader.step("c", VoteReply(2, True, False), NOW)
+    leader.request_read_index(1)
+    follower.step("b", message, NOW)
+    messages = follower.take_ready(NOW).messages
+    assert acknowledgements(messages) == []
+    for reply in messages:
+        leader.step("a", reply.message, NOW + 5)
+    assert leader.time_since_reply_s("a", NOW + 5) == 0
+    ready = leader.take_ready(NOW + 5)
+    assert (ready.committed, ready.reads) == ((), ())
+
+
 def test_grants_one_vote_per_term():
     core = make_core("a", "a", "b", "c")
     for candidate in ("b", "c"):
