Await an overdue call once no other server is left

What callers saw: around a planned stop a read got 502, "tried 1 of 1 servers of the service, may have run", while its server was at work and well before its deadline. At the node that stops this is a request that it broke off; at its peers, too, and whenever a server leaves.

Cause: a call is given up as overdue if a second attempt is allowed. Whether it is was asked only when the call was sent. If the other server had left the service meanwhile (its node stops, or the server itself leaves), the call was cancelled, no server could be chosen, and the node answered in the place of the server.

The unit test fails on the code before (the call is cancelled).

Ruled out: that the router has no server because those left are ejected; it then chooses an ejected one.

Why it works: the same question is asked again when the call is overdue, before it is given up; the router returns no server only if none is left untried.

--- a/persimmonhall/call/retry_policy.py
+++ b/persimmonhall/call/retry_policy.py
@@ -46,8 +46,15 @@
         return request.route.is_idempotent and self._has_attempt_left(request)
 
     def try_acquire_overdue(self, request: InFlightRequest, now: float) -> bool:
-        """Take a retry from the budget for a request whose answer is overdue."""
-        return self._has_spare_capacity(request, now) and self._spend(request)
+        """Take a retry from the budget for a request whose answer is overdue.
+
+        The other servers may have left since the request was sent.
+        """
+        return (
+            self.is_retry_allowed(request)
+            and self._has_spare_capacity(request, now)
+            and self._spend(request)
+        )
 
     def try_acquire(self, request: InFlightRequest, now: float) -> bool:
         """Take a retry of a request that may have run; return False if not allowed."""
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from persimmonhall.call.tests.routed_fixtures import HEADERS, EntryFixture
+from persimmonhall.call.tests.routed_fixtures import HEADERS, EntryFixture, make_member
 from persimmonhall.errors import ErrorKind, Ran
 from persimmonhall.http.refusals import refusal_status
 from persimmonhall.release.schema import RouteKind, WeightedService
@@ -374,6 +374,28 @@
     assert begun.status == 200
 
 
+# A call was given up for a second attempt after the only other server had left.
+async def test_overdue_call_is_awaited_once_no_other_server_is_left(autojump_clock):
+    """Deliver the late answer in place of a 502 while the server is at work."""
+    fixture = EntryFixture(make_route(), servers=2)
+    for _ in range(20):
+        fixture.send_request()
+        await trio.sleep(0.1)
+        fixture.reply()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fixture.timers.run)
+        begun = fixture.send_request(attempt="a2")
+        used = fixture.links.sent[-1][0].host
+        for node, host in (("s0", "10.0.0.2"), ("s1", "10.0.0.3")):
+            if host != used:
+                fixture.table.put(make_member(node, service="", host=host))
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert not fixture.links.cancelled
+    fixture.reply()
+    assert begun.status == 200
+
+
 @pytest.mark.parametrize(("is_connected", "status"), [(True, 502), (False, 503)])
 async def test_stopping_entry_answers_the_requests_that_are_left(
     autojump_clock, is_connected, status
