Give up no overdue call while the process stops

What callers would see: around a planned stop a read gets 502 while its server is at work, as its call was given up for a second attempt and the second server refused it.

Cause: an overdue call is cancelled before anyone knows whether another server takes the request. In a grace period that is likely to go wrong: gates close, servers leave. What the process then answers is its own, in the place of a server that was at work.

Evidence: the new unit test fails on the code before (the call is cancelled).

Why it works: while the process stops, a call is awaited up to its deadline, which comes before the end. A read at a server that hangs gets its 504 later; other resends (after a lost connection, or a failed answer) stay, as they break off nothing. Nodes that do not stop still give up overdue calls as before.

--- a/persimmonhall/call/entry_factory.py
+++ b/persimmonhall/call/entry_factory.py
@@ -104,7 +104,12 @@
             parts.local, parts.router, parts.gate, parts.links, parts.shutdown
         ),
         RetryPolicy(
-            parts.table, parts.releases, levels, response_times, parts.retry_budget
+            parts.table,
+            parts.releases,
+            levels,
+            response_times,
+            parts.retry_budget,
+            parts.shutdown,
         ),
         RequestAnswers(parts.releases, admission, levels, parts.log, observers),
         response_times,
--- a/persimmonhall/call/retry_policy.py
+++ b/persimmonhall/call/retry_policy.py
@@ -1,6 +1,7 @@
 """Decide whether a request is sent to another server after its call has failed."""
 
 from persimmonhall.call.in_flight_request import InFlightRequest
+from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.membership.messages import Member
 from persimmonhall.membership.table import MemberTable
 from persimmonhall.release.active import ActiveRelease
@@ -22,12 +23,14 @@
         levels: RouteLevels,
         response_times: ResponseTimes,
         budget: ServiceRetryBudget,
+        shutdown: ShutdownWindow,
     ):
         self._table = table
         self._releases = releases
         self._levels = levels
         self._response_times = response_times
         self._budget = budget
+        self._shutdown = shutdown
 
     def earn(self, request: InFlightRequest) -> None:
         """Count a request, which fills the budget of its service."""
@@ -48,10 +51,12 @@
     def try_acquire_overdue(self, request: InFlightRequest, now: float) -> bool:
         """Take a retry from the budget for a request whose answer is overdue.
 
-        The other servers may have left since the request was sent.
+        The other servers may have left since the request was sent, and may refuse it:
+        a process that stops must not end a run without another one in its place.
         """
         return (
-            self.is_retry_allowed(request)
+            not self._shutdown.is_set
+            and self.is_retry_allowed(request)
             and self._has_spare_capacity(request, now)
             and self._spend(request)
         )
--- a/persimmonhall/call/tests/test_routed_entry.py
+++ b/persimmonhall/call/tests/test_routed_entry.py
@@ -374,6 +374,26 @@
     assert begun.status == 200
 
 
+# A call was given up for a second attempt, which a gate that stops, too, refused.
+async def test_stopping_entry_awaits_overdue_calls(autojump_clock):
+    """Deliver the late answer in place of a 502 while the server is at work."""
+    fixture = EntryFixture(make_route())
+    for _ in range(20):
+        fixture.send_request()
+        await trio.sleep(0.1)
+        fixture.reply()
+    now = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fixture.timers.run)
+        begun = fixture.send_request(attempt="a2")
+        fixture.shutdown.set(now + 2.8, now + 5.3)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert not fixture.links.cancelled
+    fixture.reply()
+    assert begun.status == 200
+
+
 # A call was given up for a second attempt after the only other server had left.
 async def test_overdue_call_is_awaited_once_no_other_server_is_left(autojump_clock):
     """Deliver the late answer in place of a 502 while the server is at work."""
