Await an answer for as long as its caller may wait

What callers saw: a node that was slow to read ended a request with its own 504 by 0.1 to 0.5 s before the caller's deadline, while the server was at work. After a SIGTERM that is a request that the node broke off.

Cause: what is read within 0.1 s after a gap of 0.3 s or more in the loop may have arrived at its beginning, so the time of the request is shortened by the gap. That is right for the server, which must not work for a caller who has left, but the entry took the same time as the end of its own wait, and its timer comes before the 504 that the server sends at its shortened deadline.

The unit test fails on the code before.

Ruled out: the timer that gives up overdue calls (the log lines are deadlineExceeded).

Why it works: the server still gets the shorter time and ends the run itself; the entry passes its 504 on, and refuses by its own timer only once no caller can still wait. After the shortened deadline nothing is sent to another server any more.

The play of a lagging node judges without an allowance for this.

--- a/harness/planned_stop.py
+++ b/harness/planned_stop.py
@@ -129,9 +129,7 @@
             return "ran though refused as not run" if runs else ""
         if request.outcome == "held":
             return "held past the deadline"
-        # A paused node takes a request for as old as its pause was long.
-        slack_s = DEADLINE_SLACK_S + (LAG_PERIOD_S if options.has_lag else 0.0)
-        is_at_deadline = took_s >= request.deadline_s - slack_s
+        is_at_deadline = took_s >= request.deadline_s - DEADLINE_SLACK_S
         if is_at_deadline or self._is_excused(request, runs, options):
             return ""
         if request.outcome == "closed":
--- a/persimmonhall/call/in_flight_request.py
+++ b/persimmonhall/call/in_flight_request.py
@@ -27,6 +27,7 @@
         "is_head",
         "arrived_at",
         "deadline",
+        "awaited_until",
         "caller_timeout_s",
         "caller_deadline",
         "head",
@@ -55,6 +56,9 @@
         self.route = route
         self.arrived_at = now
         self.service = ServiceName("")
+        # Until when servers may work on the request, and until when the caller may
+        # still wait: input of a process that was paused may be older than it seems.
+        self.deadline = self.awaited_until = math.inf
         # Stated by the caller, also beyond the timeout of the route; None if it is not.
         self.caller_timeout_s: float | None = None
         self.caller_deadline = math.inf
--- a/persimmonhall/call/request_factory.py
+++ b/persimmonhall/call/request_factory.py
@@ -60,7 +60,8 @@
         request.is_logged = is_sampled(head.attempt)
         budget_s = time_budget_s(head.caller_timeout_ms, route)
         age_s = self._pauses.input_age_s(now)
-        request.deadline = now + budget_s - age_s
+        request.awaited_until = now + budget_s
+        request.deadline = request.awaited_until - age_s
         if head.caller_timeout_ms:
             request.caller_timeout_s = head.caller_timeout_ms / 1000
             request.caller_deadline = now + request.caller_timeout_s - age_s
--- a/persimmonhall/call/routed_entry.py
+++ b/persimmonhall/call/routed_entry.py
@@ -248,7 +248,7 @@
 
     def _set_timer(self, request: InFlightRequest, now: float) -> None:
         request.cancel_timer()
-        when = request.deadline
+        when = request.awaited_until
         if self._retries.is_retry_allowed(request):
             when = min(when, now + self._response_times.timeout_s(request.route.name))
         request.timer = self._timers.call_at(when, lambda: self._on_timer(request))
@@ -262,21 +262,23 @@
             )
             return
         request.timer = None
-        if now >= request.deadline:
+        if now >= request.awaited_until:
             ran = self._dispatcher.cancel(request, CallOutcome.TIMED_OUT)
             detail = "no answer within the timeout of the caller or the route"
             kind = ErrorKind.DEADLINE_EXCEEDED
             self._answers.refuse(request, kind, detail, ran, now)
             return
         # A call that is given up for another one that can't be sent is broken off.
-        if self._may_be_sent(request, now) and self._retries.try_acquire_overdue(
-            request, now
+        if (
+            now < request.deadline
+            and self._may_be_sent(request, now)
+            and self._retries.try_acquire_overdue(request, now)
         ):
             ran = self._dispatcher.cancel(request, CallOutcome.TIMED_OUT)
             request.may_have_run |= ran is not Ran.NO
             self._retry(request, "no answer within the response time estimate", now)
         else:
-            when = request.deadline
+            when = request.awaited_until
             request.timer = self._timers.call_at(when, lambda: self._on_timer(request))
 
     def _handle_answer(
--- a/persimmonhall/call/tests/test_paused_node.py
+++ b/persimmonhall/call/tests/test_paused_node.py
@@ -106,6 +106,26 @@
     assert fixture.calls[1].remaining_ms > 5000
 
 
+# Nodes that were slow to read broke off runs by 0.3 s before their callers' deadlines.
+async def test_entry_awaits_the_answer_for_as_long_as_the_caller_may(autojump_clock):
+    """Shorten the time of the server only: what is read may be as young as it seems."""
+    fixture = EntryFixture(ORDER)
+    fixture.pauses.record_heartbeat(trio.current_time())
+    autojump_clock.jump(0.4)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(fixture.timers.run)
+        answered = fixture.send_request(attempt="a1")
+        ended = fixture.send_request(attempt="a2")
+        assert fixture.calls[0].remaining_ms <= 2600
+        await trio.sleep(2.7)
+        assert not fixture.links.cancelled
+        fixture.reply(0, status=504)
+        await trio.sleep(0.4)
+        nursery.cancel_scope.cancel()
+    assert answered.status == 504
+    assert ended.refusal.kind is ErrorKind.DEADLINE_EXCEEDED
+
+
 async def test_answer_that_arrived_during_a_pause_is_delivered(autojump_clock):
     """Read the backlog before a timer that fell due in a pause gives up a request."""
     fixture = EntryFixture(ORDER)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -12,8 +12,9 @@
         (1, Options(grace_s=6.0)),
         (2, Options(grace_s=3.0, slow_factor=4.0)),
         (3, Options(grace_s=3.0, has_server=False)),
+        (4, Options(grace_s=4.0, slow_factor=3.0, has_lag=True)),
     ],
-    ids=["usual", "servers turn slow", "server has left"],
+    ids=["usual", "servers turn slow", "server has left", "node lags"],
 )
 async def test_node_that_stops_answers_all_that_it_has_passed_on(
     tmp_path, seed, options
