Take calls of the backend server for as long as it is at work

What servers saw: in the last quarter of a grace period the calls of a run were turned away by a closed listener, and the run failed, though the node still waited for its answer.

Cause: a stopping node closed its listener and its idle connections after 75% of the grace period.

The new test fails on the code before (connection refused) and passes now.

Why it works: the listener is closed once the server's gate is idle, at the latest when open requests are refused. Requests of callers that come meanwhile are admitted or refused as not run by the same rule as before (their deadline must come before the end), and are read and answered until the end, as they were on connections in use.

--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -12,9 +12,10 @@
 CHECK_INTERVAL_S = 0.1
 # Fractions of the grace period. After the first, peers are told to send no more calls;
 # until then callers still send requests here too, so the backend server has work. The
-# gate refuses new calls of peers after the second, callers are served up to the third,
-# and open requests are awaited up to the fourth; those that remain are refused. Answers
-# that callers are still reading are sent up to the fifth.
+# gate refuses new calls of peers after the second. Callers are served up to the third, or
+# the fourth while the backend server is at work. Open requests are awaited up to the
+# fourth; those that remain are refused. Answers that callers are still reading are sent
+# up to the fifth.
 PEER_NOTICE_FRACTION = 0.4
 GATE_CLOSE_FRACTION = 0.45
 CALLER_CLOSE_FRACTION = 0.75
@@ -46,11 +47,12 @@
     gossiper.announce_draining()
     await trio.sleep((GATE_CLOSE_FRACTION - PEER_NOTICE_FRACTION) * grace_s)
     gate.drain()
-    while trio.current_time() < start + CALLER_CLOSE_FRACTION * grace_s:
-        idle_s = trio.current_time() - max(
-            start + CALLER_NOTICE_S, entry.last_request_at
-        )
-        if idle_s > CALLER_IDLE_S and gate.is_idle and not entry.in_flight:
+    while (now := trio.current_time()) < start + REQUEST_END_FRACTION * grace_s:
+        idle_s = now - max(start + CALLER_NOTICE_S, entry.last_request_at)
+        have_callers_left = idle_s > CALLER_IDLE_S and not entry.in_flight
+        is_over = now >= start + CALLER_CLOSE_FRACTION * grace_s
+        # What runs on the backend server may still make calls of its own.
+        if gate.is_idle and (have_callers_left or is_over):
             break
         await trio.sleep(CHECK_INTERVAL_S)
     callers.stop_accepting()
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+from dataclasses import replace
 from functools import partial
 
 import pytest
@@ -77,6 +78,8 @@
     def __init__(self):
         self.requests = []
         self.extra_headers = b""
+        self.may_answer = trio.Event()
+        self.may_answer.set()
 
     async def serve(self, stream):
         """Serve one connection."""
@@ -88,6 +91,7 @@
                 for line in data.split(b"\r\n")
                 if line.startswith(name)
             ]
+            await self.may_answer.wait()
             head = (
                 b"HTTP/1.1 200 OK\r\n%s%s\r\nx-stamp: s1\r\n%scontent-length: 5\r\n\r\n"
             )
@@ -280,6 +284,33 @@
     assert (await routed_nodes.get(attempt="a3"))[0] == 503
 
 
+# Runs late in a shutdown failed, as their calls met a closed listener.
+async def test_node_that_shuts_down_takes_calls_while_its_server_is_at_work(
+    routed_nodes,
+):
+    """Answer a new connection late in the grace period, until the server is idle."""
+    with trio.fail_after(8):
+        while await routed_nodes.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await routed_nodes.report()
+    await routed_nodes.get_until_status(200)
+    gate = routed_nodes.nodes[1]
+    gate.reload(
+        replace(gate.settings, releases=replace(gate.settings.releases, grace_s=4.0))
+    )
+    routed_nodes.backend.may_answer = trio.Event()
+    call = encode_request("GET", "/charts/2", f"{HEADERS.attempt.decode()}: a3")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(partial(routed_nodes.get, attempt="a2"))
+        await trio.sleep(0.2)
+        nursery.start_soon(gate.shut_down)
+        await trio.sleep(0.8 * 4.0)
+        assert (await send_request(gate.settings.node.callers, call))[0] == 503
+        routed_nodes.backend.may_answer.set()
+    with pytest.raises(OSError):
+        await send_request(gate.settings.node.callers, call)
+
+
 async def test_node_that_shuts_down_answers_reports_to_its_end(routed_nodes):
     """Server whose node restarts: no report fails while the process still runs."""
     statuses = []
