Count the grace period from the signal, also if it is read late

What was seen: a node that is slow to react was killed at the end of its grace period, with callers it had not answered if the period is short; what may run up to the end was measured from the time at which the signal was handled, too late by the same time.

Cause: the shutdown counted its steps from its own start. A loop that had a gap of 0.3 s handles the signal up to 0.3 s late; the sleeps before the gate closes added more.

Why it works: after a gap the signal may be as old as the gap, as other input is. The steps are counted from then. What is left is the time that a process needs to end.

--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -12,8 +12,8 @@
 CHECK_INTERVAL_S = 0.1
 # Fractions of the grace period. After the first, peers are told to send no more calls;
 # until then callers still send requests here too, so the backend server has work. The
-# gate refuses new calls of peers after the second. Callers are served up to the third, or
-# the fourth while the backend server is at work. Open requests are awaited up to the
+# gate refuses new calls of peers after the second. Callers are served up to the third,
+# or the fourth while the backend server is at work. Open requests are awaited up to the
 # fourth; those that remain are refused. Answers that callers are still reading are sent
 # up to the fifth.
 PEER_NOTICE_FRACTION = 0.4
@@ -38,14 +38,18 @@
     gossiper: Gossiper,
     window: ShutdownWindow,
     grace_s: float,
+    signal_age_s: float = 0.0,
 ) -> None:
-    """Serve callers as long as they come, then refuse what is left."""
-    start = trio.current_time()
+    """Serve callers as long as they come, then refuse what is left.
+
+    The grace period has begun with the signal, which may be read late.
+    """
+    start = trio.current_time() - signal_age_s
     callers.is_draining = True
     window.set(start + LATE_REQUEST_S, start + REQUEST_END_FRACTION * grace_s)
-    await trio.sleep(PEER_NOTICE_FRACTION * grace_s)
+    await trio.sleep_until(start + PEER_NOTICE_FRACTION * grace_s)
     gossiper.announce_draining()
-    await trio.sleep((GATE_CLOSE_FRACTION - PEER_NOTICE_FRACTION) * grace_s)
+    await trio.sleep_until(start + GATE_CLOSE_FRACTION * grace_s)
     gate.drain()
     while (now := trio.current_time()) < start + REQUEST_END_FRACTION * grace_s:
         idle_s = now - max(start + CALLER_NOTICE_S, entry.last_request_at)
--- a/tests/test_routed_path.py
+++ b/tests/test_routed_path.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import time
 from dataclasses import replace
 from functools import partial
 
@@ -311,6 +312,31 @@
         await send_request(gate.settings.node.callers, call)
 
 
+# Nodes that read the signal late were killed before they had answered all callers.
+async def test_grace_period_begins_with_a_signal_that_is_read_late(routed_nodes):
+    """End before the kill that follows the signal, not the start of the shutdown."""
+    with trio.fail_after(8):
+        while await routed_nodes.put(make_release()) != 200:
+            await trio.sleep(0.1)
+    await routed_nodes.report()
+    await routed_nodes.get_until_status(200)
+    entry = routed_nodes.nodes[0]
+    routed_nodes.backend.may_answer = trio.Event()
+    statuses = []
+
+    async def send_request() -> None:
+        statuses.append((await routed_nodes.get(attempt="a2"))[0])
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send_request)
+        await trio.sleep(0.2)
+        signal_at = trio.current_time()
+        time.sleep(0.5)  # noqa: ASYNC251
+        await entry.shut_down()
+        assert statuses == [502]
+        assert trio.current_time() - signal_at < 1.3 * entry.settings.releases.grace_s
+
+
 async def test_node_that_shuts_down_answers_reports_to_its_end(routed_nodes):
     """Server whose node restarts: no report fails while the process still runs."""
     statuses = []
