Refuse a change as not the leader's once a leader with a full disk hands over

Cause: a replica with a full disk refused with storageFailed whether it led or not. That refusal is final, so the VM that had forwarded the change didn't ask again.

--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -120,9 +120,13 @@
 
     async def submit_locally(self, data: bytes) -> Result[CommandReply, Refusal]:
         """Append a command if this replica is the leader."""
-        if self._driver.disk_full_reason:
-            detail = f"storage full: {self._driver.disk_full_reason}"
-            return Failure(refuse(ErrorKind.STORAGE_FAILED, detail, ran=Ran.NO))
+        full = self._driver.disk_full_reason
+        # A caller that is refused by a former leader asks the new one.
+        if full and self._core.accepts_proposals:
+            refusal = refuse(
+                ErrorKind.STORAGE_FAILED, f"storage full: {full}", ran=Ran.NO
+            )
+            return Failure(refusal)
         index = self._core.propose(data)
         if index is None:
             return Failure(
