--- a/harness/bench_snapshots.py
+++ b/harness/bench_snapshots.py
@@ -65,8 +65,8 @@
         """Notify the driver of new input."""
         self.driver.wake()
 
-    async def _stage(self, snapshot: Snapshot) -> None:
-        await self.driver.stage_snapshot(snapshot)
+    async def _stage(self, snapshot: Snapshot) -> bool:
+        return await self.driver.stage_snapshot(snapshot)
 
     async def wait_until(self, condition) -> None:
         """Wait until a condition holds; check it after each change in the driver."""
--- a/persimmonhall/control/applier.py
+++ b/persimmonhall/control/applier.py
@@ -17,6 +17,8 @@
 
 MAX_ENTRIES_PER_BATCH = 64
 SNAPSHOT_BLOCK_INTERVAL_S = 0.002
+# After a full disk had no room for one.
+SNAPSHOT_RETRY_S = 1.0
 MIN_LOG_BYTES_PER_SNAPSHOT = 4 * 1024 * 1024
 # Limit the cost of snapshots: a larger state is written less often.
 SNAPSHOT_ROWS_PER_LOG_ENTRY = 4
@@ -43,7 +45,7 @@
         core: RaftCore,
         pending_commands: PendingCommands,
         wake_driver: Callable[[], None],
-        stage_snapshot: Callable[[Snapshot], Awaitable[None]],
+        stage_snapshot: Callable[[Snapshot], Awaitable[bool]],
         snapshot_entries: int,
     ):
         self._core = core
@@ -165,7 +167,7 @@
 
     async def _write_snapshot(self) -> None:
         index = self._machine.index
-        self._log_bytes_since_snapshot = 0
+        log_bytes, self._log_bytes_since_snapshot = self._log_bytes_since_snapshot, 0
         parts = []
         for block in self._machine.blocks():
             parts.append(block)
@@ -174,7 +176,11 @@
         snapshot = self._core.make_snapshot(index, tuple(parts))
         if snapshot is None:
             return
-        await self._stage_snapshot(snapshot)
+        if not await self._stage_snapshot(snapshot):
+            # Written with the log, it would hold up entries that still fit.
+            self._log_bytes_since_snapshot += log_bytes
+            await trio.sleep(SNAPSHOT_RETRY_S)
+            return
         self._core.compact(snapshot)
         self._wake_driver()
 
--- a/persimmonhall/control/replica.py
+++ b/persimmonhall/control/replica.py
@@ -239,8 +239,8 @@
     def _wake_driver(self) -> None:
         self._driver.wake()
 
-    async def _stage_snapshot(self, snapshot: Snapshot) -> None:
-        await self._driver.stage_snapshot(snapshot)
+    async def _stage_snapshot(self, snapshot: Snapshot) -> bool:
+        return await self._driver.stage_snapshot(snapshot)
 
     def _send(self, recipient, message) -> None:
         self._peers.send(self._core, recipient, message)
--- a/persimmonhall/control/tests/test_applier.py
+++ b/persimmonhall/control/tests/test_applier.py
@@ -31,9 +31,9 @@
 class ReplicaFixture:
     """Run a cluster of one replica."""
 
-    def __init__(self, folder, nursery, snapshot_entries=CLAIMS):
+    def __init__(self, folder, nursery, snapshot_entries=CLAIMS, files=None):
         first = make_initial_state("disk", "control-1", "127.0.0.1:1")
-        opened = open_storage(folder, "disk", first).unwrap()
+        opened = open_storage(folder, "disk", first, files).unwrap()
         self.core = RaftCore(opened.disk_id, opened.stored, random.Random(1), 0.0)
         wake = lambda: self.driver.wake()  # noqa: E731
         stage = lambda snapshot: self.driver.stage_snapshot(snapshot)  # noqa: E731
--- a/persimmonhall/control/tests/test_full_disk.py
+++ b/persimmonhall/control/tests/test_full_disk.py
@@ -6,7 +6,11 @@
 import trio
 
 from persimmonhall.control.replica import Replica
-from persimmonhall.control.tests.test_applier import make_claim
+from persimmonhall.control.tests.test_applier import (
+    CLAIMS,
+    ReplicaFixture,
+    make_claim,
+)
 from persimmonhall.errors import ErrorKind
 from persimmonhall.raft.files import OsFileSystem
 from persimmonhall.raft.messages import Append, VoteReply
@@ -87,3 +91,24 @@
         refusal = (await replica.submit_locally(make_claim(1))).failure()
         assert refusal.kind is ErrorKind.NOT_LEADER
         nursery.cancel_scope.cancel()
+
+
+# Written with the log, the snapshot held up all entries, although they had room.
+async def test_entries_are_applied_while_a_snapshot_has_no_room(tmp_path):
+    files = FullFileSystem()
+    with trio.fail_after(20):
+        async with trio.open_nursery() as nursery:
+            fixture = ReplicaFixture(tmp_path, nursery, CLAIMS, files)
+            await fixture.claim(0, 10)
+            files.free_bytes = 4096
+            for first in range(10, CLAIMS + 60, 10):
+                await fixture.claim(first, first + 10)
+            assert fixture.core.snapshot_index == 0
+            files.free_bytes = 1 << 40
+            for number in range(100):
+                await fixture.claim(CLAIMS + 60 + number, CLAIMS + 61 + number)
+                if fixture.core.snapshot_index > 0:
+                    break
+                await trio.sleep(0.05)
+            assert fixture.core.snapshot_index > 0
+            nursery.cancel_scope.cancel()
--- a/persimmonhall/raft/driver.py
+++ b/persimmonhall/raft/driver.py
@@ -14,7 +14,7 @@
 from persimmonhall.raft.role import Role
 from persimmonhall.raft.storage import NoSpaceError, Storage
 
-DISK_FULL_RETRY_S = 0.5
+DISK_FULL_RETRY_S = 0.2
 
 SendMessage = Callable[[ReplicaId, Message], None]
 ApplyItems = Callable[[tuple[Entry | Snapshot, ...]], None]
@@ -95,12 +95,17 @@
                 self._wake = trio.Event()
                 self._process_ready()
 
-    async def stage_snapshot(self, snapshot: Snapshot) -> None:
-        """Write a snapshot file in the background; `compact` makes it current later."""
+    async def stage_snapshot(self, snapshot: Snapshot) -> bool:
+        """Write a snapshot file in the background; return False on a full disk.
+
+        `compact` makes it current later.
+        """
         try:
             await trio.to_thread.run_sync(self._storage.stage_snapshot, snapshot)
         except NoSpaceError as error:
             logging.warning("snapshot not staged: %s", error)
+            return False
+        return True
 
     async def read_index(self, read_id: int) -> LogIndex | None:
         """Return the index that a read must wait for, or None if this is no leader."""
