--- a/harness/explorer/cluster.py
+++ b/harness/explorer/cluster.py
@@ -9,6 +9,7 @@
 from harness.explorer.checker import Checker, ViolationError
 from harness.explorer.replica import SimulatedReplica, Variant
 from persimmonhall.ids import LogIndex, NodeName, ReplicaId, Term
+from persimmonhall.raft.driver import DISK_FULL_RETRY_S
 from persimmonhall.raft.log import encode_replicas
 from persimmonhall.raft.messages import (
     NO_VOTE,
@@ -226,10 +227,27 @@
     def _sync(self, replica: SimulatedReplica, core: object) -> None:
         if not replica.up or replica.core is not core:
             return
+        if replica.is_disk_full:
+            if not replica.is_retrying:
+                replica.is_retrying = True
+                self._retry_sync(replica, core)
+            return
         sequence = replica.disk.sync()
         if sequence is not None:
             self._report_sync(replica, core, sequence)
 
+    def _retry_sync(self, replica: SimulatedReplica, core: object) -> None:
+        """Hand over leadership and try again, as the driver does."""
+        if not replica.up or replica.core is not core:
+            return
+        if not replica.is_disk_full:
+            replica.is_retrying = False
+            self._sync(replica, core)
+            return
+        self.call_at(self.now + DISK_FULL_RETRY_S, self._retry_sync, replica, core)
+        if replica.core.transfer_leadership(self.now):
+            self.handle_output(replica)
+
     def _report_sync(
         self, replica: SimulatedReplica, core: object, sequence: int
     ) -> None:
--- a/harness/explorer/replica.py
+++ b/harness/explorer/replica.py
@@ -66,6 +66,8 @@
     up: bool = True
     frozen: bool = False
     sync_s: float = 0.005
+    is_disk_full: bool = False
+    is_retrying: bool = False
     pending: dict[LogIndex, PendingProposal] = field(default_factory=dict)
     reads: dict[int, LogIndex] = field(default_factory=dict)
 
@@ -76,6 +78,7 @@
     def start(self, stored: PersistedState, now: float) -> None:
         """Start from the persisted state."""
         self.up = True
+        self.is_retrying = False
         self.machine = RevisionMachine()
         self.pending, self.reads = {}, {}
         self._due_reads: list[tuple[int, LogIndex]] = []
