Start on a full disk without waiting for room

Meanwhile it answered nobody, so a restart beside a full disk took a replica out of the set's sight for as long as the disk was full; of a set that has grown it could be retired.

Now a store in use is opened all the same. What was read counts as synced only after the first write, which writes the log anew: votes and acknowledgements wait for it. Only a folder without a disk id waits for room. The entry of the folder in its parent is synced before the disk id is written, so that a refusal between the two is repeated, too.

Tests: a kill at any operation, a start with 1, 2 or 4 refused operations, a write and a loss of power keep all that was read; the core acknowledges nothing of an unsynced state.

--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -216,11 +216,11 @@
 async def _open_storage(
     folder: Path, disk_id: ReplicaId, initial_state: PersistedState
 ) -> Result[OpenedStorage, str]:
-    """Open a data folder; wait while its disk is full."""
+    """Open a data folder; wait while there is no room to initialize it."""
     was_full = False
     while True:
         try:
-            return open_storage(folder, disk_id, initial_state, rewrites_log=was_full)
+            return open_storage(folder, disk_id, initial_state)
         except NoSpaceError as error:
             if not was_full:
                 logging.error("storage full, the start waits: %s", error)
--- a/persimmonhall/raft/state.py
+++ b/persimmonhall/raft/state.py
@@ -22,6 +22,8 @@
     hard_state: HardState = HardState(Term(0), NO_VOTE)
     snapshot: Snapshot | None = None
     entries: tuple[Entry, ...] = ()
+    # Whether it is durable, or only will be after the first write.
+    is_synced: bool = True
 
 
 class ReplicaState:
@@ -39,6 +41,8 @@
         self._synced_index = self._log.last_index
         self._term_write_sequence = 0
         self.reads: list[ConfirmedRead] = []
+        if not stored.is_synced:
+            self._write_stored_state()
         if stored.snapshot is not None:
             self._committed.append(stored.snapshot)
 
@@ -148,6 +152,12 @@
         messages = self._outbox.take_messages()
         return Ready(writes, messages, committed, reads)
 
+    def _write_stored_state(self) -> None:
+        """Queue a write, until which nothing that was read counts as synced."""
+        self.set_term(self._term, self._vote)
+        self._synced_index = LogIndex(0)
+        self._unsynced_appends.append((self._outbox.sequence, self._log.last_index))
+
     def _write_snapshot(self, snapshot: Snapshot) -> None:
         rest = self._log.entries_between(snapshot.index, self._log.last_index)
         self._outbox.add_write(self._hard_state(), rest, snapshot)
--- a/persimmonhall/raft/storage.py
+++ b/persimmonhall/raft/storage.py
@@ -73,12 +73,19 @@
     """Append batches of records to the log file and sync each batch."""
 
     def __init__(
-        self, folder: Path, files: FileSystem, end_offset: int, last_batch: int
+        self,
+        folder: Path,
+        files: FileSystem,
+        end_offset: int,
+        last_batch: int,
+        unsynced_log: bytes | None = None,
     ):
         self._folder = folder
         self._files = files
         self._synced_offset = self._end_offset = end_offset
         self._last_batch = last_batch
+        # What a start on a full disk has read and could not sync.
+        self._unsynced_log = unsynced_log
         self._written_sequence = 0
         # The sequence of the write whose snapshot is in place, but not yet its log.
         self._installed_sequence = 0
@@ -107,6 +114,9 @@
         After a NoSpaceError the next call must begin with the same writes.
         """
         with self._translate_os_errors():
+            if self._unsynced_log is not None:
+                self._replace_log(self._unsynced_log, self._last_batch)
+                self._unsynced_log = None
             for group in _group_for_sync(writes):
                 self._write_group(group)
 
@@ -204,12 +214,15 @@
             self._install_snapshot(write.snapshot)
             self._installed_sequence = write.sequence
         log = _encode_log(write.hard_state, write.entries)
+        self._replace_log(log, FIRST_BATCH + 1)
+
+    def _replace_log(self, log: bytes, last_batch: int) -> None:
         replace_file(self._files, self._folder / LOG_FILE, (log,))
         descriptor = _open_log(self._folder)
         os.close(self._descriptor)
         self._descriptor = descriptor
         self._synced_offset = self._end_offset = len(log)
-        self._last_batch = FIRST_BATCH + 1
+        self._last_batch = last_batch
         self._has_sync_marker = False
         self._has_invalid_tail = False
 
@@ -234,13 +247,11 @@
     new_id: ReplicaId,
     initial_state: PersistedState,
     files: FileSystem | None = None,
-    *,
-    rewrites_log: bool = False,
 ) -> Result[OpenedStorage, str]:
     """Open a data folder; initialize an empty one with a disk id and a state.
 
-    Raise NoSpaceError on a full disk. The next call must then rewrite the log: its sync
-    may succeed although the kernel has dropped what the failed one should have written.
+    Raise NoSpaceError if a full disk has no room to initialize one. One that is in use
+    is opened all the same: its state counts as synced after the first write.
     """
     try:
         folder.mkdir(parents=True, exist_ok=True)
@@ -248,7 +259,7 @@
             if _is_used(folder):
                 return Failure(f"{folder / DISK_ID_FILE}: missing in a used folder")
             _create_data_folder(folder, new_id, initial_state)
-        return _read_data_folder(folder, files or OsFileSystem(), rewrites_log)
+        return _read_data_folder(folder, files or OsFileSystem())
     except OSError as error:
         if _is_no_space(error):
             raise NoSpaceError(f"{folder}: {error}") from error
@@ -266,11 +277,11 @@
     log = _encode_log(initial_state.hard_state, initial_state.entries)
     files = OsFileSystem()
     replace_file(files, folder / LOG_FILE, (log,))
+    sync_folder(folder.parent)
     # Written last, because a folder without a disk id counts as empty: a crash before
     # leaves a log that no replica has used.
     disk_id = frame_batch((new_id.encode(),), FIRST_BATCH)
     replace_file(files, folder / DISK_ID_FILE, (disk_id,))
-    sync_folder(folder.parent)
 
 
 def _is_used(folder: Path) -> bool:
@@ -291,9 +302,7 @@
     return True
 
 
-def _read_data_folder(
-    folder: Path, files: FileSystem, rewrites_log: bool
-) -> Result[OpenedStorage, str]:
+def _read_data_folder(folder: Path, files: FileSystem) -> Result[OpenedStorage, str]:
     match _read_single_record(folder / DISK_ID_FILE):
         case Failure() as failure:
             return failure
@@ -317,15 +326,12 @@
     snapshot_index = snapshot.index if snapshot is not None else 0
     if entries and entries[0].index > snapshot_index + 1:
         return Failure(f"{folder / SNAPSHOT_FILE}: missing or older than the log")
-    if rewrites_log:
-        replace_file(files, path, (log[: found.end_offset],))
-    else:
-        _sync_log(files, path, len(log), found.end_offset)
-    # A kill may have come between a rename and its sync.
-    sync_folder(folder)
-    _remove_staged_file(folder)
-    storage = Storage(folder, files, found.end_offset, found.last_batch)
-    stored = PersistedState(state, snapshot, _entries_after_snapshot(snapshot, entries))
+    is_synced = _sync_opened(folder, files, len(log), found.end_offset)
+    # After a failed sync the next one may succeed although the kernel has dropped data.
+    unsynced_log = None if is_synced else log[: found.end_offset]
+    storage = Storage(folder, files, found.end_offset, found.last_batch, unsynced_log)
+    entries = _entries_after_snapshot(snapshot, entries)
+    stored = PersistedState(state, snapshot, entries, is_synced)
     return Success(OpenedStorage(storage, disk_id, stored))
 
 
@@ -415,24 +421,24 @@
     return descriptor
 
 
-def _sync_log(files: FileSystem, path: Path, size: int, end_offset: int) -> None:
-    """Make the log durable up to an offset and cut off what follows."""
-    descriptor = os.open(path, os.O_RDWR)
-    try:
-        if size > end_offset:
-            os.ftruncate(descriptor, end_offset)
-        files.sync(descriptor)
-    finally:
-        os.close(descriptor)
-
-
-def _remove_staged_file(folder: Path) -> None:
+def _sync_opened(folder: Path, files: FileSystem, size: int, end_offset: int) -> bool:
+    """Make durable what was read; return False if the disk is full."""
     try:
+        descriptor = os.open(folder / LOG_FILE, os.O_RDWR)
+        try:
+            if size > end_offset:
+                os.ftruncate(descriptor, end_offset)
+            files.sync(descriptor)
+        finally:
+            os.close(descriptor)
+        # A kill may have come between a rename and its sync.
+        sync_folder(folder)
         (folder / STAGED_FILE).unlink(missing_ok=True)
     except OSError as error:
-        # The next staged snapshot overwrites it.
-        if not _is_no_space(error):
-            raise
+        if _is_no_space(error):
+            return False
+        raise
+    return True
 
 
 def _is_no_space(error: OSError) -> bool:
--- a/persimmonhall/raft/tests/full_disk_points.py
+++ b/persimmonhall/raft/tests/full_disk_points.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from persimmonhall.raft.tests.crash_points import path_of
+from persimmonhall.raft.tests.crash_points import CrashError, path_of
 
 REFUSED = ("write", "open", "fsync", "replace", "ftruncate", "unlink")
 
@@ -23,6 +23,7 @@
     full_at: int = 0
     operations: int = 1
     is_partial: bool = False
+    killed_at: int = 0
     # Called after each operation.
     check: Callable[[], None] = lambda: None
     count: int = 0
@@ -45,6 +46,8 @@
             if not is_inside or name == "open" and not arguments[0] & os.O_CREAT:
                 return original(target, *arguments, **options)
             self.count += 1
+            if self.count == self.killed_at:
+                raise CrashError
             is_full = self.full_at <= self.count < self.full_at + self.operations
             if is_full and (name, self.count, self.is_partial) == (
                 "write",
--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -91,6 +91,20 @@
     assert (ready.committed, ready.reads) == ((), ())
 
 
+def test_state_read_from_a_full_disk_is_acknowledged_after_its_first_write():
+    entries = tuple(Entry(i, 1, EntryKind.COMMAND, b"x") for i in range(1, 4))
+    stored = PersistedState(HardState(1, "b"), None, entries, is_synced=False)
+    core = RaftCore("a", stored, random.Random(1), 0.0)
+    core.step("b", Append(1, 3, 1, (), 1, 0), NOW)
+    core.step("c", Vote(1, 3, 1), NOW + 5)
+    ready = core.take_ready(NOW + 5)
+    assert acknowledgements(ready.messages) == []
+    core.mark_synced(ready.writes[-1].sequence, NOW + 5)
+    replies = [m.message for m in core.take_ready(NOW + 5).messages]
+    assert [r.match for r in replies if isinstance(r, AppendReply)] == [3]
+    assert [r.granted for r in replies if isinstance(r, VoteReply)] == [False]
+
+
 def test_grants_one_vote_per_term():
     core = make_core("a", "a", "b", "c")
     for candidate in ("b", "c"):
--- a/persimmonhall/raft/tests/test_full_disk_points.py
+++ b/persimmonhall/raft/tests/test_full_disk_points.py
@@ -5,9 +5,17 @@
 import pytest
 from returns.result import Failure, Success
 
+from persimmonhall.raft.messages import HardState
+from persimmonhall.raft.outbox import WriteRequest
 from persimmonhall.raft.storage import NoSpaceError, open_storage
+from persimmonhall.raft.tests.crash_points import CrashError
 from persimmonhall.raft.tests.full_disk_points import FullDisk
-from persimmonhall.raft.tests.test_crash_points import INITIAL, Writer, check_start
+from persimmonhall.raft.tests.test_crash_points import (
+    INITIAL,
+    Writer,
+    check_start,
+    make_entry,
+)
 
 # Operations after the disk has room again whose crashes are checked.
 CHECKED_AFTER = 4
@@ -18,19 +26,21 @@
     """Try again while the disk is full."""
 
     def open(self, folder):
-        """Open the store."""
-        rewrites_log = False
+        """Open the store; write its state if that is not synced, as the core does."""
         for _ in range(MAX_TRIES):
             try:
-                match open_storage(
-                    folder, "disk#1", INITIAL, rewrites_log=rewrites_log
-                ):
+                match open_storage(folder, "disk#1", INITIAL):
                     case Success(opened):
+                        self.opened = opened.stored
+                        if not opened.stored.is_synced:
+                            self.sequence += 1
+                            state = opened.stored.hard_state
+                            self.write(opened.storage, WriteRequest(1, state))
                         return opened.storage
                     case Failure(reason):
                         pytest.fail(reason)
             except NoSpaceError:
-                rewrites_log = True
+                pass
         return pytest.fail("not opened")
 
     def stage(self, storage, snapshot):
@@ -94,3 +104,29 @@
         _, writer = run(folder, check_crashes, is_partial=is_partial, **options)
         check_start(folder, writer)
         shutil.rmtree(folder)
+
+
+# The process ended at each start until the disk had room.
+@pytest.mark.parametrize("operations", [1, 2, 4])
+def test_start_on_a_full_disk_keeps_what_it_has_read(tmp_path, operations):
+    """Kill at any operation, start on a full disk, write, and lose power."""
+    for killed_at in range(1, run(tmp_path / "whole")[0].count + 1):
+        folder, writer = tmp_path / "store", PatientWriter()
+        disk = FullDisk(folder, killed_at=killed_at)
+        with pytest.MonkeyPatch.context() as patch:
+            disk.install(patch)
+            with pytest.raises(CrashError):
+                Writer().run(folder)
+            disk.killed_at = 0
+            disk.full_at, disk.operations = disk.count + 1, operations
+            storage = writer.open(folder)
+            entries = writer.opened.entries
+            covered = writer.opened.snapshot.index if writer.opened.snapshot else 0
+            last = make_entry(entries[-1].index + 1 if entries else covered + 1)
+            writer.write(storage, WriteRequest(2, HardState(9, "b"), (last,)))
+            storage.close()
+        disk.lose_power(tmp_path / "after", keeps_names=False)
+        stored = open_storage(tmp_path / "after", "disk#2", INITIAL).unwrap().stored
+        assert (stored.hard_state.term, stored.entries) == (9, (*entries, last))
+        shutil.rmtree(folder)
+        shutil.rmtree(tmp_path / "after")
