Report a pending sync only if no early reply shows that the replica runs

A follower whose term is synced already answers early; the report sent after it was one more message for each append that waited for its sync. Seen while reading.

--- a/persimmonhall/raft/follower.py
+++ b/persimmonhall/raft/follower.py
@@ -97,7 +97,8 @@
             state.outbox.send(leader, early_reply)
             if synced == matched:
                 return
-        self._report_pending_sync(leader)
+        else:
+            self._report_pending_sync(leader)
         reply = AppendReply(state.term, True, matched, LogIndex(0), round_number)
         state.outbox.send_after_sync(leader, reply)
 
