--- a/persimmonhall/raft/core.py
+++ b/persimmonhall/raft/core.py
@@ -217,7 +217,8 @@
         """Replace the log up to the snapshot's index by the snapshot."""
         # A snapshot from the leader may have been installed in the meantime.
         if snapshot.index > self.snapshot_index:
-            self._state.compact(snapshot)
+            retained_index = self._leader.retained_index if self._leader else None
+            self._state.compact(snapshot, retained_index)
 
     def mark_synced(self, sequence: int, now: float) -> None:
         """Record that the writes up to a sequence number are synced to disk."""
--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -62,6 +62,13 @@
         """Return the match index of each peer."""
         return {peer: p.match_index for peer, p in self._progress.items()}
 
+    @property
+    def retained_index(self) -> LogIndex | None:
+        """Return the index after which peers need the log at the end of a transfer."""
+        progress = self._progress.values()
+        indexes = [p.snapshot.index for p in progress if p.snapshot is not None]
+        return min(indexes, default=None)
+
     @property
     def is_removed(self) -> bool:
         """Return whether this replica is no voter of the committed replica set."""
@@ -145,10 +152,10 @@
         ):
             self._reads.start_round(self._state.commit_index)
             # Must not postpone the tick: frequent reads would stop what it does.
-            self._send_to_peers()
+            self._send_to_peers(now)
         for peer, progress in self._progress.items():
             while self._can_send_entries(progress):
-                self._send_append(peer, progress)
+                self._send_append(peer, progress, now)
         self._advance_commit_index()
         self._confirm_reads()
 
@@ -162,16 +169,16 @@
             self._advance_commit_index()
             self._maybe_finish_transfer()
         elif progress.reject(reply.rejected, reply.match):
-            self._send_append(peer, progress)
+            self._send_append(peer, progress, now)
 
     def on_chunk_reply(self, peer: ReplicaId, reply: ChunkReply, now: float) -> None:
         """Send the next chunk of a snapshot."""
         progress = self._record_reply(peer, reply.round, now)
-        if progress is None or progress.chunk_offset is None:
+        if progress is None or progress.snapshot is None:
             return
-        if reply.index == self._state.log.snapshot.index:
-            progress.chunk_offset = reply.offset
-            self._send_snapshot_chunk(peer, progress)
+        is_expected = reply.index == progress.snapshot.index
+        if is_expected and progress.request_part(reply.offset, now):
+            self._send_snapshot_chunk(peer, progress, now)
 
     def _record_reply(
         self, peer: ReplicaId, round_number: int, now: float
@@ -249,30 +256,34 @@
 
     def _send_heartbeats(self, now: float) -> None:
         self._heartbeat_due_at = now + HEARTBEAT_INTERVAL_S
-        self._send_to_peers()
+        for peer, progress in self._progress.items():
+            if not self._is_active(peer, now):
+                # The snapshot would be kept for as long as the peer is gone.
+                progress.end_transfer()
+        self._send_to_peers(now)
 
-    def _send_to_peers(self) -> None:
+    def _send_to_peers(self, now: float) -> None:
         for peer, progress in self._progress.items():
-            self._send_append(peer, progress)
+            self._send_append(peer, progress, now)
 
     def _can_send_entries(self, progress: Progress) -> bool:
         unacknowledged = progress.next_index - progress.match_index
         return (
             not progress.is_probing
-            and progress.chunk_offset is None
+            and not progress.is_in_transfer
             and self._state.log.first_index <= progress.next_index
             and progress.next_index <= self._state.log.last_index
             and unacknowledged <= MAX_UNACKNOWLEDGED_ENTRIES
         )
 
-    def _send_append(self, peer: ReplicaId, progress: Progress) -> None:
+    def _send_append(self, peer: ReplicaId, progress: Progress, now: float) -> None:
         state = self._state
         prev = LogIndex(progress.next_index - 1)
         prev_term = state.log.term_at(prev)
         if prev_term is None:
-            self._send_snapshot_chunk(peer, progress)
+            self._send_snapshot_chunk(peer, progress, now)
             return
-        progress.chunk_offset = None
+        progress.end_transfer()
         entries: tuple[Entry, ...] = ()
         if self._can_send_entries(progress):
             entries = state.log.entries_after(prev, self.max_append_bytes)
@@ -282,12 +293,19 @@
         state.outbox.send(peer, append)
         progress.next_index = LogIndex(prev + len(entries) + 1)
 
-    def _send_snapshot_chunk(self, peer: ReplicaId, progress: Progress) -> None:
+    def _send_snapshot_chunk(
+        self, peer: ReplicaId, progress: Progress, now: float
+    ) -> None:
+        """Send the next parts, or none as a heartbeat while they are on their way."""
         state = self._state
-        snapshot = state.log.snapshot
-        offset = progress.chunk_offset or 0
-        parts = _parts_from(snapshot.parts, offset, self.max_chunk_bytes)
-        progress.chunk_offset = offset
+        if progress.snapshot is None:
+            progress.start_transfer(state.log.snapshot)
+        snapshot, offset = progress.snapshot, progress.chunk_offset
+        is_heartbeat = progress.is_part_on_its_way(now)
+        parts: tuple[bytes, ...] = ()
+        if not is_heartbeat:
+            parts = _parts_from(snapshot.parts, offset, self.max_chunk_bytes)
+            progress.chunk_sent_at = now
         chunk = SnapshotChunk(
             term=state.term,
             index=snapshot.index,
@@ -295,7 +313,7 @@
             replicas=snapshot.replicas,
             offset=offset,
             parts=parts,
-            last=offset + len(parts) >= len(snapshot.parts),
+            last=not is_heartbeat and offset + len(parts) >= len(snapshot.parts),
             round=self._reads.round,
         )
         state.outbox.send(peer, chunk)
--- a/persimmonhall/raft/log.py
+++ b/persimmonhall/raft/log.py
@@ -7,6 +7,9 @@
 TRAILING_ENTRIES = 500
 # Entries of releases have megabytes; a follower that lacks them gets the snapshot.
 TRAILING_BYTES = 4 * 1024 * 1024
+# For a replica that is sent a snapshot, the entries after it are kept up to this size.
+RETAINED_ENTRIES = 20_000
+RETAINED_BYTES = 16 * 1024 * 1024
 EMPTY_SNAPSHOT = Snapshot(LogIndex(0), Term(0), ReplicaSet(), ())
 
 
@@ -106,23 +109,35 @@
         """Return the entries after one index, up to and including another."""
         return tuple(self._entries[after - self._base_index : up_to - self._base_index])
 
-    def compact(self, snapshot: Snapshot) -> None:
-        """Set a snapshot of local entries; drop all but some trailing entries."""
+    def compact(
+        self, snapshot: Snapshot, retained_index: LogIndex | None = None
+    ) -> None:
+        """Set a snapshot of local entries; drop all but some trailing entries.
+
+        Entries after the retained index are kept within larger bounds.
+        """
         self._snapshot = snapshot
-        start = self._first_trailing_index(snapshot.index)
+        end = snapshot.index
+        start = self._first_kept_index(end, TRAILING_ENTRIES, TRAILING_BYTES)
+        if retained_index is not None and retained_index < start:
+            first = self._first_kept_index(end, RETAINED_ENTRIES, RETAINED_BYTES)
+            if first <= retained_index:
+                start = retained_index
         term = self.term_at(start)
         del self._entries[: start - self._base_index]
         self._base_index, self._base_term = start, term
         later = [pair for pair in self._replica_sets if pair[0] > snapshot.index]
         self._replica_sets = [(snapshot.index, snapshot.replicas), *later]
 
-    def _first_trailing_index(self, end: LogIndex) -> LogIndex:
-        """Return the index after which the trailing entries begin, by both bounds."""
-        start = max(self._base_index, end - TRAILING_ENTRIES)
+    def _first_kept_index(
+        self, end: LogIndex, max_entries: int, max_bytes: int
+    ) -> LogIndex:
+        """Return the index after which the entries up to an end keep both bounds."""
+        start = max(self._base_index, end - max_entries)
         size = 0
         for index in range(end, start, -1):
             size += len(self._entries[index - self._base_index - 1].data)
-            if size > TRAILING_BYTES:
+            if size > max_bytes:
                 return LogIndex(index)
         return LogIndex(start)
 
--- a/persimmonhall/raft/state.py
+++ b/persimmonhall/raft/state.py
@@ -116,9 +116,11 @@
         term = self._log.term_at(index)
         return Snapshot(index, term, self._log.replicas_at(index), parts)
 
-    def compact(self, snapshot: Snapshot) -> None:
+    def compact(
+        self, snapshot: Snapshot, retained_index: LogIndex | None = None
+    ) -> None:
         """Replace the log up to the snapshot's index by the snapshot."""
-        self._log.compact(snapshot)
+        self._log.compact(snapshot, retained_index)
         self._write_snapshot(snapshot)
 
     def install_snapshot(self, snapshot: Snapshot) -> None:
