Give a learner its vote while changes are committed all the time

A learner had to match the commit index at the moment of the leader's heartbeat. With a change every 20 ms, each committed before the learner's reply to the last one came back, it never did: it stayed without a vote for as long as the changes went on, and the set without a voter.

It now has to match what was committed at the heartbeat before, 0.15 s ago. This is no rule of safety: a new voter that lags by so little delays a commit by no more than a slow follower does, and one that lags by more still waits (second new test).

test_replica_gets_its_vote_while_changes_are_committed_all_the_time fails on the code before.

--- a/persimmonhall/raft/leader.py
+++ b/persimmonhall/raft/leader.py
@@ -45,6 +45,7 @@
         self._transfer_deadline = now
         self._update_peers(now)
         self._term_start_index = self._append(EntryKind.NO_OP, b"")
+        self._last_heartbeat_commit = self._term_start_index
         self._send_heartbeats(now)
 
     @property
@@ -105,6 +106,7 @@
             self._transfer_target = None
         if now >= self._heartbeat_due_at:
             self._propose_next_change(now)
+            self._last_heartbeat_commit = self._state.commit_index
             self._send_heartbeats(now)
 
     def propose(self, data: bytes) -> LogIndex:
@@ -251,8 +253,9 @@
             self._propose_replicas(replicas, now)
 
     def _is_caught_up(self, peer: ReplicaId, now: float) -> bool:
+        # Replies lag behind the commit index of now for as long as changes go on.
         match_index = self._progress[peer].match_index
-        return match_index >= self._state.commit_index and self._is_active(peer, now)
+        return match_index >= self._last_heartbeat_commit and self._is_active(peer, now)
 
     def _send_heartbeats(self, now: float) -> None:
         self._heartbeat_due_at = now + HEARTBEAT_INTERVAL_S
--- a/persimmonhall/raft/tests/test_snapshot_transfer.py
+++ b/persimmonhall/raft/tests/test_snapshot_transfer.py
@@ -4,7 +4,7 @@
 
 from persimmonhall.raft.core import RaftCore
 from persimmonhall.raft.log import TRAILING_ENTRIES
-from persimmonhall.raft.messages import Member, SnapshotChunk
+from persimmonhall.raft.messages import AppendReply, Member, SnapshotChunk
 from persimmonhall.raft.state import PersistedState
 from persimmonhall.raft.tests.test_core import make_core
 from persimmonhall.raft.timing import ELECTION_TIMEOUT_S
@@ -118,3 +118,28 @@
     for _ in range(60):
         fixture.exchange()
     assert "b" in fixture.leader.replicas.voters
+
+
+# While changes were committed faster than replies came back, no learner got a vote.
+def test_replica_gets_its_vote_while_changes_are_committed_all_the_time():
+    fixture = TransferFixture()
+    for _ in range(60):
+        fixture.exchange()
+        fixture.commit(1)
+    assert "b" in fixture.leader.replicas.voters
+
+
+def test_replica_that_lags_by_more_than_a_heartbeat_gets_no_vote():
+    fixture = TransferFixture()
+    for _ in range(25):
+        fixture.exchange()
+    leader = fixture.leader
+    lagging = AppendReply(leader.term, True, leader.commit_index, 0, 0)
+    leader.join(Member("c", "c", "c", False), fixture.now)
+    for _ in range(10):
+        fixture.exchange()
+    for _ in range(30):
+        fixture.exchange()
+        leader.step("c", lagging, fixture.now)
+    assert leader.replicas.voters == ("a", "b")
+    assert leader.promotion_obstacle("c", fixture.now) == "it is not caught up"
