Read what arrived in a pause before a stopping node refuses

What callers saw: a request whose server answered before the end of the node's grace period got the node's own 502.

Cause: open requests are refused at a time of the clock. If the loop has a gap that reaches that time, the refusal comes first and the answers that arrived in the gap are never read. Servers get no more time than up to 0.1 s before the end, so a gap of 0.3 s hides them.

Why it works: after a gap the shutdown waits for as long as input of a gap takes to be read, as the timers of requests do already.

--- a/persimmonhall/routed_node.py
+++ b/persimmonhall/routed_node.py
@@ -362,7 +362,7 @@
             self.gossiper,
             self._shutdown,
             self.settings.releases.grace_s,
-            self._pauses.input_age_s(trio.current_time()),
+            self._pauses,
         )
 
     def reload(self, settings: NodeSettings) -> None:
--- a/persimmonhall/routed_shutdown.py
+++ b/persimmonhall/routed_shutdown.py
@@ -7,6 +7,7 @@
 from persimmonhall.call.shutdown_window import ShutdownWindow
 from persimmonhall.http.caller_server import CallerServer
 from persimmonhall.membership.gossip import Gossiper
+from persimmonhall.process_pauses import BACKLOG_READ_S, ProcessPauses
 from persimmonhall.wire.call_server import CallServer
 
 CHECK_INTERVAL_S = 0.1
@@ -38,13 +39,14 @@
     gossiper: Gossiper,
     window: ShutdownWindow,
     grace_s: float,
-    signal_age_s: float = 0.0,
+    pauses: ProcessPauses,
 ) -> None:
     """Serve callers as long as they come, then refuse what is left.
 
     The grace period has begun with the signal, which may be read late.
     """
-    start = trio.current_time() - signal_age_s
+    start = trio.current_time()
+    start -= pauses.input_age_s(start)
     callers.is_draining = True
     window.set(start + LATE_REQUEST_S, start + REQUEST_END_FRACTION * grace_s)
     await trio.sleep_until(start + PEER_NOTICE_FRACTION * grace_s)
@@ -65,6 +67,9 @@
         if gate.is_idle and callers.is_idle and not calls.queued_bytes:
             break
         await trio.sleep(CHECK_INTERVAL_S)
+    if pauses.input_age_s(trio.current_time()):
+        # Answers may have arrived while this process was paused.
+        await trio.sleep(BACKLOG_READ_S)
     entry.refuse_waiting()
     calls.stop()
     gossiper.announce_left()
