Let a replica that was retired while it was paused or down join again

Cause: the leader retires the surplus voter that is silent for 4 s, whichever it is, and a removed member never joined again. It gets nothing from the leader any more; often not even the entry that removes it, so that it takes itself for a voter without a leader.

Now, with retire_replaced, a replica that is no member or has known no leader for 2 s asks to join. A leader that has it as a member ignores that. It joins with its disk and its id as a learner and gets its vote once it has caught up; the set counts as grown as before, so a voter that is really gone is retired the same.

Ruled out: to retire later, as one more disk may be lost after 4 s.

--- a/persimmonhall/control/joining.py
+++ b/persimmonhall/control/joining.py
@@ -11,10 +11,14 @@
 
 JOIN_INTERVAL_S = 0.5
 REQUEST_TIMEOUT_S = 1.0
+REJOIN_AFTER_S = 2.0
 
 
 class Joiner:
-    """Send join requests to the configured peers until the leader adds this replica."""
+    """Send join requests to the configured peers until the leader adds this replica.
+
+    With `rejoins`, a replica that was removed while it did not respond joins again.
+    """
 
     def __init__(
         self,
@@ -22,10 +26,13 @@
         name: NodeName,
         local_address: Address,
         peers: tuple[Address, ...],
+        *,
+        rejoins: bool = False,
     ):
         self._replica = replica
         self._join = Join(replica.core.id, name, str(local_address))
         self._peers = peers
+        self._rejoins = rejoins
 
     async def run(self) -> None:
         """Send join requests while the set lacks this address, until cancelled."""
@@ -39,8 +46,16 @@
         if not replicas.members:
             return True
         member = replicas.get(self._replica.core.id)
-        # A removed member does not rejoin until its data folder is emptied.
-        return member is not None and member.address != self._join.address
+        if member is not None and member.address != self._join.address:
+            return True
+        # A member that an operator removed does not rejoin until its data folder is
+        # emptied; one that was removed because it did not respond does.
+        return self._rejoins and (member is None or self._is_leaderless())
+
+    def _is_leaderless(self) -> bool:
+        """Return whether no leader has been known for long, as after a removal."""
+        since = self._replica.driver.leaderless_since
+        return trio.current_time() >= since + REJOIN_AFTER_S
 
     async def _send_join_to_peers(self) -> None:
         logging.info("asking to join id=%s peers=%d", self._join.id, len(self._peers))
--- a/persimmonhall/control/run.py
+++ b/persimmonhall/control/run.py
@@ -129,9 +129,14 @@
         nursery.start_soon(replica.run)
         nursery.start_soon(service.run)
         nursery.start_soon(run_log_clock, replica.submit_locally)
-        nursery.start_soon(
-            Joiner(replica, control_settings.name, address, control_settings.peers).run
+        joiner = Joiner(
+            replica,
+            control_settings.name,
+            address,
+            control_settings.peers,
+            rejoins=control_settings.retire_replaced,
         )
+        nursery.start_soon(joiner.run)
         if control_settings.retire_replaced:
             nursery.start_soon(ReplacedVoterRemover(core, replica.driver).run)
         release_address = None
--- a/tests/full_disks.py
+++ b/tests/full_disks.py
@@ -8,7 +8,9 @@
 import random
 import subprocess
 import sys
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from tempfile import mkdtemp
 
@@ -27,6 +29,8 @@
 SETTLED_AFTER_S = 6.0
 POLL_S = 0.02
 LARGE_BYTES = 1_900_000
+# First voters, and voters that are added later.
+VOTERS = ((3, 0), (4, 0), (4, 0), (3, 1))
 # What a full disk refuses; the chance is that of each single operation.
 KINDS = {
     "writes": {"write": 1.0},
@@ -116,7 +120,9 @@
 class Scenario:
     """Run control VMs whose disks are full one after another."""
 
-    def __init__(self, seed: int, folder: Path, kinds: tuple[str, ...]):
+    def __init__(
+        self, seed: int, folder: Path, kinds: tuple[str, ...] = (), voters=VOTERS
+    ):
         self._kinds = kinds
         self.violations: list[str] = []
         self.acked: dict[int, float] = {}
@@ -128,7 +134,7 @@
         self._is_done = False
         self._started_at = 0.0
         # A set that has grown removes a voter that seems to have failed.
-        initial, added = self._rng.choice(((3, 0), (4, 0), (4, 0), (3, 1)))
+        initial, added = self._rng.choice(voters)
         frames = [free_address() for _ in range(initial + added)]
         self.vms = [
             ControlVm(
@@ -138,25 +144,20 @@
         ]
         self._initial_count = initial
 
-    async def run(self, rounds: int) -> None:
-        """Run one seed."""
+    async def fill_disks(self, rounds: int) -> None:
+        """Fill all disks one after another while releases are put."""
+        async with trio.open_nursery() as load:
+            load.start_soon(self._put_forever)
+            for _ in range(rounds):
+                await self._fill_one_after_another()
+            self._is_done = True
+
+    async def run(self, disturb: Callable[[], Awaitable[None]]) -> None:
+        """Start the VMs, disturb them, and check that they recover."""
         async with trio.open_nursery() as nursery:
             try:
-                for vm in self.vms[: self._initial_count]:
-                    vm.start()
-                    nursery.start_soon(vm.watch)
-                await self._wait_for_put()
-                for vm in self.vms[self._initial_count :]:
-                    await trio.sleep(SETTLED_AFTER_S)
-                    vm.start()
-                    nursery.start_soon(vm.watch)
-                    await self._wait_for_joined(vm)
-                self._started_at = trio.current_time()
-                async with trio.open_nursery() as load:
-                    load.start_soon(self._put_forever)
-                    for _ in range(rounds):
-                        await self._fill_one_after_another()
-                    self._is_done = True
+                await self._start(nursery)
+                await disturb()
                 await self._check_recovery()
             finally:
                 nursery.cancel_scope.cancel()
@@ -170,6 +171,18 @@
             if "Traceback" in vm.log.read_text(errors="replace"):
                 self.violations.append(f"{vm.name} logged a traceback")
 
+    async def _start(self, nursery: trio.Nursery) -> None:
+        for vm in self.vms[: self._initial_count]:
+            vm.start()
+            nursery.start_soon(vm.watch)
+        await self._wait_for_put()
+        for vm in self.vms[self._initial_count :]:
+            await trio.sleep(SETTLED_AFTER_S)
+            vm.start()
+            nursery.start_soon(vm.watch)
+            await self._wait_for_joined(vm)
+        self._started_at = trio.current_time()
+
     async def _wait_for_put(self) -> None:
         with trio.fail_after(READY_TIMEOUT_S):
             while not await self._put(self.vms[0]):
@@ -351,7 +364,7 @@
     """Run one seed in a folder."""
     folder.mkdir(parents=True, exist_ok=True)
     scenario = Scenario(seed, folder, kinds)
-    await scenario.run(rounds)
+    await scenario.run(partial(scenario.fill_disks, rounds))
     (folder / "notes").write_text("\n".join(scenario.notes))
     return scenario
 
