Tell in the restart test on which connection a request was interrupted

The known failure (one of some 3,640 requests, connectionLost, "it ended before an answer") names neither. On a kept connection it may be the gap in which an idle one is closed; on a new one it is another fault. What counts as interrupted is unchanged.

--- a/tests/load_sender.py
+++ b/tests/load_sender.py
@@ -64,7 +64,10 @@
         if scope.cancelled_caught:
             self.outcomes["interrupted: timeout"] += 1
             return
-        self.outcomes[_outcome(result, node)] += 1
+        outcome = _outcome(result, node)
+        if outcome.startswith("interrupted"):
+            outcome += f" on a {'new' if is_new else 'kept'} connection"
+        self.outcomes[outcome] += 1
         if is_new:
             await client.aclose()
 
