--- a/persimmonhall/raft/tests/test_core.py
+++ b/persimmonhall/raft/tests/test_core.py
@@ -82,6 +82,8 @@
     leader.step("c", VoteReply(2, True, False), NOW)
     leader.request_read_index(1)
     follower.step("b", message, NOW)
+    for _ in range(2):
+        follower.step("b", Append(2, 9, 2, (), 1, 0), NOW)
     messages = follower.take_ready(NOW).messages
     assert acknowledgements(messages) == []
     for reply in messages:
