--- a/persimmonhall/raft/tests/test_membership.py
+++ b/persimmonhall/raft/tests/test_membership.py
@@ -2,13 +2,14 @@
 
 from persimmonhall.raft.log import decode_replicas, encode_replicas
 from persimmonhall.raft.membership import (
+    MAX_REMOVED,
     MAX_VOTERS,
     as_settled,
     next_change,
     with_joined_member,
     without_member,
 )
-from persimmonhall.raft.messages import Member, ReplicaSet
+from persimmonhall.raft.messages import RECORDS, Member, ReplicaSet, SnapshotHead
 
 
 def make_set(*members: tuple[str, bool]) -> ReplicaSet:
@@ -65,6 +66,16 @@
     assert decode_replicas(encode_replicas(replaced)).removed == ("c#1",)
 
 
+def test_list_of_removed_replicas_is_limited_and_kept_by_snapshots():
+    replicas = make_set(*THREE_VOTERS)
+    names = [f"r{number}#1" for number in range(MAX_REMOVED + 1)]
+    for name in names:
+        replicas = without_member(replicas, name)
+    assert replicas.removed == tuple(names[1:])
+    head = SnapshotHead(5, 2, replicas, 0)
+    assert RECORDS.decode(RECORDS.encode(head)).replicas == replicas
+
+
 def test_number_of_voters_is_limited():
     voters = tuple((f"r{n}#1", True) for n in range(MAX_VOTERS))
     assert next_change(make_set(*voters, ("new#1", False)), {"new#1"}) is None
