--- a/harness/soak/cluster.py
+++ b/harness/soak/cluster.py
@@ -114,7 +114,9 @@
     @property
     def has_ended(self) -> bool:
         """Return whether the process has ended."""
-        return bool(select.select([self._pidfd], [], [], 0)[0])
+        poll = select.poll()
+        poll.register(self._pidfd, select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def waited_s(self) -> float:
--- a/tests/test_withdrawal.py
+++ b/tests/test_withdrawal.py
@@ -12,8 +12,8 @@
 from harness.soak.backends import Backend
 from harness.soak.cluster import Cluster, encode_request, exchange, open_starter
 from harness.soak.network import NetworkFault
-from harness.soak.operator import make_release
 from harness.soak.record import Record
+from harness.soak.releases import make_release
 
 WITHDRAWAL_S = 4.0
 # Callers go on for this long after the control VM is back.
@@ -48,7 +48,9 @@
     async def put(self, version, *keys):
         """Put a release until a control VM has accepted it."""
         organisations = [{"name": "museum", "keys": list(keys)}]
-        release = make_release(version, version - 1, organisations)
+        rng = random.Random(version)
+        release = make_release(version, version, None, organisations, rng)
+        release["base"] = version - 1
         request = encode_request("PUT", "/release", release)
         with trio.fail_after(15):
             while True:
