Close the stores that the tests of crash points leave open

A whole test run had over 780 descriptors open from raft/tests, 335 of them before this series and 400 of the new tests of full disks: beyond select()'s 1024 with the others.

--- a/persimmonhall/raft/tests/crash_points.py
+++ b/persimmonhall/raft/tests/crash_points.py
@@ -1,6 +1,8 @@
 """Run code that writes files until a chosen operation, then crash."""
 
 import os
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -71,3 +73,18 @@
     if isinstance(target, int):
         target = os.readlink(f"/proc/self/fd/{target}")
     return Path(target)
+
+
+@contextmanager
+def closing_descriptors(folder: Path) -> Iterator[None]:
+    """Close the files below a folder at the end, as the kernel does after a kill."""
+    try:
+        yield
+    finally:
+        for descriptor in os.listdir("/proc/self/fd"):
+            try:
+                if folder in path_of(int(descriptor)).parents:
+                    os.close(int(descriptor))
+            except FileNotFoundError:
+                # That of the listing itself.
+                pass
--- a/persimmonhall/raft/tests/test_crash_points.py
+++ b/persimmonhall/raft/tests/test_crash_points.py
@@ -21,7 +21,11 @@
     SNAPSHOT_FILE,
     open_storage,
 )
-from persimmonhall.raft.tests.crash_points import CrashError, CrashingDisk
+from persimmonhall.raft.tests.crash_points import (
+    CrashError,
+    CrashingDisk,
+    closing_descriptors,
+)
 
 INITIAL = PersistedState(
     HardState(1, NO_VOTE), None, (Entry(1, 1, EntryKind.COMMAND, b"first"),)
@@ -29,6 +33,13 @@
 ROUNDS = 3
 
 
+@pytest.fixture(autouse=True)
+def killed_processes(tmp_path):
+    """Close the stores that a crash has left open."""
+    with closing_descriptors(tmp_path):
+        yield
+
+
 def make_entry(index):
     """Build an entry of some size."""
     return Entry(index, 2, EntryKind.COMMAND, b"entry-%d" % index * 20)
--- a/persimmonhall/raft/tests/test_full_disk_points.py
+++ b/persimmonhall/raft/tests/test_full_disk_points.py
@@ -8,7 +8,7 @@
 from persimmonhall.raft.messages import HardState
 from persimmonhall.raft.outbox import WriteRequest
 from persimmonhall.raft.storage import NoSpaceError, open_storage
-from persimmonhall.raft.tests.crash_points import CrashError
+from persimmonhall.raft.tests.crash_points import CrashError, closing_descriptors
 from persimmonhall.raft.tests.full_disk_points import FullDisk
 from persimmonhall.raft.tests.test_crash_points import (
     INITIAL,
@@ -22,6 +22,13 @@
 MAX_TRIES = 30
 
 
+@pytest.fixture(autouse=True)
+def killed_processes(tmp_path):
+    """Close the stores that a crash has left open."""
+    with closing_descriptors(tmp_path):
+        yield
+
+
 class PatientWriter(Writer):
     """Try again while the disk is full."""
 
