--- a/review/common_2/platform.py
+++ b/review/common_2/platform.py
@@ -11,12 +11,16 @@
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 import tomllib
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
 RESTART_DELAY_S = 0.5
+MEMORY_CHECK_S = 0.005
+# Of the role, in deploy/system.toml.
+METRICS_PORT = 9464
 STARTUP_TIMEOUT_S = 25.0
 BOUNDS = (
     "seedLagS=3",
@@ -73,6 +77,7 @@
         self.is_first_start = True
         self.should_run = False
         self.ends: list[str] = []
+        self.kills_for_memory = 0
 
     def address(self, port: str) -> str:
         """Return an address of this machine."""
@@ -164,7 +169,9 @@
             self.process.wait()
 
     def rss_mb(self) -> float:
-        """Return the resident memory of the process."""
+        """Return the resident memory of the process, without mapped files."""
+        if self.process is None:
+            return 0.0
         try:
             status = Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
@@ -198,7 +205,7 @@
         self.bounds = bounds
         self.side_memory_mb = side_memory_mb
         self.octet = random.randrange(10, 250)
-        ports = _free_ports(6)
+        ports = _free_ports(6, f"127.{self.octet}.2.1")
         names = ("inbound", "outbound", "ready", "controlPlane", "application")
         self.ports = dict(zip(names, ports, strict=False))
         self.internal_ports = (ports[5], ports[5] + 15)
@@ -241,6 +248,23 @@
             machine.start()
             self.record(f"platform: process of {machine.name} started again")
 
+    def limit_memory(self) -> None:
+        """Kill processes that use more memory than their machine's memoryMb."""
+        threading.Thread(target=self._watch_memory, daemon=True).start()
+
+    def _watch_memory(self) -> None:
+        while self._keeper is not None:
+            for machine in self.machines:
+                used_mb = machine.rss_mb()
+                if used_mb > machine.memory_mb and machine.is_running:
+                    machine.kills_for_memory += 1
+                    self.record(
+                        f"platform: {machine.name} uses {used_mb:.0f} MB of"
+                        f" {machine.memory_mb}, its process is killed"
+                    )
+                    machine.send_signal(signal.SIGKILL)
+            time.sleep(MEMORY_CHECK_S)
+
     def kill_all(self, machines: list[Machine]) -> None:
         """Kill several processes at the same moment."""
         for machine in machines:
@@ -261,23 +285,23 @@
             print(self.folder)
 
 
-def _free_ports(count: int) -> list[int]:
+def _free_ports(count: int, host: str) -> list[int]:
     """Return ports below the ephemeral ones on which nothing listens."""
     start = random.randrange(12000, 30000, 64)
     while True:
         ports = [start + 20 * n for n in range(count)]
-        if all(map(_is_free, ports)) and _is_free(9464):
+        if all(_is_free(host, port) for port in (*ports, METRICS_PORT)):
             return ports
         start += 64
         if start > 31000:
             raise SetupError("no free ports")
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind(("0.0.0.0", port))
+            probe.bind((host, port))
         except OSError:
             return False
     return True
