--- a/review/common_2/standins.py
+++ b/review/common_2/standins.py
@@ -28,9 +28,9 @@
         self.state = "ready"
         self.pings = True
         self.runs: list[tuple[float, str]] = []
-        self.answer_body = b"chart"
         self._listener: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listen at the application address and report to the node."""
@@ -46,6 +46,12 @@
             task.cancel()
         if self._listener is not None:
             self._listener.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    def make_answer(self, head: Head) -> bytes:
+        """Return the body of the answer to a request."""
+        return b"chart"
 
     def ping_body(self) -> bytes:
         """Encode what the server says of itself now."""
@@ -97,6 +103,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head)
@@ -105,6 +112,7 @@
         except (*ERRORS, asyncio.CancelledError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, head: Head, body: bytes) -> bytes:
@@ -117,7 +125,7 @@
         self.record(f"server {self.id} of {self.machine.name}: runs {attempt}")
         await asyncio.sleep(self.work_s)
         stamp = {"X-Server-Stamp": f"{self.id}.{attempt}"}
-        return self._encode("200 OK", attempt, stamp, self.answer_body)
+        return self._encode("200 OK", attempt, stamp, self.make_answer(head))
 
     def _encode(
         self, status: str, attempt: str, headers: dict[str, str], body: bytes
