--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,7 +18,8 @@
     wait_until_ready,
 )
 
-SERVICE = "huvo11a"
+# Every other node is beside a server of the first one, which the requests go to.
+SERVICES = ("huvo11a", "wuno96b")
 # The late ping was sent before the departure and arrives this long after its ack.
 PING_DELAY_S = 3.0
 # The server serves on for this long after the ack.
@@ -41,7 +42,7 @@
     for server in servers:
         await server.start()
     operator = Operator(platform, record)
-    await operator.replace(make_manifest(5, 0, (SERVICE,)))
+    await operator.replace(make_manifest(5, 0, SERVICES))
     await wait_until_ready(platform.nodes)
     clients = asyncio.create_task(_ask_forever(platform, record))
     await asyncio.sleep(3.0)
@@ -80,4 +81,4 @@
 
 
 if __name__ == "__main__":
-    run_case(FOLDER, lambda record: Platform(record, services=(SERVICE,)), _case)
+    run_case(FOLDER, lambda record: Platform(record, services=SERVICES), _case)
