--- a/review/common_2/case.py
+++ b/review/common_2/case.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from .platform import Platform, Record, SetupError
+from .platform import Platform, Record
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 115.0
@@ -33,11 +34,14 @@
     case: Callable[[Platform, Record], Awaitable[str]],
 ) -> int:
     platform = None
+    loop, task = asyncio.get_running_loop(), asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
         platform = make_platform(record)
         await platform.start()
         broken = await asyncio.wait_for(case(platform, record), TIME_LIMIT_S)
-    except (SetupError, TimeoutError, OSError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}")
         return NOT_RUN
