--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from common_2.case import has_trouble, run_case  # noqa: E402
-from common_2.platform import Platform, Record  # noqa: E402
+from common_2.platform import Platform, Record, SetupError  # noqa: E402
 from common_2.standins import (  # noqa: E402
     Operator,
     Server,
@@ -27,6 +27,7 @@
 # touchMs, twice as long after a final fault that took most of the core.
 IN_TOUCH_S = 2 * 3.0
 DRAIN_TIMEOUT_S = 2.0
+MIN_JUDGED_S = 2.0
 
 
 async def _ask_forever(platform: Platform, record: Record) -> None:
@@ -49,18 +50,15 @@
     leaving = servers[0]
     late_ping = leaving.ping_body()
     if not await leaving.deregister():
-        record("the departure was not acknowledged")
-        return ""
+        raise SetupError("the departure was not acknowledged")
     acknowledged_at = time.monotonic()
     record(f"server {leaving.id}: departure acknowledged, serves on")
-    last_start_at = acknowledged_at
     if has_trouble():
         platform.kill_all(platform.machines)
         record("final fault: all processes are killed")
     await asyncio.sleep(PING_DELAY_S)
     if has_trouble():
         await wait_until_ready(platform.nodes)
-        last_start_at += 1.5
     status = await leaving.call("instances.heartbeat", late_ping)
     record(f"server {leaving.id}: a ping from before the departure arrives: {status}")
     await asyncio.sleep(acknowledged_at + SERVES_ON_S - time.monotonic())
@@ -68,7 +66,10 @@
     await asyncio.gather(clients, return_exceptions=True)
     for server in servers:
         await server.stop()
+    last_start_at = max(machine.started_at for machine in platform.machines)
     judged_from = max(acknowledged_at + DRAIN_TIMEOUT_S, last_start_at + IN_TOUCH_S)
+    if judged_from + MIN_JUDGED_S > acknowledged_at + SERVES_ON_S:
+        raise SetupError("the machines were in touch too late to judge")
     late = [attempt for at, attempt in leaving.runs if at > judged_from]
     others = sum(at > judged_from for s in servers[1:] for at, _ in s.runs)
     record(f"runs judged: {len(late)} at the server that left, {others} at the others")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -49,6 +49,7 @@
         headers = {"Host": HOST, "X-Attempt-Id": attempt, "X-Deadline-Ms": "5000"}
         if header_bytes:
             headers["X-Context"] = "a" * header_bytes
+        self._record(f"client of {self._node.name}: sends {attempt}")
         self._writer.write(encode_request("GET", PREFIX + "2f", headers))
         head = await asyncio.wait_for(read_head(self._reader), 6)
         if head is None:
--- a/review/common_2/platform.py
+++ b/review/common_2/platform.py
@@ -68,7 +68,8 @@
         self.name = name
         self.role = role
         self.zone = platform.zones[number % len(platform.zones)]
-        self.host = f"127.{platform.octet}.{1 if role == 'core' else 2}.{number + 1}"
+        first = 1 if role == "core" else 101
+        self.host = f"127.{platform.network}.{first + number}"
         self.service = ""
         self.memory_mb = platform.side_memory_mb if role == "side" else 296
         self.process: subprocess.Popen | None = None
@@ -78,6 +79,7 @@
         self.should_run = False
         self.ends: list[str] = []
         self.kills_for_memory = 0
+        self.started_at = 0.0
 
     def address(self, port: str) -> str:
         """Return an address of this machine."""
@@ -141,7 +143,10 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         role = "node" if self.role == "side" else "control"
+        _, hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)
         limit = 4100 if self.role == "side" else 4096
+        if hard_limit != resource.RLIM_INFINITY:
+            limit = min(limit, hard_limit)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 shlex.split(self.platform.commands[role]),
@@ -156,6 +161,7 @@
             )
         self.is_first_start = False
         self.should_run = True
+        self.started_at = time.monotonic()
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process that this machine started."""
@@ -168,18 +174,21 @@
             self.process.kill()
             self.process.wait()
 
-    def rss_mb(self) -> float:
-        """Return the resident memory of the process, without mapped files."""
+    def peak_mb(self) -> float:
+        """Return the most resident memory of the process, without mapped files."""
         if self.process is None:
             return 0.0
         try:
             status = Path(f"/proc/{self.process.pid}/status").read_text()
         except OSError:
             return 0.0
-        for line in status.splitlines():
-            if line.startswith("RssAnon:"):
-                return int(line.split()[1]) / 1024
-        return 0.0
+        sizes = {
+            line.split()[0]: int(line.split()[1])
+            for line in status.splitlines()
+            if line.startswith(("VmHWM:", "RssFile:", "RssShmem:"))
+        }
+        mapped = sizes.get("RssFile:", 0) + sizes.get("RssShmem:", 0)
+        return (sizes.get("VmHWM:", 0) - mapped) / 1024
 
 
 class Platform:
@@ -204,8 +213,8 @@
         self.zones = ("suva", "nadi", "lautoka")
         self.bounds = bounds
         self.side_memory_mb = side_memory_mb
-        self.octet = random.randrange(10, 250)
-        ports = _free_ports(6, f"127.{self.octet}.2.1")
+        self.network, self._guard = _reserve_network()
+        ports = _free_ports(6, f"127.{self.network}.101")
         names = ("inbound", "outbound", "ready", "controlPlane", "application")
         self.ports = dict(zip(names, ports, strict=False))
         self.internal_ports = (ports[5], ports[5] + 15)
@@ -249,13 +258,15 @@
             self.record(f"platform: process of {machine.name} started again")
 
     def limit_memory(self) -> None:
-        """Kill processes that use more memory than their machine's memoryMb."""
+        """Kill nodes that use more memory than their machine's memoryMb."""
+        if not self.nodes[0].peak_mb():
+            raise SetupError("this system does not tell the memory of a process")
         threading.Thread(target=self._watch_memory, daemon=True).start()
 
     def _watch_memory(self) -> None:
         while self._keeper is not None:
-            for machine in self.machines:
-                used_mb = machine.rss_mb()
+            for machine in self.nodes:
+                used_mb = machine.peak_mb()
                 if used_mb > machine.memory_mb and machine.is_running:
                     machine.kills_for_memory += 1
                     self.record(
@@ -275,6 +286,7 @@
         if self._keeper is not None:
             self._keeper.cancel()
             self._keeper = None
+        self._guard.close()
         for machine in self.machines:
             if machine.process is not None:
                 machine.send_signal(signal.SIGCONT)
@@ -285,6 +297,20 @@
             print(self.folder)
 
 
+def _reserve_network() -> tuple[str, socket.socket]:
+    """Return two octets of addresses that no other run uses, and their guard."""
+    for _ in range(100):
+        network = f"{random.randrange(10, 250)}.{random.randrange(1, 250)}"
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{network}.250", METRICS_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return network, guard
+    raise SetupError("no loopback addresses to use")
+
+
 def _free_ports(count: int, host: str) -> list[int]:
     """Return ports below the ephemeral ones on which nothing listens."""
     start = random.randrange(12000, 30000, 64)
